--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the decisions in virtual time, with bounds."""
--- /dev/null
+++ b/mothpass/__init__.py
@@ -0,0 +1,1 @@
+"""A router fleet for very many returning chats."""
--- /dev/null
+++ b/mothpass/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Carriers of bytes between the ports and the world."""
--- /dev/null
+++ b/mothpass/control/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of operators, as a library over the operators' HTTP interface."""
--- /dev/null
+++ b/mothpass/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as plain functions and state, without input or output."""
--- /dev/null
+++ b/mothpass/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, histograms, comparison and reports."""
--- /dev/null
+++ b/mothpass/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and function types through which the core meets the world."""
--- /dev/null
+++ b/mothpass/programs/__init__.py
@@ -0,0 +1,1 @@
+"""One module a binary."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications whose transitions call the functions of mothpass.core."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, each module named after the module it holds."""
--- /dev/null
+++ b/tests/test_architecture.py
@@ -0,0 +1,70 @@
+"""Holds the rules on imports that the layout rests on."""
+
+import ast
+from collections import abc
+import pathlib
+import unittest
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_SOURCES = ("mothpass", "spec", "bench", "tests", "examples")
+_FORBIDDEN_IN_CORE = (
+    "asyncio",
+    "blacksheep",
+    "datetime",
+    "grpc",
+    "logging",
+    "mothpass.adapters",
+    "mothpass.daemon",
+    "os",
+    "socket",
+    "statsd",
+    "time",
+)
+# Packages whose own documentation imports names; the rule is about modules.
+_NAMES_ALLOWED_FROM = ("__future__",)
+
+
+def _list_sources(folder: str) -> list[pathlib.Path]:
+    found = sorted((_ROOT / folder).rglob("*.py"))
+    return [path for path in found if "_pb2" not in path.name]
+
+
+def _list_imports(path: pathlib.Path) -> abc.Iterator[tuple[int, str, str]]:
+    """Yields line, module and imported name ("" for a plain import)."""
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            for alias in node.names:
+                yield node.lineno, alias.name, ""
+        elif isinstance(node, ast.ImportFrom):
+            for alias in node.names:
+                yield node.lineno, node.module or "", alias.name
+
+
+class ImportTest(unittest.TestCase):
+    """Checks the import statements of all sources."""
+
+    def test_core_imports_no_adapter_no_event_loop_and_no_clock(self) -> None:
+        found = []
+        for path in _list_sources("mothpass/core"):
+            for line, module, name in _list_imports(path):
+                full = f"{module}.{name}" if name else module
+                for banned in _FORBIDDEN_IN_CORE:
+                    if full == banned or full.startswith(f"{banned}."):
+                        found.append(f"{path.name}:{line}: {full}")
+        self.assertEqual(found, [])
+
+    def test_modules_are_imported_not_names(self) -> None:
+        found = []
+        for folder in _SOURCES:
+            for path in _list_sources(folder):
+                for line, module, name in _list_imports(path):
+                    if module in _NAMES_ALLOWED_FROM or not name:
+                        continue
+                    if name[0].isupper():
+                        found.append(f"{path}:{line}: {module}.{name}")
+        self.assertEqual(found, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,57 @@
+"""Tests for mothpass.core.documents through the documents it checks."""
+
+import unittest
+
+from mothpass.core import catalogue
+from mothpass.core import errors
+from mothpass.daemon import settings
+
+
+class DecodeDocumentTest(unittest.TestCase):
+    """Checks that all faults are named at once, each with its path."""
+
+    def _read_paths(self, data: bytes) -> list[str]:
+        with self.assertRaises(errors.DocumentError) as caught:
+            catalogue.decode_catalogue(data)
+        return [item.path for item in caught.exception.problems]
+
+    def test_names_unknown_missing_and_mistyped_fields_together(self) -> None:
+        paths = self._read_paths(
+            b'{"x": 1, "classes": [{"name": "UPPER", "priority": 77}],'
+            b' "models": [], "services": 3}'
+        )
+        self.assertEqual(
+            paths,
+            [
+                "$.x",
+                "$.classes[0].name",
+                "$.classes[0].priority",
+                "$.classes[0].deadline_ms",
+                "$.services",
+                "$.teams",
+                "$.availability_zones",
+            ],
+        )
+
+    def test_reports_text_that_is_not_json(self) -> None:
+        self.assertEqual(self._read_paths(b"{"), ["$"])
+
+    def test_reports_an_object_that_is_a_list(self) -> None:
+        self.assertEqual(self._read_paths(b"[]"), ["$"])
+
+    def test_reports_a_fault_found_by_the_struct_itself(self) -> None:
+        document = (
+            b'{"instance": {"id": "d1", "region": "perth",'
+            b' "availability_zone": "a", "slot": 9, "slots": 9},'
+            b' "callers": {"address": "127.0.0.1:1"}}'
+        )
+        with self.assertRaises(errors.DocumentError) as caught:
+            settings.decode_settings(document)
+        paths = [item.path for item in caught.exception.problems]
+        self.assertEqual(
+            paths, ["$.instance", "$.operators", "$.peers", "$.platform"]
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
