--- /dev/null
+++ b/mothpass/adapters/http_pool.py
@@ -0,0 +1,97 @@
+"""Keep-alive connections to targets, by address."""
+
+import asyncio
+
+from mothpass.adapters import http_exchanges
+from mothpass.core import errors
+
+IDLE_CONNECTIONS = 256
+# Shorter than the time after which common servers close an idle connection,
+# so that a request seldom meets one that is being closed.
+IDLE_MS = 3000
+
+
+class Pool:
+    """Opens connections and keeps those that may be used again."""
+
+    __slots__ = ("_connect_timeout_ms", "_idle")
+
+    def __init__(self, *, connect_timeout_ms: int) -> None:
+        """Starts without connections."""
+        self._connect_timeout_ms = connect_timeout_ms
+        self._idle: dict[str, list[http_exchanges.Connection]] = {}
+
+    async def take(
+        self, address: str, *, fresh: bool
+    ) -> http_exchanges.Connection:
+        """Returns a connection that carries nothing else.
+
+        Args:
+            address: ``ip:port``.
+            fresh: Whether it must be a new one.
+
+        Raises:
+            errors.TargetUnreachableError: If none could be opened.
+        """
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get(address, [])
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.is_open() and now < connection.idle_deadline:
+                return connection
+            connection.close()
+        return await self._connect(address)
+
+    def give_back(
+        self, address: str, connection: http_exchanges.Connection
+    ) -> None:
+        """Ends the exchange; keeps the connection if it may be used again.
+
+        Where only the end of the HTTP message is still to come, this is done
+        once it has come.
+        """
+        if connection.await_end(lambda: self.give_back(address, connection)):
+            return
+        idle = self._idle.setdefault(address, [])
+        if not connection.finish() or len(idle) >= IDLE_CONNECTIONS:
+            connection.close()
+            return
+        now = asyncio.get_running_loop().time()
+        connection.idle_deadline = now + IDLE_MS / 1000
+        idle.append(connection)
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
+
+    def prune(self) -> None:
+        """Closes the idle connections that won't be used again."""
+        now = asyncio.get_running_loop().time()
+        for address, idle in list(self._idle.items()):
+            for connection in idle:
+                if now >= connection.idle_deadline:
+                    connection.close()
+            kept = [item for item in idle if now < item.idle_deadline]
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    async def _connect(self, address: str) -> http_exchanges.Connection:
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout_ms / 1000):
+                _, connection = await loop.create_connection(
+                    lambda: http_exchanges.Connection(loop=loop),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            raise errors.TargetUnreachableError(
+                f"no connection to {address}: {error}"
+            ) from error
+        return connection
--- /dev/null
+++ b/mothpass/adapters/targets_http.py
@@ -0,0 +1,210 @@
+"""Calls targets over HTTP, as docs/PROTOCOLS.md says."""
+
+import asyncio
+from collections import abc
+import contextlib
+import math
+
+import msgspec
+
+from mothpass.adapters import http_events
+from mothpass.adapters import http_exchanges
+from mothpass.adapters import http_pool
+from mothpass.core import errors
+from mothpass.ports import targets
+
+ANSWER_LIMIT_BYTES = 16_777_216
+SHORT_TIMEOUT_MS = 1000
+
+
+class _RefusalBody(msgspec.Struct):
+    """Body of a 503 with which a target says that it didn't run a call."""
+
+    ran: str = "unknown"
+
+
+class HttpTargets:
+    """The functions of ports/targets.py over one pool of connections."""
+
+    __slots__ = ("_pool", "_silence_ms")
+
+    def __init__(self, *, pool: http_pool.Pool, silence_ms: int) -> None:
+        """Keeps its parts.
+
+        Args:
+            pool: Where connections come from.
+            silence_ms: Time without a byte after which a stream is quiet.
+        """
+        self._pool = pool
+        self._silence_ms = silence_ms
+
+    async def open_stream(
+        self, attempt: targets.Attempt
+    ) -> abc.AsyncGenerator[list[targets.Event], None]:
+        """See ``targets.OpenStream``."""
+        request = _encode_post(attempt)
+        fresh = attempt.idempotency_key is not None
+        async with self._exchange(
+            attempt.address, request, self._silence_ms, fresh=fresh
+        ) as exchange:
+            if await _wait_for_status(exchange) != 200:
+                raise await _read_failure(exchange)
+            async for events in _read_events(exchange):
+                yield events
+
+    async def resume_stream(
+        self, attempt: targets.Attempt, position: int
+    ) -> abc.AsyncGenerator[list[targets.Event], None]:
+        """See ``targets.ResumeStream``."""
+        path = f"/v1/attempts/{attempt.id}/events?from={position}"
+        request = _encode_head("GET", path, attempt.address)
+        async with self._exchange(
+            attempt.address, request, self._silence_ms, fresh=True
+        ) as exchange:
+            status = await _wait_for_status(exchange)
+            if status == 404:
+                raise errors.AttemptUnknownError("attempt unknown")
+            if status != 200:
+                raise errors.TargetAnswerLostError(f"resume: status {status}")
+            async for events in _read_events(exchange):
+                yield events
+
+    async def call(self, attempt: targets.Attempt) -> targets.Answer:
+        """See ``targets.CallTarget``."""
+        now = asyncio.get_running_loop().time()
+        wait_ms = max(1, math.ceil((attempt.deadline - now) * 1000))
+        fresh = attempt.idempotency_key is not None
+        async with self._exchange(
+            attempt.address, _encode_post(attempt), wait_ms, fresh=fresh
+        ) as exchange:
+            if await _wait_for_status(exchange) == 503:
+                raise await _read_failure(exchange)
+            body = await _read_body(exchange)
+            return targets.Answer(
+                attempt_id=_read_header(exchange, b"x-attempt-id"),
+                status=exchange.status,
+                body=body,
+                boot_id=_read_header(exchange, b"x-boot-id"),
+            )
+
+    async def cancel(self, attempt: targets.Attempt) -> None:
+        """See ``targets.CancelAttempt``."""
+        path = f"/v1/attempts/{attempt.id}"
+        request = _encode_head("DELETE", path, attempt.address)
+        with contextlib.suppress(errors.MothpassError):
+            async with self._exchange(
+                attempt.address, request, SHORT_TIMEOUT_MS, fresh=False
+            ) as exchange:
+                await _read_body(exchange)
+
+    async def read_load(self, address: str) -> targets.LoadReport:
+        """See ``targets.ReadLoad``."""
+        request = _encode_head("GET", "/v1/load", address)
+        async with self._exchange(
+            address, request, SHORT_TIMEOUT_MS, fresh=False
+        ) as exchange:
+            body = await _read_body(exchange)
+            if exchange.status != 200:
+                raise errors.TargetAnswerLostError(
+                    f"load report: status {exchange.status}"
+                )
+        try:
+            return msgspec.json.decode(body, type=targets.LoadReport)
+        except msgspec.DecodeError as error:
+            raise errors.TargetAnswerLostError(f"load report: {error}") from (
+                error
+            )
+
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self, address: str, request: bytes, silence_ms: int, *, fresh: bool
+    ) -> abc.AsyncIterator[http_exchanges.Exchange]:
+        """Sends a request; gives the connection back at the end."""
+        connection = await self._pool.take(address, fresh=fresh)
+        exchange = connection.send(request, silence_ms=silence_ms)
+        try:
+            yield exchange
+        finally:
+            self._pool.give_back(address, connection)
+
+
+async def _wait_for_status(exchange: http_exchanges.Exchange) -> int:
+    """Waits until the headers are whole and returns the status."""
+    while not exchange.status:
+        await exchange.wait_for_change()
+    return exchange.status
+
+
+async def _read_events(
+    exchange: http_exchanges.Exchange,
+) -> abc.AsyncGenerator[list[targets.Event], None]:
+    """Yields the events of an answer, ending with the last one."""
+    decoder = http_events.EventDecoder()
+    while True:
+        await exchange.wait_for_change()
+        events = decoder.decode(exchange.take())
+        if events:
+            exchange.content_ended = events[-1].last
+            yield events
+            if exchange.content_ended:
+                return
+        elif exchange.complete:
+            raise errors.TargetAnswerLostError(
+                "stream ended without its last event"
+            )
+
+
+async def _read_body(exchange: http_exchanges.Exchange) -> bytes:
+    """Reads a body whole."""
+    parts = []
+    size = 0
+    while not exchange.complete:
+        await exchange.wait_for_change()
+        part = exchange.take()
+        size += len(part)
+        if size > ANSWER_LIMIT_BYTES:
+            raise errors.TargetAnswerLostError("answer too large")
+        parts.append(part)
+    parts.append(exchange.take())
+    return b"".join(parts)
+
+
+async def _read_failure(
+    exchange: http_exchanges.Exchange,
+) -> errors.MothpassError:
+    """Returns the error that an answer other than 200 stands for."""
+    body = await _read_body(exchange)
+    if exchange.status == 503:
+        with contextlib.suppress(msgspec.DecodeError):
+            if msgspec.json.decode(body, type=_RefusalBody).ran == "no":
+                return errors.TargetRefusedError("refused by the target")
+    return errors.TargetAnswerLostError(f"status {exchange.status}")
+
+
+def _read_header(exchange: http_exchanges.Exchange, name: bytes) -> str:
+    return exchange.headers.get(name, b"").decode("latin-1")
+
+
+def _encode_head(method: str, path: str, address: str) -> bytes:
+    """Encodes a request without a body."""
+    return f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+
+
+def _encode_post(attempt: targets.Attempt) -> bytes:
+    """Encodes the request that starts an attempt."""
+    now = asyncio.get_running_loop().time()
+    left_ms = max(0, math.ceil((attempt.deadline - now) * 1000))
+    lines = [
+        f"POST {attempt.path} HTTP/1.1",
+        f"Host: {attempt.address}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(attempt.body)}",
+        f"X-Attempt-Id: {attempt.id}",
+        f"X-Priority: {attempt.priority}",
+        f"X-Deadline-Ms: {left_ms}",
+        f"X-Fencing: {attempt.fencing}",
+    ]
+    if attempt.idempotency_key is not None:
+        lines.append(f"Idempotency-Key: {attempt.idempotency_key}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + attempt.body
--- a/mothpass/core/errors.py
+++ b/mothpass/core/errors.py
@@ -85,3 +85,15 @@
 
     Whether it ran is unknown.
     """
+
+
+class TargetRefusedError(MothpassError):
+    """The target answered that it did not run the call."""
+
+
+class TargetSilentError(TargetAnswerLostError):
+    """The target began to answer and then made no progress."""
+
+
+class AttemptUnknownError(TargetAnswerLostError):
+    """The target doesn't know the attempt that was to be resumed."""
--- a/mothpass/ports/targets.py
+++ b/mothpass/ports/targets.py
@@ -92,13 +92,21 @@
     age_ms: int
 
 
-# Opens a stream from a position (0 for a new attempt, more to resume one).
-# The iterator ends after the event with ``last``.
-# Raises errors.TargetUnreachableError or errors.TargetAnswerLostError.
-OpenStream = abc.Callable[[Attempt, int], abc.AsyncIterator[Event]]
+# Starts an attempt and yields its events, those that arrived together in one
+# list. Ends after the event with ``last``. The caller closes the generator.
+# Raises errors.TargetUnreachableError, errors.TargetRefusedError,
+# errors.TargetSilentError or errors.TargetAnswerLostError.
+OpenStream = abc.Callable[[Attempt], abc.AsyncGenerator[list[Event], None]]
+
+# The same for the rest of an attempt that was started before, from a position
+# and over a new connection. Also raises errors.AttemptUnknownError.
+ResumeStream = abc.Callable[
+    [Attempt, int], abc.AsyncGenerator[list[Event], None]
+]
 
 # Calls a target and waits for its whole answer.
-# Raises errors.TargetUnreachableError or errors.TargetAnswerLostError.
+# Raises errors.TargetUnreachableError, errors.TargetRefusedError or
+# errors.TargetAnswerLostError.
 CallTarget = abc.Callable[[Attempt], abc.Awaitable[Answer]]
 
 # Tells a target to stop an attempt; failures are of no interest.
