--- /dev/null
+++ b/mothpass/core/routing.py
@@ -0,0 +1,534 @@
+"""Where the next call goes, or what to wait for.
+
+A chat goes to the first target of its order of preference that has room.
+Room is what is left below the bound on a target's load, shared among the
+daemons until the next report, so that daemons that all see the same lagging
+report do not fill the same room.
+"""
+
+from collections import abc
+import random as random_module
+
+import msgspec
+
+from mothpass.core import catalogue as catalogue_module
+from mothpass.core import cold
+from mothpass.core import errors
+from mothpass.core import gates
+from mothpass.core import pools
+from mothpass.core import preference
+from mothpass.core import reserves
+from mothpass.core import results
+from mothpass.core import targets
+from mothpass.ports import members as members_port
+
+ASKS_PER_S_AT_GATE = 20.0
+ASK_INTERVAL_S = 0.25
+GATES_ASKED = 2
+PARTITIONS = 16
+WAIT_S = 0.1
+RETRY_AFTER_MS = 1000
+CALL_LIMIT_MS = 600_000
+
+
+class RouteRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A call that needs a target.
+
+    Attributes:
+        name: Model or service.
+        chat: 64-bit hash of the chat; None for a call of a plain service.
+        excluded: Targets that the call must not go to.
+        alone: Whether it must be the only call of this daemon there.
+    """
+
+    name: str
+    chat: int | None
+    excluded: frozenset[str] = frozenset()
+    alone: bool = False
+
+
+class Send(msgspec.Struct, frozen=True, kw_only=True):
+    """The call goes to a target now.
+
+    Attributes:
+        target_id: The target.
+        address: ``ip:port`` of it.
+        permit: Permit from the reserve, None where none is needed.
+    """
+
+    target_id: str
+    address: str
+    permit: gates.Permit | None
+
+
+class AskPermit(msgspec.Struct, frozen=True, kw_only=True):
+    """The call may go to a target once its gate has permitted it.
+
+    Attributes:
+        target_id: The target.
+        boot_id: Its start.
+        gates: Ids of the daemons to ask, in order.
+    """
+
+    target_id: str
+    boot_id: str
+    gates: tuple[str, ...]
+
+
+class Wait(msgspec.Struct, frozen=True, kw_only=True):
+    """No target takes the call now.
+
+    Attributes:
+        until: Monotonic seconds at which to choose again at the latest.
+    """
+
+    until: float
+
+
+Choice = Send | AskPermit | Wait | errors.Refusal
+
+
+def find_partition(target_id: str) -> int:
+    """Returns the partition of the region's gates that a target is in."""
+    return preference.hash_name(target_id) % PARTITIONS
+
+
+def rank_gates(partition: int, daemons: abc.Iterable[str]) -> list[str]:
+    """Ranks the daemons that are to hold a partition, best first."""
+    return preference.rank_names(f"partition {partition}".encode(), daemons)
+
+
+class Router:
+    """Chooses targets for the calls of one daemon.
+
+    Attributes:
+        targets: What is known of each target, by id.
+        daemons: Ids of the live daemons of the region, sorted.
+    """
+
+    __slots__ = (
+        "_catalogue",
+        "_gates",
+        "_instance_id",
+        "_instances_out",
+        "_pools",
+        "_random",
+        "_rank",
+        "_reserves",
+        "_zones_out",
+        "daemons",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        availability_zone: str,
+        slot: int,
+        slots: int,
+        random: random_module.Random,
+        started_at: float = 0.0,
+    ) -> None:
+        """Knows no catalogue and no target yet.
+
+        Args:
+            instance_id: This daemon.
+            availability_zone: Its zone. A hop between zones costs far less
+                than a lost cache, so that it has no part in a choice.
+            slot: Its slot in the region.
+            slots: Slots of the region.
+            random: Source of randomness.
+            started_at: Monotonic seconds at which this daemon started.
+        """
+        del availability_zone
+        self.targets: dict[str, targets.Target] = {}
+        self.daemons: list[str] = [instance_id]
+        self._catalogue: catalogue_module.Catalogue | None = None
+        self._gates: dict[int, tuple[str, ...]] = {}
+        self._instance_id = instance_id
+        self._instances_out: frozenset[str] = frozenset()
+        self._zones_out: frozenset[str] = frozenset()
+        self._pools: dict[str, pools.Pool] = {}
+        self._random = random
+        self._rank = 0
+        self._reserves = reserves.ReserveTable(
+            instance_id=instance_id,
+            slot=slot,
+            slots=slots,
+            started_at=started_at,
+            call_limit_ms=CALL_LIMIT_MS,
+        )
+
+    def set_catalogue(
+        self, catalogue: catalogue_module.Catalogue, *, now: float
+    ) -> None:
+        """Takes a version of the catalogue into force for new choices."""
+        del now
+        self._catalogue = catalogue
+        self._instances_out = frozenset(catalogue.instances_out)
+        self._zones_out = frozenset(
+            zone.name for zone in catalogue.availability_zones if zone.out
+        )
+        for target in self.targets.values():
+            self._set_cold_start(target)
+        self._rebuild()
+
+    def set_members(self, members: members_port.Members, *, now: float) -> None:
+        """Takes the membership list in."""
+        del now
+        daemon = members_port.Role.DAEMON
+        listed = {x.id: x for x in members.instances if x.role is not daemon}
+        for gone in self.targets.keys() - listed.keys():
+            del self.targets[gone]
+            self._reserves.forget(gone)
+        for item in listed.values():
+            self._set_instance(item)
+        live = {
+            item.id
+            for item in members.instances
+            if item.role is daemon and item.state is members_port.State.LIVE
+        }
+        self.daemons = sorted(live | {self._instance_id})
+        self._rank = self.daemons.index(self._instance_id)
+        self._gates = {
+            partition: tuple(rank_gates(partition, self.daemons)[:GATES_ASKED])
+            for partition in range(PARTITIONS)
+        }
+        self._rebuild()
+
+    def record_loads(
+        self, records: abc.Iterable[targets.LoadRecord], *, now: float
+    ) -> None:
+        """Takes load reports in, own ones and those that peers pass on."""
+        del now
+        changed = False
+        for record in records:
+            target = self.targets.get(record.target_id)
+            if target is None:
+                continue
+            was_leaving = target.is_leaving()
+            if target.record_load(record):
+                self._reserves.record_load(target, record)
+                changed = changed or target.is_leaving() != was_leaving
+        if changed:
+            self._rebuild()
+        else:
+            self._refresh()
+
+    def choose(self, request: RouteRequest, *, now: float) -> Choice:
+        """Chooses what happens to a call now.
+
+        Args:
+            request: The call.
+            now: Monotonic seconds.
+
+        Returns:
+            A target, a permit to ask for, a wait, or a refusal where no
+            target is known that could ever take the call.
+        """
+        pool = self._pools.get(request.name)
+        if pool is None or pool.members.keys() <= request.excluded:
+            return _refuse_no_target(request.name)
+        if request.alone:
+            return self._choose_alone(pool, request, now)
+        if request.chat is None:
+            return self._choose_least(pool, request, now)
+        return self._choose_preferred(pool, request, request.chat, now)
+
+    def start_call(
+        self, target_id: str, *, permit: gates.Permit | None, now: float
+    ) -> bool:
+        """Counts a call in, right before it is sent.
+
+        Args:
+            target_id: The target.
+            permit: Permit from a gate or the reserve, if one was needed.
+            now: Monotonic seconds.
+
+        Returns:
+            Whether the call may be sent. Where it may not, as the permit is
+            late or the target was taken out meanwhile, the permit must be
+            given back and the call must be routed again.
+        """
+        target = self.targets.get(target_id)
+        if target is None or not self._may_take_work(target):
+            self._give_back(permit)
+            return False
+        if permit is None:
+            if target.is_cold():
+                return False
+        elif not self._check_permit(target, permit, now):
+            self._give_back(permit)
+            return False
+        target.start_call(now)
+        for name in target.instance.serves:
+            pool = self._pools.get(name)
+            if pool is not None:
+                pool.record_start(now)
+        return True
+
+    def record_first_token(
+        self, target_id: str, *, first_token_ms: float, now: float
+    ) -> None:
+        """Takes in how long a target took to its first token."""
+        target = self.targets.get(target_id)
+        if target is not None:
+            target.record_first_token(first_token_ms, now)
+
+    def finish_call(
+        self,
+        target_id: str,
+        outcome: targets.Outcome,
+        *,
+        first_token_ms: float | None,
+        now: float,
+        permit: gates.Permit | None = None,
+        boot_id: str | None = None,
+    ) -> None:
+        """Counts a call out.
+
+        Args:
+            target_id: The target.
+            outcome: How the call ended.
+            first_token_ms: Time to the first token, if one came and was not
+                given to ``record_first_token`` already.
+            now: Monotonic seconds.
+            permit: The permit it was started with.
+            boot_id: Boot id that came with the answer, if one came.
+        """
+        self._give_back(permit)
+        target = self.targets.get(target_id)
+        if target is None:
+            return
+        if boot_id is not None:
+            target.note_boot(boot_id, now)
+        if first_token_ms is not None:
+            target.record_first_token(first_token_ms, now)
+        target.finish_call(outcome, now)
+
+    def bound(self, name: str) -> int:
+        """Returns the load that no warm target of a model may exceed."""
+        pool = self._pools.get(name)
+        return pool.bound() if pool is not None else 0
+
+    def _choose_preferred(
+        self, pool: pools.Pool, request: RouteRequest, chat: int, now: float
+    ) -> Choice:
+        """Chooses by the chat's order of preference."""
+        bound = pool.bound()
+        noise = pool.noise(len(self.daemons), now)
+        usable = []
+        for place, target_id in enumerate(pool.ring.rank(chat)):
+            target = pool.members[target_id]
+            if target_id in request.excluded or not _is_open(target, now):
+                continue
+            usable.append(target)
+            if target.is_cold():
+                choice = self._enter_cold(target, now) if place == 0 else None
+                if choice is not None:
+                    return choice
+            elif self._has_room(target, bound, noise):
+                return _send(target)
+        return self._choose_fallback(pool, usable, now)
+
+    def _choose_fallback(
+        self, pool: pools.Pool, usable: list[targets.Target], now: float
+    ) -> Choice:
+        """Chooses where no preferred target has room below the bound."""
+        warm = [item for item in usable if not item.is_cold()]
+        able = [
+            item
+            for item in warm
+            if self._part(item, pool.target_in_flight) > item.growth
+        ]
+        if able:
+            return _send(min(able, key=self._expect_load))
+        for target in usable:
+            if target.is_cold():
+                choice = self._enter_cold(target, now)
+                if choice is not None:
+                    return choice
+        return Wait(until=now + WAIT_S)
+
+    def _choose_least(
+        self, pool: pools.Pool, request: RouteRequest, now: float
+    ) -> Choice:
+        """Chooses the less loaded of two random targets."""
+        usable = self._list_usable(pool, request, now)
+        able = [x for x in usable if x.load < pool.target_in_flight]
+        if not able:
+            return Wait(until=now + WAIT_S)
+        two = self._random.sample(able, min(2, len(able)))
+        return _send(min(two, key=lambda item: item.load))
+
+    def _choose_alone(
+        self, pool: pools.Pool, request: RouteRequest, now: float
+    ) -> Choice:
+        """Chooses a warm target where this daemon has no other call."""
+        usable = self._list_usable(pool, request, now)
+        idle = [item for item in usable if not item.own and not item.is_cold()]
+        if not idle:
+            return Wait(until=now + WAIT_S)
+        target = min(idle, key=lambda item: item.load)
+        target.alone = True
+        return _send(target)
+
+    def _list_usable(
+        self, pool: pools.Pool, request: RouteRequest, now: float
+    ) -> list[targets.Target]:
+        return [
+            item
+            for item in pool.members.values()
+            if item.id not in request.excluded and _is_open(item, now)
+        ]
+
+    def _has_room(
+        self, target: targets.Target, bound: int, noise: float
+    ) -> bool:
+        """Tells whether a target has room below the bound for this daemon.
+
+        With very many daemons a part of the room is less than one call, but
+        what they do unseen evens out. A first call is then let through
+        where the room is larger than what may stray unseen.
+        """
+        part = self._part(target, bound)
+        if target.growth < part:
+            return True
+        return target.growth < 1 and bound - target.reported > max(0.0, noise)
+
+    def _part(self, target: targets.Target, limit: int) -> int:
+        """Returns this daemon's part of the room below a limit."""
+        reported = target.reported
+        return pools.share_room(
+            limit - reported,
+            daemons=len(self.daemons),
+            rank=self._rank,
+            spread=target.spread + reported,
+        )
+
+    def _expect_load(self, target: targets.Target) -> float:
+        """Returns the load if all daemons do as this one has done."""
+        return target.reported + target.growth * len(self.daemons)
+
+    def _enter_cold(
+        self, target: targets.Target, now: float
+    ) -> Send | AskPermit | None:
+        """Finds a way into a cold target, None where there is none now."""
+        permit = self._reserves.take(target, now)
+        if permit is not None:
+            return _send(target, permit)
+        if now < target.ask_after or not target.boot_id:
+            return None
+        target.ask_after = now + self._ask_interval()
+        return AskPermit(
+            target_id=target.id,
+            boot_id=target.boot_id,
+            gates=self._gates.get(find_partition(target.id), ()),
+        )
+
+    def _ask_interval(self) -> float:
+        """Returns a time between asks that many daemons do not keep step in.
+
+        It grows with the count of daemons, so that what one gate is asked
+        does not.
+        """
+        fair = len(self.daemons) / ASKS_PER_S_AT_GATE
+        return max(ASK_INTERVAL_S, fair) * self._random.uniform(0.75, 1.25)
+
+    def _check_permit(
+        self, target: targets.Target, permit: gates.Permit, now: float
+    ) -> bool:
+        if now >= permit.dispatch_by or permit.boot_id != target.boot_id:
+            return False
+        if permit.source is gates.Source.RESERVE:
+            return self._reserves.start(permit)
+        return True
+
+    def _give_back(self, permit: gates.Permit | None) -> None:
+        if permit is not None and permit.source is gates.Source.RESERVE:
+            self._reserves.release(permit)
+
+    def _may_take_work(self, target: targets.Target) -> bool:
+        """Tells whether neither operators nor the target itself say no."""
+        if target.is_leaving() or self._catalogue is None:
+            return False
+        instance = target.instance
+        if instance.id in self._instances_out:
+            return False
+        return instance.availability_zone not in self._zones_out
+
+    def _set_instance(self, instance: members_port.Instance) -> None:
+        known = self.targets.get(instance.id)
+        if known is not None:
+            known.instance = instance
+            return
+        target = targets.Target(instance=instance)
+        self._set_cold_start(target)
+        self.targets[instance.id] = target
+
+    def _set_cold_start(self, target: targets.Target) -> None:
+        if self._catalogue is not None:
+            target.cold_start = cold.find_cold_start(
+                self._catalogue, target.instance.serves
+            )
+
+    def _rebuild(self) -> None:
+        """Builds the pools anew, after what may take work has changed."""
+        if self._catalogue is None:
+            return
+        old = self._pools
+        self._pools = {}
+        for model in self._catalogue.models:
+            self._add_pool(
+                old, model.name, model.target_in_flight, model.skew_multiple
+            )
+        for service in self._catalogue.services:
+            self._add_pool(old, service.name, service.target_in_flight, 1.0)
+        members: dict[str, list[targets.Target]] = {}
+        for target in self.targets.values():
+            if self._may_take_work(target):
+                for name in target.instance.serves:
+                    members.setdefault(name, []).append(target)
+        for name, pool in self._pools.items():
+            pool.set_members(members.get(name, []))
+
+    def _add_pool(
+        self,
+        old: dict[str, pools.Pool],
+        name: str,
+        target_in_flight: int,
+        skew_multiple: float,
+    ) -> None:
+        pool = old.get(name)
+        if pool is None:
+            pool = pools.Pool(
+                name=name, target_in_flight=1, skew_multiple=skew_multiple
+            )
+        pool.target_in_flight = target_in_flight
+        pool.skew_multiple = skew_multiple
+        self._pools[name] = pool
+
+    def _refresh(self) -> None:
+        for pool in self._pools.values():
+            pool.refresh()
+
+
+def _is_open(target: targets.Target, now: float) -> bool:
+    """Tells whether a target isn't left alone for now."""
+    return now >= target.closed_until and not target.alone
+
+
+def _send(target: targets.Target, permit: gates.Permit | None = None) -> Send:
+    return Send(
+        target_id=target.id, address=target.instance.address, permit=permit
+    )
+
+
+def _refuse_no_target(name: str) -> errors.Refusal:
+    return errors.Refusal(
+        code=results.Code.NO_TARGET,
+        ran=results.Ran.NO,
+        message=f"no target of {name} may take work now",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/mothpass/core/targets.py
@@ -0,0 +1,271 @@
+"""What one daemon knows of each target, and its own calls in flight there."""
+
+import collections
+import enum
+
+import msgspec
+
+from mothpass.core import catalogue
+from mothpass.core import preference
+from mothpass.ports import members
+from mothpass.ports import targets
+
+OWN_HISTORY_S = 10.0
+BACK_OFF_S = 0.5
+BACK_OFF_LIMIT_S = 8.0
+FIRST_TOKEN_SAMPLES = 8
+SLOW_FACTOR = 4.0
+SLOW_FLOOR_MS = 400.0
+SLOW_ANSWERS = 2
+SUSPICION_S = 5.0
+
+
+class Outcome(enum.Enum):
+    """How one call of a target ended.
+
+    REFUSED means that the target said it did not run the call, UNREACHABLE
+    that no byte of it left, and LOST that its answer was cut or never came.
+    """
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+    CANCELLED = "cancelled"
+
+
+class LoadRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """A target's load report, as this daemon or a peer read it.
+
+    Attributes:
+        target_id: Instance id of the target.
+        boot_id: Changes with each start of the target.
+        phase: How ready the target says it is.
+        running: Calls in its running batch.
+        queued: Calls that wait at the target.
+        received_at: Monotonic seconds. The earliest moment at which the
+            report can have been sent: for a report read by this daemon the
+            moment the read began.
+        age_ms: Age of the figures at that moment, peers' time included.
+    """
+
+    target_id: str
+    boot_id: str
+    phase: targets.Phase
+    running: int
+    queued: int
+    received_at: float
+    age_ms: int = 0
+
+    @property
+    def measured_at(self) -> float:
+        """Monotonic seconds of the moment that the figures describe."""
+        return self.received_at - self.age_ms / 1000
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that the target carries, running or queued."""
+        return self.running + self.queued
+
+
+class Target:
+    """State of one target at this daemon.
+
+    Attributes:
+        instance: Its entry in the membership list.
+        record: The newest load report, None before the first.
+        own: This daemon's calls in flight there.
+        others: Calls of other daemons there, by the newest report.
+        own_at_report: This daemon's calls at the moment of that report.
+        cold_start: What it bears while cold, None where it serves no model.
+        closed_until: Monotonic seconds before which it is left alone after
+            a failure.
+        ask_after: Monotonic seconds before which no permit is asked for.
+        spread: Hash of the id, the same at each daemon.
+        alone: Whether a call that must be alone runs there.
+    """
+
+    __slots__ = (
+        "_boot_unknown_since",
+        "_failures",
+        "_first_token_ms",
+        "_own_history",
+        "_slow_answers",
+        "_suspected_since",
+        "alone",
+        "ask_after",
+        "closed_until",
+        "cold_start",
+        "instance",
+        "others",
+        "own",
+        "own_at_report",
+        "record",
+        "spread",
+    )
+
+    def __init__(self, *, instance: members.Instance) -> None:
+        """Starts with nothing known but the membership entry."""
+        self.instance = instance
+        self.record: LoadRecord | None = None
+        self.own = 0
+        self.others = 0
+        self.own_at_report = 0
+        self.cold_start: catalogue.ColdStart | None = None
+        self.alone = False
+        self.spread = preference.hash_name(instance.id)
+        self.closed_until = float("-inf")
+        self.ask_after = float("-inf")
+        self._own_history: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._failures = 0
+        self._boot_unknown_since: float | None = None
+        self._first_token_ms: collections.deque[float] = collections.deque(
+            maxlen=FIRST_TOKEN_SAMPLES
+        )
+        self._slow_answers = 0
+        self._suspected_since: float | None = None
+
+    @property
+    def id(self) -> str:
+        """Instance id."""
+        return self.instance.id
+
+    @property
+    def boot_id(self) -> str:
+        """Boot id of the newest report, empty where it is not known."""
+        if self.record is None or self._boot_unknown_since is not None:
+            return ""
+        return self.record.boot_id
+
+    @property
+    def reported(self) -> int:
+        """Calls in flight at the moment of the newest report."""
+        return self.others + self.own_at_report
+
+    @property
+    def load(self) -> int:
+        """Calls in flight: the report, corrected by this daemon's own."""
+        return self.others + self.own
+
+    @property
+    def growth(self) -> int:
+        """Change of this daemon's own calls since the newest report."""
+        return self.own - self.own_at_report
+
+    def is_leaving(self) -> bool:
+        """Tells whether it takes no new work, by list or by report."""
+        if self.instance.state is members.State.LEAVING:
+            return True
+        record = self.record
+        return record is not None and record.phase is targets.Phase.LEAVING
+
+    def is_cold(self) -> bool:
+        """Tells whether a call needs a permit.
+
+        A target is cold until a report of its present boot id says that it
+        is warm, and again when answers come slowly in spite of the report.
+        """
+        if self.cold_start is None:
+            return False
+        if self.record is None or self._boot_unknown_since is not None:
+            return True
+        if self.record.phase is targets.Phase.COLD:
+            return True
+        return self._suspected_since is not None
+
+    def record_load(self, record: LoadRecord) -> bool:
+        """Takes a report in; returns False where a newer one is known."""
+        known = self.record
+        if known is not None and record.measured_at < known.measured_at:
+            return False
+        if known is not None and record.boot_id != known.boot_id:
+            self._restart()
+        unknown_since = self._boot_unknown_since
+        if unknown_since is not None and record.measured_at > unknown_since:
+            self._boot_unknown_since = None
+        suspected_since = self._suspected_since
+        if (
+            suspected_since is not None
+            and record.phase is targets.Phase.WARM
+            and record.measured_at > suspected_since + SUSPICION_S
+        ):
+            self._suspected_since = None
+            self._slow_answers = 0
+        self.record = record
+        self.own_at_report = self._find_own(record.measured_at)
+        self.others = max(0, record.in_flight - self.own_at_report)
+        return True
+
+    def start_call(self, now: float) -> None:
+        """Counts one more call of this daemon."""
+        self.own += 1
+        self._log_own(now)
+
+    def finish_call(self, outcome: Outcome, now: float) -> None:
+        """Counts one call less, and backs off after a failure."""
+        self.own = max(0, self.own - 1)
+        self.alone = False
+        self._log_own(now)
+        if outcome is Outcome.ANSWERED:
+            self._failures = 0
+            return
+        if outcome in (Outcome.UNREACHABLE, Outcome.LOST):
+            self._boot_unknown_since = now
+        if outcome in (Outcome.UNREACHABLE, Outcome.LOST, Outcome.REFUSED):
+            self._failures += 1
+            pause = BACK_OFF_S * 2 ** min(self._failures - 1, 8)
+            self.closed_until = now + min(pause, BACK_OFF_LIMIT_S)
+
+    def record_first_token(self, first_token_ms: float, now: float) -> None:
+        """Compares a first-token time with what is usual here.
+
+        After ``SLOW_ANSWERS`` slow ones in a row the target counts as cold,
+        until an answer comes at the usual speed, or a report that is
+        ``SUSPICION_S`` younger says that it is warm.
+        """
+        usual = self._usual_first_token_ms()
+        limit = max(SLOW_FLOOR_MS, SLOW_FACTOR * usual) if usual else None
+        if limit is not None and first_token_ms > limit:
+            self._slow_answers += 1
+            if self._slow_answers >= SLOW_ANSWERS:
+                self._suspected_since = now
+            return
+        self._slow_answers = 0
+        self._suspected_since = None
+        self._first_token_ms.append(first_token_ms)
+
+    def note_boot(self, boot_id: str, now: float) -> None:
+        """Compares the boot id of an answer with the reported one."""
+        known = self.record
+        if known is not None and boot_id != known.boot_id:
+            self._boot_unknown_since = now
+
+    def _restart(self) -> None:
+        self._first_token_ms.clear()
+        self._slow_answers = 0
+        self._suspected_since = None
+        self._failures = 0
+        self.closed_until = float("-inf")
+        self.ask_after = float("-inf")
+
+    def _usual_first_token_ms(self) -> float:
+        samples = self._first_token_ms
+        if not samples:
+            return 0.0
+        return sorted(samples)[len(samples) // 2]
+
+    def _log_own(self, now: float) -> None:
+        history = self._own_history
+        history.append((now, self.own))
+        while len(history) > 1 and history[1][0] < now - OWN_HISTORY_S:
+            history.popleft()
+
+    def _find_own(self, moment: float) -> int:
+        """Returns this daemon's calls in flight at an earlier moment."""
+        for when, own in reversed(self._own_history):
+            if when <= moment:
+                return own
+        return 0
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,151 @@
+"""Tests for mothpass.core.routing."""
+
+import unittest
+
+from mothpass.core import errors
+from mothpass.core import routing
+from mothpass.core import targets
+from mothpass.ports import targets as targets_port
+from tests import routing_fixtures as fixtures
+
+
+def _ask(
+    router: routing.Router, chat: int | None, now: float, **fields: object
+) -> routing.Choice:
+    name = fixtures.SERVICE if chat is None else fixtures.MODEL
+    request = routing.RouteRequest(
+        name=name,
+        chat=chat,
+        **fields,  # type: ignore[arg-type]
+    )
+    return router.choose(request, now=now)
+
+
+def _choose(
+    router: routing.Router, chat: int | None, now: float, **fields: object
+) -> str:
+    """Returns the target that a call is sent to."""
+    choice = _ask(router, chat, now, **fields)
+    assert isinstance(choice, routing.Send), choice
+    return choice.target_id
+
+
+class PreferenceTest(unittest.TestCase):
+    """Checks who gets a returning chat."""
+
+    def test_all_daemons_send_a_chat_to_the_same_target(self) -> None:
+        routers = [fixtures.make_warm_router(daemon=i) for i in range(8)]
+        for chat in range(50):
+            # The room of one daemon depends on its rank; the order doesn't.
+            found = {
+                router._pools[fixtures.MODEL].ring.rank(chat)[0]
+                for router in routers
+            }
+            self.assertEqual(len(found), 1)
+
+    def test_a_chat_returns_to_its_second_place_while_first_is_out(
+        self,
+    ) -> None:
+        router = fixtures.make_warm_router(running=0)
+        chats = [c for c in range(200) if _choose(router, c, 1.0) == "e0"]
+        router.set_catalogue(
+            fixtures.make_catalogue(instances_out=("e0",)), now=1.0
+        )
+        second = {chat: _choose(router, chat, 1.0) for chat in chats}
+        self.assertGreater(len(set(second.values())), 1)
+        self.assertEqual(
+            second, {chat: _choose(router, chat, 2.0) for chat in chats}
+        )
+        router.set_catalogue(fixtures.make_catalogue(), now=3.0)
+        self.assertEqual({_choose(router, c, 3.0) for c in chats}, {"e0"})
+
+
+class RoomTest(unittest.TestCase):
+    """Checks the bound on a target's load."""
+
+    def test_daemons_together_stay_within_the_room_of_one_report(self) -> None:
+        routers = [fixtures.make_warm_router(daemon=i) for i in range(8)]
+        # A report that shows e0 well below the others invites all of them.
+        for router in routers:
+            router.record_loads(
+                [fixtures.make_record("e0", at=1.5, running=2)], now=1.5
+            )
+        bound = routers[0].bound(fixtures.MODEL)
+        self.assertEqual(bound, 11)
+        sent = 0
+        for chat in range(2):
+            for router in routers:
+                target = _choose(router, chat, 2.0)
+                router.start_call(target, permit=None, now=2.0)
+                sent += target == "e0"
+        self.assertGreater(sent, 0)
+        self.assertLessEqual(2 + sent, bound)
+
+    def test_waits_where_no_target_bears_more(self) -> None:
+        router = fixtures.make_warm_router(running=64)
+        self.assertIsInstance(_ask(router, 1, 1.0), routing.Wait)
+
+    def test_a_service_call_goes_to_the_less_loaded_of_two(self) -> None:
+        router = fixtures.make_warm_router()
+        first = _choose(router, None, 1.0)
+        router.start_call(first, permit=None, now=1.0)
+        self.assertNotEqual(_choose(router, None, 1.0), first)
+
+
+class OutTest(unittest.TestCase):
+    """Checks that targets that take no new work get none."""
+
+    def test_a_zone_that_is_out_gets_no_call(self) -> None:
+        router = fixtures.make_warm_router()
+        router.set_catalogue(fixtures.make_catalogue(zones_out=("a",)), now=1.0)
+        zones = {
+            router.targets[_choose(router, c, 1.0)].instance.availability_zone
+            for c in range(100)
+        }
+        self.assertEqual(zones, {"b", "c"})
+
+    def test_a_call_chosen_before_the_zone_went_out_does_not_start(
+        self,
+    ) -> None:
+        router = fixtures.make_warm_router()
+        target = router.targets[_choose(router, 1, 1.0)]
+        zone = target.instance.availability_zone
+        router.set_catalogue(
+            fixtures.make_catalogue(zones_out=(zone,)), now=1.0
+        )
+        self.assertFalse(router.start_call(target.id, permit=None, now=1.0))
+
+    def test_a_leaving_target_gets_no_call_by_list_or_by_report(self) -> None:
+        router = fixtures.make_warm_router()
+        router.set_members(fixtures.make_members(leaving=("e0",)), now=1.0)
+        leaving = fixtures.make_record(
+            "e1", at=2.0, phase=targets_port.Phase.LEAVING
+        )
+        router.record_loads([leaving], now=2.0)
+        found = {_choose(router, chat, 2.0) for chat in range(100)}
+        self.assertEqual(found & {"e0", "e1"}, set())
+
+    def test_refuses_where_every_target_is_out(self) -> None:
+        router = fixtures.make_warm_router()
+        router.set_catalogue(
+            fixtures.make_catalogue(zones_out=("a", "b", "c")), now=1.0
+        )
+        choice = _ask(router, 1, 1.0)
+        assert isinstance(choice, errors.Refusal)
+        self.assertEqual(choice.code.name, "NO_TARGET")
+
+    def test_a_target_that_could_not_be_reached_is_left_alone(self) -> None:
+        router = fixtures.make_warm_router()
+        target = _choose(router, 1, 1.0)
+        router.start_call(target, permit=None, now=1.0)
+        router.finish_call(
+            target,
+            targets.Outcome.UNREACHABLE,
+            first_token_ms=None,
+            now=1.0,
+        )
+        self.assertNotEqual(_choose(router, 1, 1.1), target)
+
+
+if __name__ == "__main__":
+    unittest.main()
