--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -25,6 +25,7 @@
 
     __slots__ = (
         "_chunks",
+        "_deadline",
         "_failure",
         "_loop",
         "_pause",
@@ -45,7 +46,8 @@
         self,
         *,
         loop: asyncio.AbstractEventLoop,
-        silence_ms: int,
+        silence_ms: int | None,
+        deadline: float,
         pause: abc.Callable[[], None],
         resume: abc.Callable[[], None],
     ) -> None:
@@ -53,7 +55,9 @@
 
         Args:
             loop: The running loop.
-            silence_ms: Time without a byte after which the wait fails.
+            silence_ms: Time without a byte after which the wait fails, None
+                for no bound but the deadline.
+            deadline: Time of the loop after which the wait fails.
             pause: Stops reading from the connection.
             resume: Starts reading again.
         """
@@ -69,9 +73,14 @@
         self._waiter: asyncio.Future[None] | None = None
         self._pause = pause
         self._resume = resume
-        self._silence_s = silence_ms / 1000
+        self._deadline = deadline
+        self._silence_s = (
+            float("inf") if silence_ms is None else silence_ms / 1000
+        )
         self._quiet_deadline = loop.time() + self._silence_s
-        self._timer = loop.call_at(self._quiet_deadline, self._check_silence)
+        self._timer = loop.call_at(
+            min(self._quiet_deadline, deadline), self._check_time
+        )
 
     async def wait_for_change(self) -> None:
         """Waits until bytes have arrived that weren't taken, or the end.
@@ -142,17 +151,19 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
-    def _check_silence(self) -> None:
-        """Fails a quiet exchange; else looks again at the new deadline.
+    def _check_time(self) -> None:
+        """Fails a quiet or late exchange; else looks again later.
 
         The timer isn't moved with each byte, since that would cost more than
         taking the byte.
         """
-        if self._loop.time() < self._quiet_deadline:
-            self._timer = self._loop.call_at(
-                self._quiet_deadline, self._check_silence
-            )
-        elif self.answered:
+        now = self._loop.time()
+        until = min(self._quiet_deadline, self._deadline)
+        if now < until:
+            self._timer = self._loop.call_at(until, self._check_time)
+        elif now >= self._deadline:
+            self.fail(errors.TargetAnswerLostError("no answer in time"))
+        elif self.status:
             self.fail(errors.TargetSilentError("no progress"))
         else:
             self.fail(errors.TargetAnswerLostError("no answer"))
@@ -186,7 +197,9 @@
         self.idle_deadline = 0.0
         self.used = 0
 
-    def send(self, request: bytes, *, silence_ms: int) -> Exchange:
+    def send(
+        self, request: bytes, *, silence_ms: int | None, deadline: float
+    ) -> Exchange:
         """Writes a request and returns the exchange that its answer fills."""
         transport = self._transport
         assert transport is not None
@@ -194,6 +207,7 @@
         self._exchange = Exchange(
             loop=self._loop,
             silence_ms=silence_ms,
+            deadline=deadline,
             pause=transport.pause_reading,
             resume=transport.resume_reading,
         )
--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -104,9 +104,7 @@
         super().connection_made(transport)
         self._start_header_timer()
         if len(self.connections) > self._bounds.connections:
-            self._refuse(
-                results.Code.OVERLOADED, "too many connections", 1000
-            )
+            self._refuse(results.Code.OVERLOADED, "too many connections", 1000)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the requests of this connection."""
@@ -194,9 +192,7 @@
         self.transport.close()
 
     def _refuse_headers(self) -> None:
-        self._refuse(
-            results.Code.HEADERS_TOO_LARGE, "headers too large", None
-        )
+        self._refuse(results.Code.HEADERS_TOO_LARGE, "headers too large", None)
 
     def _refuse(
         self, code: results.Code, message: str, retry_after_ms: int | None
--- a/mothpass/adapters/targets_http.py
+++ b/mothpass/adapters/targets_http.py
@@ -45,7 +45,11 @@
         request = _encode_post(attempt)
         fresh = attempt.idempotency_key is not None
         async with self._exchange(
-            attempt.address, request, self._silence_ms, fresh=fresh
+            attempt.address,
+            request,
+            silence_ms=self._silence_ms,
+            deadline=attempt.deadline,
+            fresh=fresh,
         ) as exchange:
             if await _wait_for_status(exchange) != 200:
                 raise await _read_failure(exchange)
@@ -59,11 +63,16 @@
         path = f"/v1/attempts/{attempt.id}/events?from={position}"
         request = _encode_head("GET", path, attempt.address)
         async with self._exchange(
-            attempt.address, request, self._silence_ms, fresh=True
+            attempt.address,
+            request,
+            silence_ms=self._silence_ms,
+            deadline=attempt.deadline,
+            fresh=True,
         ) as exchange:
             status = await _wait_for_status(exchange)
             if status == 404:
-                raise errors.AttemptUnknownError("attempt unknown")
+                boot_id = _read_header(exchange, b"x-boot-id")
+                raise errors.AttemptUnknownError(boot_id)
             if status != 200:
                 raise errors.TargetAnswerLostError(f"resume: status {status}")
             async for events in _read_events(exchange):
@@ -71,11 +80,11 @@
 
     async def call(self, attempt: targets.Attempt) -> targets.Answer:
         """See ``targets.CallTarget``."""
-        now = asyncio.get_running_loop().time()
-        wait_ms = max(1, math.ceil((attempt.deadline - now) * 1000))
-        fresh = attempt.idempotency_key is not None
         async with self._exchange(
-            attempt.address, _encode_post(attempt), wait_ms, fresh=fresh
+            attempt.address,
+            _encode_post(attempt),
+            deadline=attempt.deadline,
+            fresh=attempt.idempotency_key is not None,
         ) as exchange:
             if await _wait_for_status(exchange) == 503:
                 raise await _read_failure(exchange)
@@ -93,7 +102,7 @@
         request = _encode_head("DELETE", path, attempt.address)
         with contextlib.suppress(errors.MothpassError):
             async with self._exchange(
-                attempt.address, request, SHORT_TIMEOUT_MS, fresh=False
+                attempt.address, request, deadline=_short_deadline()
             ) as exchange:
                 await _read_body(exchange)
 
@@ -101,7 +110,7 @@
         """See ``targets.ReadLoad``."""
         request = _encode_head("GET", "/v1/load", address)
         async with self._exchange(
-            address, request, SHORT_TIMEOUT_MS, fresh=False
+            address, request, deadline=_short_deadline()
         ) as exchange:
             body = await _read_body(exchange)
             if exchange.status != 200:
@@ -117,17 +126,30 @@
 
     @contextlib.asynccontextmanager
     async def _exchange(
-        self, address: str, request: bytes, silence_ms: int, *, fresh: bool
+        self,
+        address: str,
+        request: bytes,
+        *,
+        deadline: float,
+        silence_ms: int | None = None,
+        fresh: bool = False,
     ) -> abc.AsyncIterator[http_exchanges.Exchange]:
         """Sends a request; gives the connection back at the end."""
         connection = await self._pool.take(address, fresh=fresh)
-        exchange = connection.send(request, silence_ms=silence_ms)
+        exchange = connection.send(
+            request, silence_ms=silence_ms, deadline=deadline
+        )
         try:
             yield exchange
         finally:
             self._pool.give_back(address, connection)
 
 
+def _short_deadline() -> float:
+    """Returns the deadline of a request that is answered at once."""
+    return asyncio.get_running_loop().time() + SHORT_TIMEOUT_MS / 1000
+
+
 async def _wait_for_status(exchange: http_exchanges.Exchange) -> int:
     """Waits until the headers are whole and returns the status."""
     while not exchange.status:
--- a/mothpass/core/errors.py
+++ b/mothpass/core/errors.py
@@ -95,5 +95,18 @@
     """The target began to answer and then made no progress."""
 
 
+class TargetDiedError(TargetAnswerLostError):
+    """The target can't be reached any more, with the call in flight there."""
+
+
 class AttemptUnknownError(TargetAnswerLostError):
-    """The target doesn't know the attempt that was to be resumed."""
+    """The target doesn't know the attempt that was to be resumed.
+
+    Attributes:
+        boot_id: Boot id of the target that says so.
+    """
+
+    def __init__(self, boot_id: str) -> None:
+        """Keeps the boot id."""
+        super().__init__("the target doesn't know the attempt")
+        self.boot_id = boot_id
--- a/mothpass/core/streams.py
+++ b/mothpass/core/streams.py
@@ -44,6 +44,7 @@
         crossed: Events dropped because they belong to another attempt.
         repeated: Events dropped because they were accepted before.
         early: Events dropped because an earlier one is missing.
+        resumes: Times that the rest of the answer was asked for.
     """
 
     __slots__ = (
@@ -54,6 +55,7 @@
         "gap",
         "position",
         "repeated",
+        "resumes",
         "whole",
     )
 
@@ -66,6 +68,7 @@
         self.crossed = 0
         self.repeated = 0
         self.early = 0
+        self.resumes = 0
         self._failures = 0
 
     def accept(
@@ -96,11 +99,13 @@
             now: Monotonic seconds.
         """
         self.gap = False
-        if not failed:
-            return Resume(position=self.position, at=now)
-        self._failures += 1
+        if failed:
+            self._failures += 1
         if self._failures > RESUMES_IN_A_ROW:
             return GiveUp(shown=self.position)
+        self.resumes += 1
+        if not failed:
+            return Resume(position=self.position, at=now)
         delay_ms = RESUME_DELAY_MS * (2 ** (self._failures - 1))
         return Resume(position=self.position, at=now + delay_ms / 1000)
 
--- /dev/null
+++ b/mothpass/daemon/dispatch.py
@@ -0,0 +1,268 @@
+"""Carries one request through limits, targets and attempts to its answer."""
+
+import asyncio
+from collections import abc
+import contextlib
+import random as random_module
+
+import msgspec
+
+from mothpass.core import errors
+from mothpass.core import limits
+from mothpass.core import results
+from mothpass.core import retries
+from mothpass.core import suspects
+from mothpass.daemon import attempts
+from mothpass.daemon import calls
+from mothpass.daemon import placement
+from mothpass.ports import clock
+from mothpass.ports import targets
+
+ATTEMPTS_PER_REQUEST = 4
+RETRY_AFTER_MS = 1000
+QUARANTINE_RETRY_MS = 60_000
+
+# Places and sends a call once, under a fencing number.
+Run = abc.Callable[[int], abc.Awaitable[targets.Answer]]
+
+# Runs a call that may not be repeated at most once, by ``Run``, or returns
+# the result of its one run. Raises errors.RefusalError.
+RunOnce = abc.Callable[[calls.Call, Run], abc.Awaitable[targets.Answer]]
+
+
+class Parts(msgspec.Struct, frozen=True, kw_only=True):
+    """State that the dispatcher shares with the rest of the daemon.
+
+    Attributes:
+        placement: Finds targets.
+        runner: Runs attempts.
+        teams: Limits of the teams.
+        names: Limits of models and services.
+        suspects: Requests that crash targets.
+        random: Source of randomness.
+        clock: Monotonic seconds.
+    """
+
+    placement: placement.Placement
+    runner: attempts.AttemptRunner
+    teams: limits.Limiter
+    names: limits.Limiter
+    suspects: suspects.Suspects
+    random: random_module.Random
+    clock: clock.Monotonic
+
+
+class Dispatcher:
+    """Runs calls.
+
+    Attributes:
+        retried: Attempts made after a first one failed.
+    """
+
+    __slots__ = ("_budgets", "_parts", "_run_once", "retried")
+
+    def __init__(self, *, parts: Parts, run_once: RunOnce) -> None:
+        """Starts without calls.
+
+        Args:
+            parts: Shared state.
+            run_once: Runs a call that may not be repeated.
+        """
+        self._parts = parts
+        self._run_once = run_once
+        self._budgets: dict[str, retries.RetryBudget] = {}
+        self.retried = 0
+
+    async def stream(
+        self, call: calls.Call, trace: attempts.Trace
+    ) -> abc.AsyncGenerator[list[targets.Event], None]:
+        """Yields the events of a model's answer, ending with the last one.
+
+        Raises:
+            errors.RefusalError: If the answer can't be had, or not whole.
+        """
+        with self._admit(call):
+            excluded: frozenset[str] = frozenset()
+            while True:
+                place = await self._place(call, trace, excluded)
+                shown = False
+                batches = self._parts.runner.stream(call, place, trace)
+                try:
+                    async with contextlib.aclosing(batches):
+                        async for events in batches:
+                            shown = True
+                            yield events
+                    self._find_budget(call).record_success()
+                    return
+                except errors.RefusalError:
+                    raise
+                except errors.MothpassError as error:
+                    if shown:
+                        raise self._refuse_cut(call, error) from error
+                    await self._prepare_retry(call, trace, error)
+                    excluded |= {place.target_id}
+
+    async def call_service(
+        self, call: calls.Call, trace: attempts.Trace
+    ) -> targets.Answer:
+        """Returns the whole answer of a plain service.
+
+        Raises:
+            errors.RefusalError: If there is none.
+        """
+        with self._admit(call):
+            if call.repeatable:
+                return await self._call_repeatable(call, trace)
+            return await self._run_once(
+                call, lambda fencing: self._call_once(call, trace, fencing)
+            )
+
+    @contextlib.contextmanager
+    def _admit(self, call: calls.Call) -> abc.Iterator[None]:
+        """Counts a call against the limits while it runs."""
+        now = self._parts.clock()
+        with contextlib.ExitStack() as stack:
+            for limiter, name in (
+                (self._parts.teams, call.team),
+                (self._parts.names, call.name),
+            ):
+                refusal = limiter.admit(name, now=now)
+                if refusal is not None:
+                    raise errors.RefusalError(refusal)
+                stack.callback(limiter.finish, name)
+            yield
+
+    async def _call_repeatable(
+        self, call: calls.Call, trace: attempts.Trace
+    ) -> targets.Answer:
+        excluded: frozenset[str] = frozenset()
+        while True:
+            place = await self._place(call, trace, excluded)
+            try:
+                answer = await self._parts.runner.call(call, place, trace, 0)
+            except errors.RefusalError:
+                raise
+            except errors.MothpassError as error:
+                await self._prepare_retry(call, trace, error)
+                excluded |= {place.target_id}
+            else:
+                self._find_budget(call).record_success()
+                return answer
+
+    async def _call_once(
+        self, call: calls.Call, trace: attempts.Trace, fencing: int
+    ) -> targets.Answer:
+        """Places and sends a call that may not be repeated, one time.
+
+        Raises:
+            errors.RefusalError: If it was not placed; it did not run.
+            errors.TargetUnreachableError: It did not run.
+            errors.TargetRefusedError: It did not run.
+            errors.TargetAnswerLostError: It may have run.
+        """
+        place = await self._place(call, trace, frozenset())
+        return await self._parts.runner.call(call, place, trace, fencing)
+
+    async def _place(
+        self, call: calls.Call, trace: attempts.Trace, excluded: frozenset[str]
+    ) -> placement.Place:
+        """Finds a target, unless the request is known to crash targets."""
+        verdict = self._parts.suspects.check(
+            call.fingerprint, now=self._parts.clock()
+        )
+        if verdict is suspects.Verdict.QUARANTINED:
+            raise _refuse(
+                trace,
+                results.Code.REQUEST_QUARANTINED,
+                "targets died while running this request",
+                QUARANTINE_RETRY_MS,
+            )
+        alone = verdict is suspects.Verdict.ALONE
+        try:
+            return await self._parts.placement.place(
+                call, excluded=excluded, alone=alone
+            )
+        except errors.RefusalError as error:
+            refusal = msgspec.structs.replace(
+                error.refusal, ran=_tell_whether_ran(trace)
+            )
+            raise errors.RefusalError(refusal) from error
+
+    async def _prepare_retry(
+        self,
+        call: calls.Call,
+        trace: attempts.Trace,
+        error: errors.MothpassError,
+    ) -> None:
+        """Waits for the moment of the next attempt.
+
+        Raises:
+            errors.RefusalError: If there is to be none.
+        """
+        if isinstance(error, errors.TargetAnswerLostError):
+            trace.may_have_run = True
+        now = self._parts.clock()
+        retry_at = retries.compute_retry_at(
+            now=now,
+            tries=trace.attempts,
+            source=self._parts.random,
+            deadline=call.deadline,
+        )
+        if retry_at is None:
+            raise _refuse(
+                trace,
+                results.Code.DEADLINE_EXCEEDED,
+                f"no answer before the deadline: {error}",
+                RETRY_AFTER_MS,
+            )
+        spent = trace.attempts >= ATTEMPTS_PER_REQUEST
+        if spent or not self._find_budget(call).try_spend():
+            raise _refuse(
+                trace,
+                results.Code.RETRIES_EXHAUSTED,
+                f"no further attempt after: {error}",
+                RETRY_AFTER_MS,
+            )
+        self.retried += 1
+        await asyncio.sleep(retry_at - now)
+
+    def _find_budget(self, call: calls.Call) -> retries.RetryBudget:
+        budget = self._budgets.get(call.name)
+        if budget is None:
+            budget = self._budgets[call.name] = retries.RetryBudget()
+        return budget
+
+    def _refuse_cut(
+        self, call: calls.Call, error: errors.MothpassError
+    ) -> errors.RefusalError:
+        """Returns the error for an answer of which a part was shown."""
+        late = self._parts.clock() >= call.deadline
+        code = results.Code.ANSWER_INCOMPLETE
+        if late:
+            code = results.Code.DEADLINE_EXCEEDED
+        return errors.RefusalError(
+            errors.Refusal(
+                code=code,
+                ran=results.Ran.UNKNOWN,
+                message=f"the rest of the answer can't be had: {error}",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        )
+
+
+def _tell_whether_ran(trace: attempts.Trace) -> results.Ran:
+    return results.Ran.UNKNOWN if trace.may_have_run else results.Ran.NO
+
+
+def _refuse(
+    trace: attempts.Trace, code: results.Code, message: str, retry_after_ms: int
+) -> errors.RefusalError:
+    """Returns the error that ends a request after its attempts."""
+    return errors.RefusalError(
+        errors.Refusal(
+            code=code,
+            ran=_tell_whether_ran(trace),
+            message=message,
+            retry_after_ms=retry_after_ms,
+        )
+    )
--- /dev/null
+++ b/mothpass/daemon/placement.py
@@ -0,0 +1,329 @@
+"""Finds a target for each call, in fair order while they wait."""
+
+import asyncio
+from collections import abc
+import itertools
+
+import msgspec
+
+from mothpass.core import errors
+from mothpass.core import fairness
+from mothpass.core import gates
+from mothpass.core import limits
+from mothpass.core import results
+from mothpass.core import routing
+from mothpass.core import targets
+from mothpass.daemon import calls
+from mothpass.ports import clock
+
+# Calls that are looked at, past one that has to wait, for one that hasn't.
+LOOK_AHEAD = 8
+RETRY_AFTER_MS = 1000
+
+# Asks the gates of a cold target for a permit until a deadline in monotonic
+# seconds; None where none was given.
+AcquirePermit = abc.Callable[
+    [routing.AskPermit, float], abc.Awaitable[gates.Permit | None]
+]
+
+# Gives a permit back once its call has ended.
+ReleasePermit = abc.Callable[[gates.Permit, targets.Outcome], None]
+
+
+class Place(msgspec.Struct, frozen=True, kw_only=True):
+    """A target that takes a call now; the call is counted there.
+
+    Attributes:
+        target_id: The target.
+        address: ``ip:port`` of it.
+        permit: Permit for a cold target, None for a warm one.
+    """
+
+    target_id: str
+    address: str
+    permit: gates.Permit | None
+
+
+class _Waiting(msgspec.Struct, kw_only=True):
+    """A call in a queue.
+
+    Attributes:
+        ticket: Its place in the queue.
+        request: What it asks of the router.
+        future: Gets what the router chose.
+    """
+
+    ticket: fairness.Ticket
+    request: routing.RouteRequest
+    future: asyncio.Future[Place | routing.AskPermit]
+
+
+class Placement:
+    """Places calls at targets and counts them there."""
+
+    __slots__ = (
+        "_acquire",
+        "_clock",
+        "_ids",
+        "_names",
+        "_queues",
+        "_release",
+        "_router",
+        "_timers",
+        "_waiting",
+    )
+
+    def __init__(
+        self,
+        *,
+        router: routing.Router,
+        names: limits.Limiter,
+        acquire: AcquirePermit,
+        release: ReleasePermit,
+        clock: clock.Monotonic,
+    ) -> None:
+        """Starts with empty queues.
+
+        Args:
+            router: Chooses targets.
+            names: Limits of models and services, for the length of queues.
+            acquire: Asks for permits.
+            release: Gives permits back.
+            clock: Monotonic seconds.
+        """
+        self._router = router
+        self._names = names
+        self._acquire = acquire
+        self._release = release
+        self._clock = clock
+        self._ids = itertools.count()
+        self._queues: dict[str, fairness.FairQueue] = {}
+        self._waiting: dict[int, _Waiting] = {}
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+
+    def count_waiting(self, team: str) -> int:
+        """Returns how many calls of a team wait."""
+        return sum(item.count_waiting(team) for item in self._queues.values())
+
+    async def place(
+        self, call: calls.Call, *, excluded: frozenset[str], alone: bool
+    ) -> Place:
+        """Waits until a target takes a call.
+
+        The caller ends the place with ``finish``.
+
+        Raises:
+            errors.RefusalError: If none will before the deadline; the refusal
+                speaks of this attempt only.
+        """
+        request = routing.RouteRequest(
+            name=call.name,
+            chat=call.chat or None,
+            excluded=excluded,
+            alone=alone,
+            call_ms=calls.seconds_to_ms(call.deadline - self._clock()),
+        )
+        while True:
+            chosen = await self._choose(call, request)
+            if isinstance(chosen, Place):
+                return chosen
+            place = await self._ask(chosen, call)
+            if place is not None:
+                return place
+
+    def finish(
+        self,
+        place: Place,
+        outcome: targets.Outcome,
+        *,
+        first_token_ms: float | None,
+    ) -> None:
+        """Counts a call out and lets others have its room."""
+        self._router.finish_call(
+            place.target_id,
+            outcome,
+            first_token_ms=first_token_ms,
+            now=self._clock(),
+        )
+        if place.permit is not None:
+            self._release(place.permit, outcome)
+        self.wake()
+
+    def wake(self) -> None:
+        """Looks again at what waits, after something has changed."""
+        for name, queue in self._queues.items():
+            if len(queue):
+                self._serve(name)
+
+    def refuse_all(self, refusal: errors.Refusal) -> None:
+        """Refuses all that waits."""
+        for waiting in list(self._waiting.values()):
+            self._refuse(waiting, refusal)
+
+    async def _choose(
+        self, call: calls.Call, request: routing.RouteRequest
+    ) -> Place | routing.AskPermit:
+        """Chooses at once where nobody waits, else in turn."""
+        queue = self._find_queue(call.name)
+        if not len(queue):
+            chosen = self._route(request)
+            if isinstance(chosen, errors.Refusal):
+                raise errors.RefusalError(chosen)
+            if not isinstance(chosen, routing.Wait):
+                return chosen
+            self._set_timer(call.name, chosen.until)
+        return await self._wait_in_queue(call, request, queue)
+
+    async def _wait_in_queue(
+        self,
+        call: calls.Call,
+        request: routing.RouteRequest,
+        queue: fairness.FairQueue,
+    ) -> Place | routing.AskPermit:
+        ticket = fairness.Ticket(
+            id=next(self._ids),
+            team=call.team,
+            weight=call.weight,
+            priority=call.priority,
+            deadline=call.deadline,
+        )
+        future: asyncio.Future[Place | routing.AskPermit] = (
+            asyncio.get_running_loop().create_future()
+        )
+        waiting = _Waiting(ticket=ticket, request=request, future=future)
+        self._waiting[ticket.id] = waiting
+        for shed in queue.offer(ticket):
+            self._refuse(self._waiting[shed.id], _refuse_full())
+        chosen = None
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                chosen = await future
+                return chosen
+        except TimeoutError:
+            raise errors.RefusalError(_refuse_late()) from None
+        finally:
+            queue.cancel(ticket.id)
+            self._waiting.pop(ticket.id, None)
+            if chosen is None:
+                self._take_back(future)
+
+    def _take_back(
+        self, future: asyncio.Future[Place | routing.AskPermit]
+    ) -> None:
+        """Frees the place of a call that went away as it was placed."""
+        if not future.done() or future.cancelled() or future.exception():
+            return
+        place = future.result()
+        if isinstance(place, Place):
+            self.finish(place, targets.Outcome.CANCELLED, first_token_ms=None)
+
+    async def _ask(
+        self, ask: routing.AskPermit, call: calls.Call
+    ) -> Place | None:
+        """Asks for a permit and counts the call at the target."""
+        permit = await self._acquire(ask, call.deadline)
+        now = self._clock()
+        if now >= call.deadline:
+            raise errors.RefusalError(_refuse_late())
+        if permit is None:
+            return None
+        target = self._router.targets.get(ask.target_id)
+        if target is None or now >= permit.dispatch_by:
+            self._release(permit, targets.Outcome.CANCELLED)
+            return None
+        self._router.start_call(ask.target_id, permit=permit, now=now)
+        return Place(
+            target_id=ask.target_id,
+            address=target.instance.address,
+            permit=permit,
+        )
+
+    def _route(
+        self, request: routing.RouteRequest
+    ) -> Place | routing.AskPermit | routing.Wait | errors.Refusal:
+        """Chooses and, where the call goes at once, counts it."""
+        now = self._clock()
+        chosen = self._router.choose(request, now=now)
+        if not isinstance(chosen, routing.Send):
+            return chosen
+        self._router.start_call(chosen.target_id, permit=chosen.permit, now=now)
+        return Place(
+            target_id=chosen.target_id,
+            address=chosen.address,
+            permit=chosen.permit,
+        )
+
+    def _serve(self, name: str) -> None:
+        """Places what waits for a model or service, as far as there is room."""
+        queue = self._queues[name]
+        passed: list[fairness.Ticket] = []
+        while len(passed) < LOOK_AHEAD:
+            popped = queue.pop(now=self._clock())
+            for ticket in popped.expired:
+                self._refuse(self._waiting[ticket.id], _refuse_late())
+            if popped.ticket is None:
+                break
+            if not self._try_ticket(name, popped.ticket):
+                passed.append(popped.ticket)
+        for ticket in passed:
+            queue.put_back(ticket)
+
+    def _try_ticket(self, name: str, ticket: fairness.Ticket) -> bool:
+        """Places one call; returns False where it has to wait."""
+        waiting = self._waiting[ticket.id]
+        if waiting.future.done():
+            return True
+        chosen = self._route(waiting.request)
+        if isinstance(chosen, routing.Wait):
+            self._set_timer(name, chosen.until)
+            return False
+        if isinstance(chosen, errors.Refusal):
+            self._refuse(waiting, chosen)
+        else:
+            waiting.future.set_result(chosen)
+        return True
+
+    def _set_timer(self, name: str, until: float) -> None:
+        """Looks again at a queue at a moment, at the latest."""
+        timer = self._timers.get(name)
+        if timer is not None and not timer.cancelled():
+            if timer.when() <= until:
+                return
+            timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timers[name] = loop.call_at(until, self._expire_timer, name)
+
+    def _expire_timer(self, name: str) -> None:
+        del self._timers[name]
+        self._serve(name)
+
+    def _find_queue(self, name: str) -> fairness.FairQueue:
+        capacity = self._names.share(name).queued
+        queue = self._queues.get(name)
+        if queue is None:
+            queue = fairness.FairQueue(capacity=capacity)
+            self._queues[name] = queue
+        queue.set_capacity(capacity)
+        return queue
+
+    def _refuse(self, waiting: _Waiting, refusal: errors.Refusal) -> None:
+        if not waiting.future.done():
+            waiting.future.set_exception(errors.RefusalError(refusal))
+
+
+def _refuse_late() -> errors.Refusal:
+    return errors.Refusal(
+        code=results.Code.DEADLINE_EXCEEDED,
+        ran=results.Ran.NO,
+        message="no target had room before the deadline",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def _refuse_full() -> errors.Refusal:
+    return errors.Refusal(
+        code=results.Code.OVERLOADED,
+        ran=results.Ran.NO,
+        message="too many requests wait already",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
