--- /dev/null
+++ b/mothpass/control/fleets.py
@@ -0,0 +1,217 @@
+"""A fleet file and the settings files that follow from it.
+
+A fleet file lists the instances of one region. The settings of its daemons
+differ in few fields, so they are written from it instead of by hand.
+"""
+
+import pathlib
+import typing
+
+import msgspec
+
+from mothpass.core import catalogue
+from mothpass.core import documents
+from mothpass.daemon import settings
+
+Ip = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+
+
+class Ports(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Ports that every daemon uses at its own IP number.
+
+    Attributes:
+        callers: Port for callers.
+        operators: Port for operators.
+        peers: Port for the other daemons.
+    """
+
+    callers: Port
+    operators: Port
+    peers: Port
+
+
+class Platform(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Addresses of the platform's services, or of their stand-ins.
+
+    Attributes:
+        tables: Table service.
+        objects: Object store.
+        members: Membership list.
+    """
+
+    tables: settings.Address
+    objects: settings.Address
+    members: settings.Address
+
+
+class Daemon(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """One daemon.
+
+    Attributes:
+        id: Instance id.
+        availability_zone: Its zone.
+        slot: Its slot.
+        ip: Its IP number.
+    """
+
+    id: catalogue.Name
+    availability_zone: catalogue.Name
+    slot: typing.Annotated[int, msgspec.Meta(ge=0, le=4095)]
+    ip: Ip
+
+
+class Target(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """One engine or plain service.
+
+    Attributes:
+        id: Instance id.
+        availability_zone: Its zone.
+        address: ``ip:port``.
+        serves: Models or services that it serves.
+    """
+
+    id: catalogue.Name
+    availability_zone: catalogue.Name
+    address: settings.Address
+    serves: list[catalogue.Name]
+
+
+class Fleet(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """All instances of one region.
+
+    Attributes:
+        region: Name of the region.
+        slots: Places for daemons; more than there are daemons, so that one
+            can be replaced before it is gone.
+        ports: Ports of the daemons.
+        platform: The platform's services.
+        daemons: The daemons.
+        engines: Model engines.
+        services: Plain services.
+    """
+
+    region: catalogue.Name
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=4096)]
+    ports: Ports
+    platform: Platform
+    daemons: list[Daemon]
+    engines: list[Target]
+    services: list[Target]
+
+
+class Keys(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Plain keys of a fleet, for demos and tests.
+
+    Attributes:
+        note: Warning for who opens the file.
+        operator_token: Token that operators show.
+        peer_key: Secret that the daemons share.
+        team_keys: Key of each team.
+    """
+
+    note: str = ""
+    operator_token: settings.Secret
+    peer_key: settings.Secret
+    team_keys: dict[str, str]
+
+
+def read_fleet(folder: pathlib.Path) -> Fleet:
+    """Reads ``fleet.json`` of a folder.
+
+    Raises:
+        errors.DocumentError: Where it has faults.
+        OSError: Where it can't be read.
+    """
+    return documents.decode_document(
+        (folder / "fleet.json").read_bytes(), Fleet
+    )
+
+
+def read_keys(folder: pathlib.Path) -> Keys:
+    """Reads ``keys.json`` of a folder.
+
+    Raises:
+        errors.DocumentError: Where it has faults.
+        OSError: Where it can't be read.
+    """
+    return documents.decode_document((folder / "keys.json").read_bytes(), Keys)
+
+
+def list_caller_addresses(fleet: Fleet) -> list[str]:
+    """Returns the callers' address of each daemon, in the file's order."""
+    return [f"{item.ip}:{fleet.ports.callers}" for item in fleet.daemons]
+
+
+def list_operator_addresses(fleet: Fleet) -> list[str]:
+    """Returns the operators' address of each daemon, in the file's order."""
+    return [f"{item.ip}:{fleet.ports.operators}" for item in fleet.daemons]
+
+
+def build_settings(
+    fleet: Fleet, keys: Keys, daemon: Daemon
+) -> settings.Settings:
+    """Returns the settings of one daemon of a fleet."""
+    return settings.Settings(
+        instance=settings.Instance(
+            id=daemon.id,
+            region=fleet.region,
+            availability_zone=daemon.availability_zone,
+            slot=daemon.slot,
+            slots=fleet.slots,
+        ),
+        callers=settings.Callers(address=f"{daemon.ip}:{fleet.ports.callers}"),
+        operators=settings.Operators(
+            address=f"{daemon.ip}:{fleet.ports.operators}",
+            token_sha256=[catalogue.hash_key(keys.operator_token)],
+        ),
+        peers=settings.Peers(
+            address=f"{daemon.ip}:{fleet.ports.peers}", key=keys.peer_key
+        ),
+        platform=settings.Platform(
+            tables_url=f"http://{fleet.platform.tables}",
+            objects_url=f"http://{fleet.platform.objects}",
+            members_url=f"http://{fleet.platform.members}",
+        ),
+    )
+
+
+def encode_settings(document: settings.Settings) -> bytes:
+    """Encodes settings as indented JSON with every field written out."""
+    return msgspec.json.format(msgspec.json.encode(document)) + b"\n"
+
+
+def write_settings(folder: pathlib.Path) -> list[pathlib.Path]:
+    """Writes ``daemons/<id>.json`` for each daemon of a folder's fleet.
+
+    Args:
+        folder: Holds ``fleet.json`` and ``keys.json``.
+
+    Returns:
+        The files written.
+
+    Raises:
+        errors.DocumentError: Where the fleet or the keys have faults.
+        OSError: Where a file can't be read or written.
+    """
+    fleet = read_fleet(folder)
+    keys = read_keys(folder)
+    (folder / "daemons").mkdir(exist_ok=True)
+    written = []
+    for daemon in fleet.daemons:
+        path = folder / "daemons" / f"{daemon.id}.json"
+        path.write_bytes(encode_settings(build_settings(fleet, keys, daemon)))
+        written.append(path)
+    return written
