--- /dev/null
+++ b/mothpass/control/exits.py
@@ -0,0 +1,27 @@
+"""Exit codes of `mothpassctl`.
+
+docs/OPERATING.md holds the same table; a test compares the two.
+"""
+
+import enum
+
+
+class Exit(enum.IntEnum):
+    """How a command ended."""
+
+    DONE = 0
+    REFUSED = 1
+    BAD_INPUT = 2
+    CONFLICT = 3
+    UNCONFIRMED = 4
+    NO_DAEMON = 5
+
+
+MEANINGS = {
+    Exit.DONE: "Done.",
+    Exit.REFUSED: "A daemon refused it; it had no effect.",
+    Exit.BAD_INPUT: "A file, option or argument is wrong; nothing was sent.",
+    Exit.CONFLICT: "Another change came first; it had no effect.",
+    Exit.UNCONFIRMED: "Not known whether it took effect.",
+    Exit.NO_DAEMON: "No daemon answered.",
+}
