--- a/mothpass/adapters/targets_http.py
+++ b/mothpass/adapters/targets_http.py
@@ -40,7 +40,7 @@
 
     async def open_stream(
         self, attempt: targets.Attempt
-    ) -> abc.AsyncGenerator[list[targets.Event], None]:
+    ) -> abc.AsyncGenerator[targets.Batch, None]:
         """See ``targets.OpenStream``."""
         request = _encode_post(attempt)
         fresh = attempt.idempotency_key is not None
@@ -53,12 +53,12 @@
         ) as exchange:
             if await _wait_for_status(exchange) != 200:
                 raise await _read_failure(exchange)
-            async for events in _read_events(exchange):
-                yield events
+            async for batch in _read_events(exchange):
+                yield batch
 
     async def resume_stream(
         self, attempt: targets.Attempt, position: int
-    ) -> abc.AsyncGenerator[list[targets.Event], None]:
+    ) -> abc.AsyncGenerator[targets.Batch, None]:
         """See ``targets.ResumeStream``."""
         path = f"/v1/attempts/{attempt.id}/events?from={position}"
         request = _encode_head("GET", path, attempt.address)
@@ -75,8 +75,8 @@
                 raise errors.AttemptUnknownError(boot_id)
             if status != 200:
                 raise errors.TargetAnswerLostError(f"resume: status {status}")
-            async for events in _read_events(exchange):
-                yield events
+            async for batch in _read_events(exchange):
+                yield batch
 
     async def call(self, attempt: targets.Attempt) -> targets.Answer:
         """See ``targets.CallTarget``."""
@@ -159,15 +159,16 @@
 
 async def _read_events(
     exchange: http_exchanges.Exchange,
-) -> abc.AsyncGenerator[list[targets.Event], None]:
+) -> abc.AsyncGenerator[targets.Batch, None]:
     """Yields the events of an answer, ending with the last one."""
     decoder = http_events.EventDecoder()
+    boot_id = _read_header(exchange, b"x-boot-id")
     while True:
         await exchange.wait_for_change()
         events = decoder.decode(exchange.take())
         if events:
             exchange.content_ended = events[-1].last
-            yield events
+            yield targets.Batch(boot_id=boot_id, events=events)
             if exchange.content_ended:
                 return
         elif exchange.complete:
--- a/mothpass/core/streams.py
+++ b/mothpass/core/streams.py
@@ -1,7 +1,5 @@
 """Order of the events of one streamed answer, and when to resume it."""
 
-from collections import abc
-
 import msgspec
 
 from mothpass.ports import targets
@@ -38,6 +36,7 @@
 
     Attributes:
         attempt_id: Attempt whose events belong to the answer.
+        boot_id: Boot id of the target, None until it has answered.
         position: Position of the next event; also the number accepted.
         whole: Whether the last event has been accepted.
         gap: Whether events are missing before those that arrived last.
@@ -50,6 +49,7 @@
     __slots__ = (
         "_failures",
         "attempt_id",
+        "boot_id",
         "crossed",
         "early",
         "gap",
@@ -62,6 +62,7 @@
     def __init__(self, *, attempt_id: str) -> None:
         """Starts an answer of which nothing has been received."""
         self.attempt_id = attempt_id
+        self.boot_id: str | None = None
         self.position = 0
         self.whole = False
         self.gap = False
@@ -71,17 +72,16 @@
         self.resumes = 0
         self._failures = 0
 
-    def accept(
-        self, events: abc.Sequence[targets.Event]
-    ) -> list[targets.Event]:
+    def accept(self, batch: targets.Batch) -> list[targets.Event]:
         """Takes events in the order of their arrival.
 
         Returns:
             Those that continue the answer, in order. The others are dropped
             and counted.
         """
+        self.boot_id = batch.boot_id
         accepted = []
-        for event in events:
+        for event in batch.events:
             if self._continues(event):
                 accepted.append(event)
                 self.position += 1
--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -106,14 +106,19 @@
         boot_id = self._start_attempt(call, attempt, trace)
         sent_at = self._ports.clock()
         outcome = target_states.Outcome.CANCELLED
-        first_token_ms: float | None = None
+        shown = False
         batches = resumption.follow_attempt(self._ports, attempt, stream)
         try:
             async with contextlib.aclosing(batches):
                 async for events in batches:
                     now = self._ports.clock()
-                    if first_token_ms is None:
-                        first_token_ms = (now - sent_at) * 1000
+                    if not shown:
+                        shown = True
+                        self._router.record_first_token(
+                            place.target_id,
+                            first_token_ms=(now - sent_at) * 1000,
+                            now=now,
+                        )
                     self._deaths.note_position(
                         place.target_id, attempt.id, stream.position, now=now
                     )
@@ -127,7 +132,7 @@
             self.crossed += stream.crossed
             self.repeated += stream.repeated
             self.resumed += stream.resumes
-            self._end_attempt(call, attempt, place, outcome, first_token_ms)
+            self._end_attempt(call, attempt, place, outcome, stream.boot_id)
 
     async def call(
         self,
@@ -144,6 +149,7 @@
         attempt = self._build_attempt(call, place, fencing)
         boot_id = self._start_attempt(call, attempt, trace)
         outcome = target_states.Outcome.CANCELLED
+        answer: targets.Answer | None = None
         try:
             answer = await self._ports.call(attempt)
             if answer.attempt_id != attempt.id:
@@ -159,7 +165,8 @@
             outcome = self._note_failure(attempt, boot_id, error)
             raise
         finally:
-            self._end_attempt(call, attempt, place, outcome, None)
+            answered_by = None if answer is None else answer.boot_id
+            self._end_attempt(call, attempt, place, outcome, answered_by)
 
     async def _probe(
         self, address: str, lost: errors.MothpassError
@@ -231,7 +238,7 @@
         attempt: targets.Attempt,
         place: placement.Place,
         outcome: target_states.Outcome,
-        first_token_ms: float | None,
+        boot_id: str | None,
     ) -> None:
         """Counts an attempt out, and stops what may still run of it."""
         answered = outcome is target_states.Outcome.ANSWERED
@@ -241,7 +248,7 @@
             whole=answered,
             now=self._ports.clock(),
         )
-        self._placement.finish(place, outcome, first_token_ms=first_token_ms)
+        self._placement.finish(place, outcome, boot_id=boot_id)
         if call.repeatable and outcome in (
             target_states.Outcome.CANCELLED,
             target_states.Outcome.LOST,
--- /dev/null
+++ b/mothpass/daemon/callers.py
@@ -0,0 +1,365 @@
+"""The HTTP interface of callers, as docs/PROTOCOLS.md says."""
+
+import asyncio
+from collections import abc
+import contextlib
+import logging
+import typing
+
+import blacksheep
+from blacksheep import contents
+
+from mothpass.adapters import http_listener
+from mothpass.core import catalogue
+from mothpass.core import errors
+from mothpass.core import results
+from mothpass.daemon import answers
+from mothpass.daemon import attempts
+from mothpass.daemon import caller_messages
+from mothpass.daemon import calls
+from mothpass.daemon import dispatch
+from mothpass.daemon import telemetry
+from mothpass.ports import clock
+from mothpass.ports import targets
+
+_log = logging.getLogger(__name__)
+
+# Reads a request's body into a call of a team.
+ReadCall = abc.Callable[
+    [calls.Directory, catalogue.Team, calls.Headers, bytes], calls.Call
+]
+
+
+class State:
+    """What the interface needs to know of the daemon.
+
+    Attributes:
+        directory: Entries of the catalogue in force, None before the first.
+        ready: Whether the balancer should send new requests.
+        taking: Whether new requests are still taken.
+    """
+
+    __slots__ = ("directory", "ready", "taking")
+
+    def __init__(self) -> None:
+        """Starts without a catalogue."""
+        self.directory: calls.Directory | None = None
+        self.ready = False
+        self.taking = True
+
+
+class _Record:
+    """One request on its way to its end."""
+
+    __slots__ = ("call", "first_at", "request_id", "started_at", "trace")
+
+    def __init__(self, *, request_id: str, started_at: float) -> None:
+        self.request_id = request_id
+        self.started_at = started_at
+        self.call: calls.Call | None = None
+        self.first_at: float | None = None
+        self.trace = attempts.Trace()
+
+
+class Callers:
+    """Answers callers.
+
+    Attributes:
+        background: Calls that go on although their caller has left.
+    """
+
+    __slots__ = (
+        "_body_limit",
+        "_clock",
+        "_dispatcher",
+        "_state",
+        "_telemetry",
+        "background",
+    )
+
+    def __init__(
+        self,
+        *,
+        state: State,
+        dispatcher: dispatch.Dispatcher,
+        telemetry: telemetry.Telemetry,
+        body_limit_bytes: int,
+        clock: clock.Monotonic,
+    ) -> None:
+        """Keeps its parts.
+
+        Args:
+            state: State of the daemon.
+            dispatcher: Runs calls.
+            telemetry: Where the end of each request is reported.
+            body_limit_bytes: Larger bodies get 413.
+            clock: Monotonic seconds.
+        """
+        self._state = state
+        self._dispatcher = dispatcher
+        self._telemetry = telemetry
+        self._body_limit = body_limit_bytes
+        self._clock = clock
+        self.background: set[asyncio.Task[targets.Answer]] = set()
+
+    def build_application(self) -> blacksheep.Application:
+        """Returns the application with its routes; it must be started."""
+        application = blacksheep.Application()
+        router = application.router
+        router.add_get("/healthz", self._handle_health)
+        router.add_get("/readyz", self._handle_readiness)
+        router.add_post("/v1/chat/completions", self._handle_chat)
+        router.add_post("/v1/services/{name}", self._handle_service)
+        router.fallback = caller_messages.handle_unknown_path
+        return application
+
+    async def _handle_health(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        del request
+        return caller_messages.respond(200, b'{"state":"running"}')
+
+    async def _handle_readiness(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        del request
+        if self._state.ready:
+            return caller_messages.respond(200, b'{"state":"ready"}')
+        return caller_messages.respond(503, b'{"state":"not ready"}')
+
+    async def _handle_chat(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        return await self._serve(request, self._read_chat, self._answer_chat)
+
+    async def _handle_service(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        def read_call(
+            directory: calls.Directory,
+            team: catalogue.Team,
+            headers: calls.Headers,
+            body: bytes,
+        ) -> calls.Call:
+            name = (request.route_values or {}).get("name") or ""
+            return calls.read_service_call(
+                directory, team, name, headers, body, now=self._clock()
+            )
+
+        return await self._serve(request, read_call, self._answer_service)
+
+    def _read_chat(
+        self,
+        directory: calls.Directory,
+        team: catalogue.Team,
+        headers: calls.Headers,
+        body: bytes,
+    ) -> calls.Call:
+        return calls.read_chat(
+            directory, team, headers, body, now=self._clock()
+        )
+
+    async def _serve(
+        self,
+        request: blacksheep.Request,
+        read_call: ReadCall,
+        answer: abc.Callable[
+            [_Record, calls.Call], abc.Awaitable[blacksheep.Response]
+        ],
+    ) -> blacksheep.Response:
+        """Answers a request, whatever happens to it."""
+        headers = caller_messages.read_headers(request)
+        record = _Record(
+            request_id=headers.request_id, started_at=self._clock()
+        )
+        try:
+            call = await self._read_call(request, headers, read_call)
+            record.call = call
+            self._telemetry.start_request(call.team, call.service_class)
+            return await answer(record, call)
+        except errors.RefusalError as error:
+            self._end(record, error.refusal.code)
+            return caller_messages.respond_refusal(
+                error.refusal, record.request_id
+            )
+        except asyncio.CancelledError:
+            self._end(record, results.Code.CALLER_GONE)
+            raise
+        except Exception:
+            _log.exception(
+                "request failed", extra={"request_id": record.request_id}
+            )
+            refusal = _refuse_internal(record)
+            self._end(record, refusal.code)
+            return caller_messages.respond_refusal(refusal, record.request_id)
+
+    async def _read_call(
+        self,
+        request: blacksheep.Request,
+        headers: calls.Headers,
+        read_call: ReadCall,
+    ) -> calls.Call:
+        """Reads a request; its key is checked before its body is taken."""
+        directory = self._state.directory
+        if not self._state.taking:
+            raise caller_messages.refuse_for_now(
+                results.Code.SHUTTING_DOWN, "this daemon is shutting down"
+            )
+        if directory is None:
+            raise caller_messages.refuse_for_now(
+                results.Code.NO_CATALOGUE, "no catalogue is in force yet"
+            )
+        team = directory.find_team(
+            caller_messages.read_header(request, b"authorization")
+        )
+        body = await caller_messages.read_body(request, self._body_limit)
+        return read_call(directory, team, headers, body)
+
+    async def _answer_chat(
+        self, record: _Record, call: calls.Call
+    ) -> blacksheep.Response:
+        batches = self._dispatcher.stream(call, record.trace)
+        if call.stream:
+            # The first events come before the status, so that a request that
+            # fails before them gets an error answer of its own.
+            first = await anext(batches)
+            record.first_at = self._clock()
+            content = contents.StreamedContent(
+                answers.EVENTS_TYPE,
+                lambda: self._show_events(record, first, batches),
+            )
+            response = blacksheep.Response(200, content=content)
+            response.add_header(b"X-Request-Id", record.request_id.encode())
+            response.add_header(b"Cache-Control", b"no-store")
+            return response
+        events: list[targets.Event] = []
+        async with contextlib.aclosing(batches):
+            async for batch in batches:
+                if not events:
+                    record.first_at = self._clock()
+                events.extend(batch)
+        body = answers.encode_whole(events)
+        self._end(record, results.Code.OK)
+        return caller_messages.respond(200, body, record.request_id)
+
+    async def _show_events(
+        self,
+        record: _Record,
+        first: list[targets.Event],
+        batches: abc.AsyncGenerator[list[targets.Event], None],
+    ) -> abc.AsyncIterator[bytes]:
+        """Yields the bytes of a streamed answer, to its end or its error."""
+        code = results.Code.CALLER_GONE
+        try:
+            yield answers.encode_events(first)
+            async for events in batches:
+                yield answers.encode_events(events)
+            code = results.Code.OK
+        except errors.RefusalError as error:
+            code = error.refusal.code
+            yield answers.encode_refusal_event(error.refusal, record.request_id)
+        except Exception:
+            _log.exception(
+                "stream failed", extra={"request_id": record.request_id}
+            )
+            refusal = _refuse_internal(record)
+            code = refusal.code
+            yield answers.encode_refusal_event(refusal, record.request_id)
+        finally:
+            self._end(record, code)
+            await batches.aclose()
+
+    async def _answer_service(
+        self, record: _Record, call: calls.Call
+    ) -> blacksheep.Response:
+        if call.repeatable:
+            answer = await self._dispatcher.call_service(call, record.trace)
+        else:
+            answer = await self._call_to_the_end(record, call)
+        code = results.Code.OK
+        if answer.status >= 500:
+            code = results.Code.TARGET_FAILED
+        self._end(record, code)
+        return caller_messages.respond(
+            answer.status, answer.body, record.request_id
+        )
+
+    async def _call_to_the_end(
+        self, record: _Record, call: calls.Call
+    ) -> targets.Answer:
+        """Runs a call that goes on although its caller leaves."""
+        task = asyncio.ensure_future(
+            self._dispatcher.call_service(call, record.trace)
+        )
+        self.background.add(task)
+        task.add_done_callback(self._forget_background)
+        return await asyncio.shield(task)
+
+    def _forget_background(self, task: asyncio.Task[targets.Answer]) -> None:
+        self.background.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None and not isinstance(error, errors.MothpassError):
+            _log.error("call failed", exc_info=error)
+
+    def _end(self, record: _Record, code: results.Code) -> None:
+        """Reports the end of a request."""
+        call = record.call
+        now = self._clock()
+        sent_at = record.trace.sent_at
+        self._telemetry.end_request(
+            telemetry.Ended(
+                request_id=record.request_id,
+                team=call.team if call else "",
+                service_class=call.service_class if call else "",
+                name=call.name if call else "",
+                target=record.trace.target_id,
+                code=code,
+                attempts=record.trace.attempts,
+                first_token_ms=_measure_ms(record, record.first_at),
+                whole_ms=(now - record.started_at) * 1000,
+                added_ms=_measure_ms(record, sent_at),
+            )
+        )
+
+
+def guard_application(
+    application: blacksheep.Application,
+) -> abc.Callable[..., abc.Awaitable[None]]:
+    """Returns the ASGI application that ends when its caller leaves."""
+
+    async def run(
+        scope: dict[str, typing.Any],
+        receive: abc.Callable[[], abc.Awaitable[typing.Any]],
+        send: abc.Callable[[typing.Any], abc.Awaitable[None]],
+    ) -> None:
+        caller: http_listener.Caller = scope[http_listener.CALLER]
+        task = asyncio.current_task()
+        assert task is not None
+        caller.call_when_gone(task.cancel)
+        try:
+            await application(scope, receive, send)
+        except asyncio.CancelledError:
+            if not caller.gone:
+                raise
+        finally:
+            caller.call_when_gone(None)
+
+    return run
+
+
+def _measure_ms(record: _Record, moment: float | None) -> float | None:
+    """Returns the time from the start of a request to a moment."""
+    if moment is None:
+        return None
+    return (moment - record.started_at) * 1000
+
+
+def _refuse_internal(record: _Record) -> errors.Refusal:
+    ran = results.Ran.UNKNOWN if record.trace.attempts else results.Ran.NO
+    return errors.Refusal(
+        code=results.Code.INTERNAL,
+        ran=ran,
+        message="the daemon failed; its log has the request id",
+    )
--- a/mothpass/daemon/placement.py
+++ b/mothpass/daemon/placement.py
@@ -19,6 +19,7 @@
 # Calls that are looked at, past one that has to wait, for one that hasn't.
 LOOK_AHEAD = 8
 RETRY_AFTER_MS = 1000
+ROUTE_AGAIN_MS = 20
 
 # Asks the gates of a cold target for a permit until a deadline in monotonic
 # seconds; None where none was given.
@@ -121,7 +122,6 @@
             chat=call.chat or None,
             excluded=excluded,
             alone=alone,
-            call_ms=calls.seconds_to_ms(call.deadline - self._clock()),
         )
         while True:
             chosen = await self._choose(call, request)
@@ -136,17 +136,26 @@
         place: Place,
         outcome: targets.Outcome,
         *,
-        first_token_ms: float | None,
+        boot_id: str | None,
     ) -> None:
-        """Counts a call out and lets others have its room."""
+        """Counts a call out and lets others have its room.
+
+        Args:
+            place: Where it ran.
+            outcome: How it ended.
+            boot_id: Boot id that came with the answer, if one came.
+        """
         self._router.finish_call(
             place.target_id,
             outcome,
-            first_token_ms=first_token_ms,
+            first_token_ms=None,
             now=self._clock(),
+            permit=place.permit,
+            boot_id=boot_id,
         )
-        if place.permit is not None:
-            self._release(place.permit, outcome)
+        permit = place.permit
+        if permit is not None and permit.source is gates.Source.GATE:
+            self._release(permit, outcome)
         self.wake()
 
     def wake(self) -> None:
@@ -215,7 +224,7 @@
             return
         place = future.result()
         if isinstance(place, Place):
-            self.finish(place, targets.Outcome.CANCELLED, first_token_ms=None)
+            self.finish(place, targets.Outcome.CANCELLED, boot_id=None)
 
     async def _ask(
         self, ask: routing.AskPermit, call: calls.Call
@@ -228,10 +237,11 @@
         if permit is None:
             return None
         target = self._router.targets.get(ask.target_id)
-        if target is None or now >= permit.dispatch_by:
+        if target is None or not self._router.start_call(
+            ask.target_id, permit=permit, now=now
+        ):
             self._release(permit, targets.Outcome.CANCELLED)
             return None
-        self._router.start_call(ask.target_id, permit=permit, now=now)
         return Place(
             target_id=ask.target_id,
             address=target.instance.address,
@@ -246,7 +256,10 @@
         chosen = self._router.choose(request, now=now)
         if not isinstance(chosen, routing.Send):
             return chosen
-        self._router.start_call(chosen.target_id, permit=chosen.permit, now=now)
+        if not self._router.start_call(
+            chosen.target_id, permit=chosen.permit, now=now
+        ):
+            return routing.Wait(until=now + ROUTE_AGAIN_MS / 1000)
         return Place(
             target_id=chosen.target_id,
             address=chosen.address,
--- a/mothpass/ports/targets.py
+++ b/mothpass/ports/targets.py
@@ -48,6 +48,18 @@
     last: bool
 
 
+class Batch(msgspec.Struct, frozen=True, kw_only=True):
+    """Events that arrived together.
+
+    Attributes:
+        boot_id: Boot id of the target that sent them.
+        events: At least one event, in the order of arrival.
+    """
+
+    boot_id: str
+    events: list[Event]
+
+
 class Answer(msgspec.Struct, frozen=True, kw_only=True):
     """One whole answer that was not streamed.
 
@@ -92,17 +104,15 @@
     age_ms: int
 
 
-# Starts an attempt and yields its events, those that arrived together in one
-# list. Ends after the event with ``last``. The caller closes the generator.
+# Starts an attempt and yields its events as they arrive. Ends after the event
+# with ``last``. The caller closes the generator.
 # Raises errors.TargetUnreachableError, errors.TargetRefusedError,
 # errors.TargetSilentError or errors.TargetAnswerLostError.
-OpenStream = abc.Callable[[Attempt], abc.AsyncGenerator[list[Event], None]]
+OpenStream = abc.Callable[[Attempt], abc.AsyncGenerator[Batch, None]]
 
 # The same for the rest of an attempt that was started before, from a position
 # and over a new connection. Also raises errors.AttemptUnknownError.
-ResumeStream = abc.Callable[
-    [Attempt, int], abc.AsyncGenerator[list[Event], None]
-]
+ResumeStream = abc.Callable[[Attempt, int], abc.AsyncGenerator[Batch, None]]
 
 # Calls a target and waits for its whole answer.
 # Raises errors.TargetUnreachableError, errors.TargetRefusedError or
