Add the catalogue as a log of edits, and the operators' routes

Change: a version is a log entry of edits, accepted by one transaction with the head row; lost answers are sent again and read back by change id; digests chain the log, so that a change from a peer fits one history only. A daemon that starts serves nothing until the head or most of its peers have told the version. The store is used within a share sized from the live daemons.

--- a/mothpass/core/errors.py
+++ b/mothpass/core/errors.py
@@ -69,6 +69,19 @@
     """The store did not take the call; the call had no effect."""
 
 
+class StoreBudgetError(StoreUnavailableError):
+    """The call was not made, since this daemon's share is used up.
+
+    Attributes:
+        wait_s: Seconds after which a call of its kind may be made.
+    """
+
+    def __init__(self, wait_s: float) -> None:
+        """Keeps the time to wait."""
+        super().__init__("share of the store's budget is used up")
+        self.wait_s = wait_s
+
+
 class StoreUnconfirmedError(MothpassError):
     """The call reached the store but its answer was lost.
 
@@ -76,6 +89,10 @@
     """
 
 
+class ChangeMismatchError(MothpassError):
+    """A catalogue change does not follow the revision it was offered for."""
+
+
 class TargetUnreachableError(MothpassError):
     """No byte of the request reached the target; it did not run."""
 
--- /dev/null
+++ b/mothpass/core/revisions.py
@@ -0,0 +1,320 @@
+"""Catalogue versions as a log of edits that is followed in one direction.
+
+A revision is the catalogue under one version number. A change leads from one
+revision to the next; its digest covers the digest of the revision before it,
+so that a change fits exactly one history. The store decides which change is
+accepted: the head row moves from one version to the next by compare-and-set.
+"""
+
+import enum
+import hashlib
+
+import msgspec
+
+from mothpass.core import catalogue
+from mothpass.core import edits as edits_module
+from mothpass.core import errors
+from mothpass.ports import tables
+
+TABLE = "catalogue"
+HEAD_KEY = "head"
+SNAPSHOT_KEY = "snapshot"
+EDITS_ROW_LIMIT_BYTES = 32_768
+SNAPSHOT_EVERY_CHANGES = 64
+SCAN_GROUP_CHANGES = 10
+
+
+class Verdict(enum.Enum):
+    """What is known of a change that was sent to the store."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """One step of the log, as a row of the store and between daemons.
+
+    Attributes:
+        version: Version that it leads to.
+        id: Unique id, by which its author finds it after a lost answer.
+        author: Who asked for it.
+        at_ms: Wall time of the proposal, milliseconds since the epoch.
+        summary: What it does, for a person.
+        previous: Digest of the revision that it builds on.
+        edits_sha256: Digest of the encoded edits.
+        edits: The edits; None where they are kept in the object store.
+    """
+
+    version: int
+    id: str
+    author: str
+    at_ms: int
+    summary: str
+    previous: str
+    edits_sha256: str
+    edits: list[edits_module.Edit] | None
+
+
+class Head(msgspec.Struct, frozen=True, kw_only=True):
+    """The row that says which version is accepted.
+
+    Attributes:
+        version: Newest accepted version.
+        digest: Digest of that revision.
+    """
+
+    version: int
+    digest: str
+
+
+class SnapshotPointer(msgspec.Struct, frozen=True, kw_only=True):
+    """The row that names the newest snapshot.
+
+    Attributes:
+        version: Version of the snapshot.
+    """
+
+    version: int
+
+
+class Revision(msgspec.Struct, frozen=True, kw_only=True):
+    """The catalogue under one version.
+
+    Attributes:
+        version: 0 is the empty catalogue before the first change.
+        digest: Digest of the change that led here; "" for version 0.
+        catalogue: The catalogue, lists ordered by name.
+    """
+
+    version: int
+    digest: str
+    catalogue: catalogue.Catalogue
+
+
+EMPTY = Revision(
+    version=0,
+    digest="",
+    catalogue=catalogue.Catalogue(
+        classes=[], models=[], services=[], teams=[], availability_zones=[]
+    ),
+)
+
+
+def build_change(
+    base: Revision,
+    edits: list[edits_module.Edit],
+    *,
+    change_id: str,
+    author: str,
+    at_ms: int,
+) -> Change:
+    """Builds the change that leads from a revision to its successor.
+
+    Args:
+        base: Revision that the edits were made against.
+        edits: The edits.
+        change_id: Unique id of this proposal.
+        author: Who asks for it.
+        at_ms: Wall time, milliseconds since the epoch.
+
+    Returns:
+        The change, with its edits in it whatever their size.
+    """
+    return Change(
+        version=base.version + 1,
+        id=change_id,
+        author=author,
+        at_ms=at_ms,
+        summary=edits_module.summarize_edits(edits),
+        previous=base.digest,
+        edits_sha256=_hash(edits_module.encode_edits(edits)),
+        edits=edits,
+    )
+
+
+def follow_change(base: Revision, change: Change) -> Revision:
+    """Returns the revision after a change that was accepted.
+
+    Args:
+        base: Revision in force.
+        change: Its successor, with its edits.
+
+    Returns:
+        The next revision.
+
+    Raises:
+        errors.ChangeMismatchError: The change does not build on this
+            revision, or its edits are not those that were accepted.
+    """
+    if change.version != base.version + 1 or change.previous != base.digest:
+        raise errors.ChangeMismatchError(
+            f"change {change.version} does not follow version {base.version}"
+        )
+    if change.edits is None:
+        raise errors.ChangeMismatchError(
+            f"change {change.version} came without its edits"
+        )
+    if _hash(edits_module.encode_edits(change.edits)) != change.edits_sha256:
+        raise errors.ChangeMismatchError(
+            f"the edits of change {change.version} do not match its digest"
+        )
+    return Revision(
+        version=change.version,
+        digest=digest_change(change),
+        catalogue=edits_module.apply_edits(base.catalogue, change.edits),
+    )
+
+
+def digest_change(change: Change) -> str:
+    """Returns the digest of a change; it covers the edits by their digest."""
+    bare = msgspec.structs.replace(change, edits=None)
+    return _hash(msgspec.json.encode(bare, order="deterministic"))
+
+
+def strip_large_edits(change: Change) -> Change:
+    """Returns the change as its row keeps it: without edits too large."""
+    if change.edits is None:
+        return change
+    if len(edits_module.encode_edits(change.edits)) <= EDITS_ROW_LIMIT_BYTES:
+        return change
+    return msgspec.structs.replace(change, edits=None)
+
+
+def fill_edits(change: Change, data: bytes | None) -> Change:
+    """Returns a change with the edits that were kept apart from it.
+
+    Args:
+        change: Change whose row has no edits.
+        data: The object under ``name_edits(change)``, None if missing.
+
+    Returns:
+        The change with its edits; ``follow_change`` checks their digest.
+
+    Raises:
+        errors.ChangeMismatchError: The object is missing.
+    """
+    if data is None:
+        raise errors.ChangeMismatchError(
+            f"the edits of change {change.version} are not in the object store"
+        )
+    return msgspec.structs.replace(
+        change, edits=edits_module.decode_edits(data)
+    )
+
+
+def build_writes(change: Change) -> list[tables.Write]:
+    """Returns the transaction that accepts a change.
+
+    The head's row version equals the catalogue's version, since each change
+    writes it once; so the transaction succeeds for one successor only.
+
+    Args:
+        change: The change, stripped of large edits.
+
+    Returns:
+        The writes: the change's own row and the head.
+    """
+    head = Head(version=change.version, digest=digest_change(change))
+    return [
+        tables.Write(
+            table=TABLE,
+            key=HEAD_KEY,
+            expected_version=change.version - 1,
+            value=msgspec.Raw(msgspec.json.encode(head)),
+        ),
+        tables.Write(
+            table=TABLE,
+            key=name_change(change.version),
+            expected_version=0,
+            value=msgspec.Raw(msgspec.json.encode(change)),
+        ),
+    ]
+
+
+def name_change(version: int) -> str:
+    """Returns the key of the row that holds a change."""
+    return f"change/{version:010d}"
+
+
+def name_change_group(version: int) -> str:
+    """Returns the key prefix shared by the group of changes around one."""
+    return f"change/{version // SCAN_GROUP_CHANGES:09d}"
+
+
+def name_edits(change: Change) -> str:
+    """Returns the name of the object that holds a change's large edits."""
+    return f"catalogue/edits/{change.edits_sha256}"
+
+
+def name_snapshot(version: int) -> str:
+    """Returns the name of the object that holds a snapshot."""
+    return f"catalogue/snapshot/{version:010d}"
+
+
+def encode_snapshot(revision: Revision) -> bytes:
+    """Encodes a revision whole; equal revisions give equal bytes."""
+    return msgspec.json.encode(revision, order="deterministic")
+
+
+def decode_snapshot(data: bytes) -> Revision:
+    """Decodes what ``encode_snapshot`` gave."""
+    return msgspec.json.decode(data, type=Revision)
+
+
+def decode_change(row: tables.Row) -> Change:
+    """Decodes the row of a change."""
+    return msgspec.json.decode(row.value, type=Change)
+
+
+def decode_head(row: tables.Row | None) -> Head:
+    """Decodes the head's row; no row is version 0."""
+    if row is None:
+        return Head(version=EMPTY.version, digest=EMPTY.digest)
+    return msgspec.json.decode(row.value, type=Head)
+
+
+def needs_snapshot(row: Change) -> bool:
+    """Tells whether a snapshot should follow a change, given its row."""
+    return row.edits is None or row.version % SNAPSHOT_EVERY_CHANGES == 0
+
+
+def judge_write(
+    outcome: tables.Committed | tables.Conflict | None, *, lost_before: bool
+) -> Verdict:
+    """Tells what one try of a change's transaction has shown.
+
+    Args:
+        outcome: What the store answered; None for a lost answer.
+        lost_before: Whether the answer of an earlier try was lost.
+
+    Returns:
+        ACCEPTED or REFUSED where that is certain. After a lost answer a
+        conflict may be with the change itself, so that it is UNKNOWN until
+        the row of the version is read.
+    """
+    if outcome is None:
+        return Verdict.UNKNOWN
+    if isinstance(outcome, tables.Committed):
+        return Verdict.ACCEPTED
+    return Verdict.UNKNOWN if lost_before else Verdict.REFUSED
+
+
+def judge_row(found: Change | None, change_id: str) -> Verdict:
+    """Tells what the row of a version says of one's own change for it.
+
+    Args:
+        found: The row as read from the store.
+        change_id: Id of one's own change.
+
+    Returns:
+        ACCEPTED or REFUSED once the row is there. Without it the transaction
+        may still be on its way, so that only sending it again can tell.
+    """
+    if found is None:
+        return Verdict.UNKNOWN
+    return Verdict.ACCEPTED if found.id == change_id else Verdict.REFUSED
+
+
+def _hash(data: bytes) -> str:
+    return hashlib.sha256(data).hexdigest()
--- /dev/null
+++ b/mothpass/daemon/stores.py
@@ -0,0 +1,99 @@
+"""The platform's store as this daemon may use it: within its budget."""
+
+from collections import abc
+
+from mothpass.core import budget
+from mothpass.core import errors
+from mothpass.ports import clock
+from mothpass.ports import objects
+from mothpass.ports import tables
+
+
+class Store:
+    """Table service and object store behind this daemon's share of calls.
+
+    Every method raises errors.StoreBudgetError, before anything is sent, when
+    the share is used up for its priority. Each row of a transaction counts
+    as one write.
+
+    Attributes:
+        budget: The share; shared by all parts of the daemon.
+    """
+
+    __slots__ = (
+        "_get_object",
+        "_monotonic",
+        "_put_object",
+        "_read_row",
+        "_scan_rows",
+        "_transact",
+        "budget",
+    )
+
+    def __init__(
+        self,
+        *,
+        read_row: tables.ReadRow,
+        scan_rows: tables.ScanRows,
+        transact: tables.Transact,
+        get_object: objects.GetObject,
+        put_object: objects.PutObject,
+        store_budget: budget.StoreBudget,
+        monotonic: clock.Monotonic,
+    ) -> None:
+        """Keeps the functions that reach the platform."""
+        self._read_row = read_row
+        self._scan_rows = scan_rows
+        self._transact = transact
+        self._get_object = get_object
+        self._put_object = put_object
+        self._monotonic = monotonic
+        self.budget = store_budget
+
+    async def read_row(
+        self, table: str, key: str, *, priority: budget.Priority
+    ) -> tables.Row | None:
+        """Reads one row, as ports.tables.ReadRow does."""
+        self._take(budget.Kind.READ, priority)
+        return await self._read_row(table, key)
+
+    async def scan_rows(
+        self, table: str, prefix: str, limit: int, *, priority: budget.Priority
+    ) -> list[tables.Row]:
+        """Reads rows by prefix, as ports.tables.ScanRows does."""
+        self._take(budget.Kind.READ, priority)
+        return await self._scan_rows(table, prefix, limit)
+
+    async def transact(
+        self, writes: list[tables.Write], *, priority: budget.Priority
+    ) -> tables.Committed | tables.Conflict:
+        """Runs a transaction, as ports.tables.Transact does."""
+        self._take(budget.Kind.WRITE, priority, calls=len(writes))
+        return await self._transact(writes)
+
+    async def get_object(
+        self, name: str, *, priority: budget.Priority
+    ) -> bytes | None:
+        """Reads an object, as ports.objects.GetObject does."""
+        self._take(budget.Kind.READ, priority)
+        return await self._get_object(name)
+
+    async def put_object(
+        self, name: str, data: bytes, *, priority: budget.Priority
+    ) -> None:
+        """Writes an object, as ports.objects.PutObject does."""
+        self._take(budget.Kind.WRITE, priority)
+        await self._put_object(name, data)
+
+    def _take(
+        self, kind: budget.Kind, priority: budget.Priority, *, calls: int = 1
+    ) -> None:
+        now = self._monotonic()
+        if self.budget.try_take(kind, priority, now=now, calls=calls):
+            return
+        wait_s = self.budget.wait_s(kind, priority, now=now, calls=calls)
+        raise errors.StoreBudgetError(wait_s)
+
+
+# Waits for a number of seconds.
+Sleep = abc.Callable[[float], abc.Awaitable[None]]
--- /dev/null
+++ b/tests/catalogue_parts.py
@@ -0,0 +1,125 @@
+"""A small catalogue and one daemon's catalogue parts, for tests."""
+
+import asyncio
+import random
+
+import msgspec
+
+from mothpass.core import budget
+from mothpass.core import catalogue
+from mothpass.core import revisions
+from mothpass.daemon import catalogue_log
+from mothpass.daemon import catalogues
+from mothpass.daemon import proposals
+from mothpass.daemon import stores
+from tests import fakes_platform
+
+_LIMITS = {"in_flight": 10, "requests_per_s": 10, "queued": 10}
+_SERVICE = {
+    "name": "payment",
+    "owner": "desk",
+    "class": "quick",
+    "limits": _LIMITS,
+    "repeatable": False,
+    "target_in_flight": 4,
+}
+CATALOGUE = {
+    "classes": [{"name": "quick", "priority": 1, "deadline_ms": 5000}],
+    "models": [],
+    "services": [_SERVICE],
+    "teams": [
+        {
+            "name": "north",
+            "owner": "ann",
+            "class": "quick",
+            "limits": _LIMITS,
+            "key_sha256": ["a" * 64],
+            "uses": ["payment"],
+        }
+    ],
+    "availability_zones": [
+        {"name": "zone-a", "region": "west"},
+        {"name": "zone-b", "region": "west"},
+    ],
+}
+
+
+def decode_sample() -> catalogue.Catalogue:
+    """Returns the sample catalogue."""
+    return catalogue.decode_catalogue(msgspec.json.encode(CATALOGUE))
+
+
+async def yield_once(_seconds: float) -> None:
+    """Lets other tasks run in place of waiting."""
+    await asyncio.sleep(0)
+
+
+class Node:
+    """The catalogue parts of one daemon.
+
+    Attributes:
+        served: Each version handed to ``on_change``, in order.
+        now: Monotonic seconds as the parts see them.
+    """
+
+    __slots__ = ("budget", "catalogues", "now", "proposals", "served")
+
+    def __init__(
+        self,
+        *,
+        daemon_id: str,
+        tables: fakes_platform.MemoryTables,
+        objects: fakes_platform.MemoryObjects,
+    ) -> None:
+        self.now = 0.0
+        self.served: list[int] = []
+        self.budget = budget.StoreBudget(
+            reads_per_s=1000, writes_per_s=1000, daemons=1, now=0.0
+        )
+        store = stores.Store(
+            read_row=tables.read_row,
+            scan_rows=tables.scan_rows,
+            transact=tables.transact,
+            get_object=objects.get_object,
+            put_object=objects.put_object,
+            store_budget=self.budget,
+            monotonic=self.read_clock,
+        )
+        self.catalogues = catalogues.Catalogues(
+            log=catalogue_log.CatalogueLog(
+                store=store, sleep=yield_once, priority=budget.Priority.POLL
+            ),
+            monotonic=self.read_clock,
+            random=random.Random(1),
+            on_change=self.record,
+        )
+        self.proposals = proposals.Proposals(
+            daemon_id=daemon_id,
+            present=self.catalogues,
+            log=catalogue_log.CatalogueLog(
+                store=store, sleep=yield_once, priority=budget.Priority.CLAIM
+            ),
+            wall=self.read_clock,
+            sleep=yield_once,
+            random=random.Random(daemon_id),
+        )
+
+    def read_clock(self) -> float:
+        return self.now
+
+    def record(self, revision: revisions.Revision) -> None:
+        self.served.append(revision.version)
+
+    def find_zone(self, name: str) -> catalogue.AvailabilityZone:
+        """Returns a zone of the catalogue in force."""
+        zones = self.catalogues.newest.catalogue.availability_zones
+        return next(zone for zone in zones if zone.name == name)
+
+
+def build_node(
+    daemon_id: str,
+    tables: fakes_platform.MemoryTables,
+    objects: fakes_platform.MemoryObjects,
+) -> Node:
+    """Builds the catalogue parts of one daemon over shared fakes."""
+    return Node(daemon_id=daemon_id, tables=tables, objects=objects)
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,197 @@
+"""Tests of the operators' routes."""
+
+from collections import abc
+import hashlib
+import typing
+import unittest
+
+import blacksheep
+from blacksheep import testing
+import msgspec
+
+from mothpass.core import budget
+from mothpass.core import results
+from mothpass.daemon import operators
+from mothpass.daemon import proposals
+from tests import catalogue_parts
+from tests import fakes_platform
+
+_TOKEN = "operator-token-0001"
+
+
+async def _read_page() -> object:
+    return {"daemons": []}
+
+
+def _split(data: bytes) -> abc.Callable[[], abc.AsyncIterator[bytes]]:
+    """Returns a body that arrives in two parts."""
+
+    async def provide() -> abc.AsyncIterator[bytes]:
+        yield data[:500]
+        yield data[500:]
+
+    return provide
+
+
+class OperatorsTest(unittest.IsolatedAsyncioTestCase):
+    """Runs requests against the routes over fakes of the platform."""
+
+    async def asyncSetUp(self) -> None:
+        self.tables = fakes_platform.MemoryTables()
+        self.objects = fakes_platform.MemoryObjects()
+        node = catalogue_parts.build_node("d1", self.tables, self.objects)
+        self.node = node
+        self.app = blacksheep.Application(router=blacksheep.Router())
+        operators.register_routes(
+            self.app,
+            operators.Parts(
+                token_sha256=[hashlib.sha256(_TOKEN.encode()).hexdigest()],
+                catalogues=node.catalogues,
+                proposals=node.proposals,
+                read_status=_read_page,
+                read_fleet=_read_page,
+            ),
+        )
+        await self.app.start()  # type: ignore[no-untyped-call]
+        self.client = testing.TestClient(self.app)
+
+    async def asyncTearDown(self) -> None:
+        await self.app.stop()  # type: ignore[no-untyped-call]
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        token: str | None = _TOKEN,
+    ) -> tuple[int, typing.Any]:
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        send: abc.Callable[..., abc.Awaitable[blacksheep.Response]]
+        send = getattr(self.client, method)
+        if method == "get":
+            bare, _, query = path.partition("?")
+            response = await send(bare, headers=headers, query=query)
+        else:
+            content = blacksheep.StreamedContent(
+                b"application/json", _split(msgspec.json.encode(body))
+            )
+            response = await send(path, headers=headers, content=content)
+        data = await response.read()
+        return response.status, msgspec.json.decode(data or b"null")
+
+    async def put(self, base: int, catalogue: object) -> tuple[int, typing.Any]:
+        body = {"base_version": base, "catalogue": catalogue, "author": "ann"}
+        return await self.ask("put", "/v1/catalogue", body)
+
+    async def test_missing_token_gets_401(self) -> None:
+        status, page = await self.ask("get", "/v1/status", token=None)
+        self.assertEqual(status, 401)
+        self.assertEqual(page["error"]["name"], "UNAUTHENTICATED")
+
+    async def test_wrong_token_gets_403(self) -> None:
+        status, _ = await self.ask("get", "/v1/fleet", token="wrong")
+        self.assertEqual(status, 403)
+
+    async def test_first_catalogue_is_accepted_and_shown(self) -> None:
+        status, page = await self.put(0, catalogue_parts.CATALOGUE)
+        self.assertEqual((status, page), (200, {"version": 1}))
+        status, page = await self.ask("get", "/v1/catalogue")
+        self.assertEqual((status, page["version"]), (200, 1))
+        self.assertEqual(page["catalogue"]["teams"][0]["name"], "north")
+
+    async def test_present_catalogue_is_unknown_before_the_store_told(
+        self,
+    ) -> None:
+        status, page = await self.ask("get", "/v1/catalogue")
+        self.assertEqual((status, page["error"]["name"]), (503, "NO_CATALOGUE"))
+
+    async def test_empty_store_shows_version_zero(self) -> None:
+        await self.node.catalogues.poll()
+        status, page = await self.ask("get", "/v1/catalogue")
+        self.assertEqual((status, page["version"]), (200, 0))
+
+    async def test_faults_are_all_listed_and_nothing_is_accepted(self) -> None:
+        broken = {**catalogue_parts.CATALOGUE, "colour": 1, "teams": [{}]}
+        status, page = await self.put(0, broken)
+        self.assertEqual(status, 422)
+        paths = [item["path"] for item in page["problems"]]
+        self.assertIn("$.colour", paths)
+        self.assertIn("$.teams[0].owner", paths)
+        self.assertEqual(self.tables.list_rows("catalogue"), [])
+
+    async def test_old_base_gets_409_with_the_present_version(self) -> None:
+        await self.put(0, catalogue_parts.CATALOGUE)
+        status, page = await self.put(0, catalogue_parts.CATALOGUE)
+        self.assertEqual((status, page["present_version"]), (409, 1))
+
+    async def test_unconfirmed_change_gets_504(self) -> None:
+        await self.node.catalogues.poll()
+        self.tables.faults.drop_writes = proposals.CONFIRM_TRIES
+        status, page = await self.put(0, catalogue_parts.CATALOGUE)
+        self.assertEqual((status, page["error"]["ran"]), (504, "unknown"))
+
+    async def test_check_accepts_nothing(self) -> None:
+        status, page = await self.ask(
+            "post", "/v1/catalogue/check", catalogue_parts.CATALOGUE
+        )
+        self.assertEqual((status, page), (200, {"problems": []}))
+        self.assertEqual(self.tables.list_rows("catalogue"), [])
+
+    async def test_zone_goes_out_and_back(self) -> None:
+        await self.put(0, catalogue_parts.CATALOGUE)
+        path = "/v1/availability-zones/zone-a"
+        _, page = await self.ask("post", f"{path}/out", {"author": "ann"})
+        self.assertEqual(page, {"version": 2})
+        self.assertTrue(self.node.find_zone("zone-a").out)
+        await self.ask("post", f"{path}/in", {"author": "ann"})
+        self.assertFalse(self.node.find_zone("zone-a").out)
+
+    async def test_unknown_zone_gets_404(self) -> None:
+        await self.put(0, catalogue_parts.CATALOGUE)
+        status, _ = await self.ask(
+            "post", "/v1/availability-zones/none/out", {"author": "ann"}
+        )
+        self.assertEqual(status, 404)
+
+    async def test_earlier_version_is_rebuilt(self) -> None:
+        await self.put(0, catalogue_parts.CATALOGUE)
+        await self.ask("post", "/v1/instances/e1/out", {"author": "bo"})
+        _, page = await self.ask("get", "/v1/catalogue/1")
+        self.assertEqual(page["catalogue"]["instances_out"], [])
+        status, _ = await self.ask("get", "/v1/catalogue/9")
+        self.assertEqual(status, 404)
+
+    async def test_history_is_newest_first(self) -> None:
+        await self.put(0, catalogue_parts.CATALOGUE)
+        await self.ask("post", "/v1/instances/e1/out", {"author": "bo"})
+        _, page = await self.ask("get", "/v1/history?limit=1")
+        self.assertEqual(len(page["changes"]), 1)
+        self.assertEqual(page["changes"][0]["author"], "bo")
+        self.assertEqual(page["changes"][0]["summary"], "put instances_out/e1")
+
+    async def test_body_that_is_no_json_gets_400(self) -> None:
+        status, _ = await self.ask("put", "/v1/catalogue", "text")
+        self.assertEqual(status, 400)
+
+    async def test_body_past_the_limit_gets_413(self) -> None:
+        limit = operators.BODY_LIMIT_BYTES
+        self.addCleanup(setattr, operators, "BODY_LIMIT_BYTES", limit)
+        operators.BODY_LIMIT_BYTES = 1000
+        status, _ = await self.ask("put", "/v1/catalogue", "x" * 2000)
+        self.assertEqual(status, 413)
+
+    async def test_used_up_budget_is_told_as_store_unavailable(self) -> None:
+        await self.put(0, catalogue_parts.CATALOGUE)
+        while self.node.budget.try_take(
+            budget.Kind.READ, budget.Priority.CLAIM, now=0.0
+        ):
+            pass
+        status, page = await self.ask(
+            "post", "/v1/instances/e1/out", {"author": "bo"}
+        )
+        self.assertEqual(status, 503)
+        self.assertEqual(page["error"]["code"], results.Code.STORE_UNAVAILABLE)
+
+
+if __name__ == "__main__":
+    unittest.main()
