Stand-ins of targets and platform, and the platform's adapters

Cause: nothing could be run from end to end without something in the place of engines, services, table service, object store and membership list. Ruled out: the client session of the HTTP library for the adapters, because it sends a call again by itself after a lost connection, which would turn a transaction that took effect into a conflict; its connection class is used alone instead. In-process fakes, because kills and frozen processes must be real. Change: mothpass-standin with engine, service, table, objects and members, their faults over HTTP, and the adapters for the three platform services.

--- /dev/null
+++ b/mothpass/standin/engine_http.py
@@ -0,0 +1,260 @@
+"""The HTTP calls of a stand-in engine."""
+
+import asyncio
+from collections import abc
+import time
+import uuid
+
+import blacksheep
+import msgspec
+
+from mothpass.ports import members
+from mothpass.standin import answers
+from mothpass.standin import attempts
+from mothpass.standin import bodies
+from mothpass.standin import connections
+from mothpass.standin import engine
+from mothpass.standin import identities
+from mothpass.standin import registrations
+from mothpass.standin import servers
+from mothpass.standin import settings
+from mothpass.standin import streams
+
+_MS_PER_S = 1000
+_DEFAULT_PRIORITY = 5
+
+
+class ChatRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of a model call.
+
+    Attributes:
+        model: Model as the caller named it.
+        messages: Prompt.
+        stream: Whether events are asked for.
+        max_tokens: Tokens of the answer.
+        chat_id: Chat, where the caller named it.
+    """
+
+    model: str
+    messages: list[answers.Message]
+    stream: bool = False
+    max_tokens: int | None = None
+    chat_id: str | None = None
+
+
+class WholeMessage(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer's message."""
+
+    role: str
+    content: str
+
+
+class WholeChoice(msgspec.Struct, frozen=True, kw_only=True):
+    """The one choice of an answer that isn't streamed."""
+
+    message: WholeMessage
+    finish_reason: str = "stop"
+    index: int = 0
+
+
+class Completion(msgspec.Struct, frozen=True, kw_only=True):
+    """An answer that isn't streamed."""
+
+    id: str
+    model: str
+    choices: list[WholeChoice]
+    usage: attempts.Usage
+    object: str = "chat.completion"
+
+
+def build_app(state: engine.Engine) -> blacksheep.Application:
+    """Builds the application of an engine."""
+    app = blacksheep.Application(router=blacksheep.Router())
+    _add_calls(app.router, state)
+    _add_reports(app.router, state)
+    return app
+
+
+def _add_calls(router: blacksheep.Router, state: engine.Engine) -> None:
+    @router.post("/v1/chat/completions")
+    async def complete(request: blacksheep.Request) -> blacksheep.Response:
+        return await _complete(state, request)
+
+    @router.get("/v1/attempts/{id}/events")
+    async def resume(request: blacksheep.Request) -> blacksheep.Response:
+        return _resume(state, request)
+
+    @router.delete("/v1/attempts/{id}")
+    async def cancel(id: str) -> blacksheep.Response:
+        state.cancel_attempt(id)
+        return bodies.answer(204, headers=state.identity.build_headers(id))
+
+
+def _add_reports(router: blacksheep.Router, state: engine.Engine) -> None:
+    @router.get("/v1/load")
+    async def read_load() -> blacksheep.Response:
+        headers = state.identity.build_headers(None)
+        return bodies.answer_json(200, state.read_load(), headers)
+
+    @router.get("/v1/cache-events")
+    async def read_events(request: blacksheep.Request) -> blacksheep.Response:
+        after = bodies.read_query(request, "after") or "0"
+        now = time.monotonic()
+        events = state.cache_events.read(int(after), now=now)
+        headers = state.identity.build_headers(None)
+        return bodies.answer_json(200, events, headers)
+
+    @router.get("/v1/stats")
+    async def read_stats() -> blacksheep.Response:
+        return bodies.answer_json(200, state.read_stats())
+
+
+async def _complete(
+    state: engine.Engine, request: blacksheep.Request
+) -> blacksheep.Response:
+    """Takes an attempt and answers it, streamed or whole."""
+    attempt_id = bodies.read_header(request, identities.ATTEMPT_HEADER)
+    attempt_id = attempt_id or uuid.uuid4().hex
+    body = await bodies.read_json(request, ChatRequest)
+    if body is None or not body.messages:
+        return state.identity.refuse(400, "not a chat request", attempt_id)
+    if state.options.serves and body.model not in state.options.serves:
+        return state.identity.refuse(404, "not served here", attempt_id)
+    reason = state.refuse_reason()
+    if reason is not None:
+        return state.identity.refuse(503, reason, attempt_id)
+    attempt = state.start_attempt(_read_order(request, attempt_id, body))
+    state.note_chat(attempt, _name_chat(body))
+    if body.stream:
+        return _answer_stream(state, request, attempt, 0)
+    return await _answer_whole(state, request, attempt)
+
+
+def _read_order(
+    request: blacksheep.Request, attempt_id: str, body: ChatRequest
+) -> attempts.Order:
+    priority = bodies.read_header(request, "X-Priority") or ""
+    return attempts.Order(
+        attempt_id=attempt_id,
+        model=body.model,
+        messages=body.messages,
+        max_tokens=body.max_tokens or answers.DEFAULT_MAX_TOKENS,
+        priority=int(priority) if priority.isdigit() else _DEFAULT_PRIORITY,
+    )
+
+
+def _name_chat(body: ChatRequest) -> str:
+    """Returns the chat as named, or by its messages up to the first user's."""
+    if body.chat_id is not None:
+        return body.chat_id
+    first = []
+    for message in body.messages:
+        first.append(message)
+        if message.role == "user":
+            break
+    return answers.digest_messages(first)
+
+
+def _resume(
+    state: engine.Engine, request: blacksheep.Request
+) -> blacksheep.Response:
+    attempt_id = bodies.read_part(request, "id")
+    attempt = state.attempts.get(attempt_id)
+    if attempt is None or state.faults.faults.forget_attempts:
+        return state.identity.refuse(404, "no such attempt", attempt_id)
+    start = bodies.read_query(request, "from") or "0"
+    return _answer_stream(state, request, attempt, int(start))
+
+
+def _answer_stream(
+    state: engine.Engine,
+    request: blacksheep.Request,
+    attempt: attempts.Attempt,
+    start: int,
+) -> blacksheep.Response:
+    connection = servers.get_connection(request)
+    planned = state.faults.take_stream_faults()
+    attempt_id = attempt.order.attempt_id
+
+    async def send_events() -> abc.AsyncIterator[bytes]:
+        state.add_reader(attempt)
+        try:
+            frames = streams.read_frames(attempt, start, connection)
+            shown = streams.show_faults(frames, planned, attempt_id, connection)
+            async for data in shown:
+                yield data
+            if attempt.stopped:
+                connection.close()
+        finally:
+            state.remove_reader(attempt)
+
+    content = blacksheep.StreamedContent(b"text/event-stream", send_events)
+    headers = state.identity.build_headers(attempt_id)
+    return bodies.answer(200, content, headers)
+
+
+async def _answer_whole(
+    state: engine.Engine,
+    request: blacksheep.Request,
+    attempt: attempts.Attempt,
+) -> blacksheep.Response:
+    connection = servers.get_connection(request)
+    state.add_reader(attempt)
+    try:
+        await _wait_whole(attempt, connection)
+    finally:
+        state.remove_reader(attempt)
+    if not attempt.finished:
+        connection.close()
+        return bodies.answer(500)
+    attempt_id = attempt.order.attempt_id
+    if state.faults.take_crossed_answer():
+        attempt_id = f"other-{attempt_id}"
+    message = WholeMessage(role="assistant", content=attempt.text)
+    completion = Completion(
+        id=attempt_id,
+        model=attempt.order.model,
+        choices=[WholeChoice(message=message)],
+        usage=attempt.usage,
+    )
+    headers = state.identity.build_headers(attempt_id)
+    return bodies.answer_json(200, completion, headers)
+
+
+async def _wait_whole(
+    attempt: attempts.Attempt, connection: connections.Connection
+) -> None:
+    """Returns once the attempt ended or its client is gone."""
+    connection.call_when_lost(attempt.wake)
+    try:
+        while not attempt.ended and not connection.lost.is_set():
+            await attempt.wait_changed()
+    finally:
+        connection.forget_call(attempt.wake)
+
+
+async def run(options: settings.EngineSettings) -> None:
+    """Serves an engine until it is told to stop."""
+    state = engine.Engine(options=options)
+    registration = registrations.Registration(
+        options=options,
+        role=members.Role.ENGINE,
+        read_state=state.read_state,
+    )
+    tasks = [
+        asyncio.create_task(state.run_batch()),
+        asyncio.create_task(state.run_sweeps()),
+    ]
+
+    async def stop() -> None:
+        state.faults.faults.leaving = True
+        if options.drain_ms:
+            await registration.beat()
+            await asyncio.sleep(options.drain_ms / _MS_PER_S)
+        await registration.remove()
+
+    hooks = servers.Hooks(start=registration.start, stop=stop)
+    app = build_app(state)
+    await servers.serve(app, options.address, state.faults, hooks)
+    for task in tasks:
+        task.cancel()
--- /dev/null
+++ b/mothpass/standin/registrations.py
@@ -0,0 +1,105 @@
+"""Registers a stand-in target with the membership list by heartbeats."""
+
+import asyncio
+from collections import abc
+import contextlib
+
+import msgspec
+
+from mothpass.adapters import platform_http
+from mothpass.core import errors
+from mothpass.ports import members
+from mothpass.standin import settings
+
+_MS_PER_S = 1000
+_TIMEOUT_S = 1.0
+
+ReadState = abc.Callable[[], members.State]
+
+
+class Registration:
+    """The heartbeats of one target."""
+
+    __slots__ = (
+        "_exchange",
+        "_instance",
+        "_interval_s",
+        "_read_state",
+        "_task",
+    )
+
+    def __init__(
+        self,
+        *,
+        options: settings.TargetSettings,
+        role: members.Role,
+        read_state: ReadState,
+    ) -> None:
+        """Sends nothing yet.
+
+        Args:
+            options: Settings of the target.
+            role: What it is.
+            read_state: Returns the state to register at each heartbeat.
+        """
+        url = options.members_url
+        self._exchange = (
+            None
+            if url is None
+            else platform_http.Exchange(url=url, timeout_s=_TIMEOUT_S)
+        )
+        self._instance = members.Instance(
+            id=options.id,
+            role=role,
+            state=members.State.LIVE,
+            address=options.address,
+            availability_zone=options.availability_zone,
+            serves=list(options.serves),
+        )
+        self._interval_s = options.heartbeat_ms / _MS_PER_S
+        self._read_state = read_state
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self, address: str) -> None:
+        """Starts to send heartbeats for the target at an address."""
+        if self._exchange is None:
+            return
+        self._instance = msgspec.structs.replace(
+            self._instance, address=address
+        )
+        await self.beat()
+        self._task = asyncio.create_task(self._run())
+
+    async def beat(self) -> None:
+        """Sends one heartbeat now, in the present state."""
+        instance = msgspec.structs.replace(
+            self._instance, state=self._read_state()
+        )
+        await self._send(
+            "POST",
+            f"/v1/heartbeats/{instance.id}",
+            msgspec.json.encode(instance),
+        )
+
+    async def remove(self) -> None:
+        """Stops the heartbeats and takes the target off the list."""
+        if self._exchange is None:
+            return
+        if self._task is not None:
+            self._task.cancel()
+        await self._send("DELETE", f"/v1/instances/{self._instance.id}")
+        await self._exchange.close()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(self._interval_s)
+            await self.beat()
+
+    async def _send(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> None:
+        if self._exchange is None:
+            return
+        lost = (errors.StoreUnavailableError, errors.StoreUnconfirmedError)
+        with contextlib.suppress(*lost):
+            await self._exchange.write(method, path, body)
--- /dev/null
+++ b/mothpass/standin/servers.py
@@ -0,0 +1,190 @@
+"""Serves a stand-in over HTTP until it is told to stop."""
+
+import asyncio
+from collections import abc
+import json
+import signal
+import socket
+import typing
+
+import blacksheep
+import uvicorn
+
+from mothpass.standin import connections
+from mothpass.standin import faults
+
+Scope = dict[str, typing.Any]
+AsgiMessage = dict[str, typing.Any]
+Receive = abc.Callable[[], abc.Awaitable[AsgiMessage]]
+Send = abc.Callable[[AsgiMessage], abc.Awaitable[None]]
+AsgiApp = abc.Callable[[Scope, Receive, Send], abc.Awaitable[None]]
+
+CONNECTION_KEY = "mothpass.connection"
+_BACKLOG = 2048
+_KEEP_ALIVE_S = 300
+_MS_PER_S = 1000
+_DOWN_BODY = b'{"ran": "no", "message": "down"}'
+
+
+class Hooks(typing.NamedTuple):
+    """What a stand-in does beside serving.
+
+    Attributes:
+        start: Called with ``ip:port`` once the server listens.
+        stop: Called after SIGTERM, before the server stops.
+    """
+
+    start: abc.Callable[[str], abc.Awaitable[None]] | None = None
+    stop: abc.Callable[[], abc.Awaitable[None]] | None = None
+
+
+class _Server(uvicorn.Server):
+    """A server that tells when it listens."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.listening = asyncio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        self.listening.set()
+
+
+def get_connection(request: blacksheep.Request) -> connections.Connection:
+    """Returns the connection that a request came over."""
+    scope = typing.cast(Scope, request.scope)
+    found: connections.Connection = scope[CONNECTION_KEY]
+    return found
+
+
+async def serve(
+    app: blacksheep.Application,
+    address: str,
+    state: faults.FaultState,
+    hooks: Hooks | None = None,
+) -> None:
+    """Serves until SIGTERM or SIGINT.
+
+    A line of JSON with the address is printed once calls are taken.
+
+    Args:
+        app: The application, with its own routes.
+        address: ``ip:port`` to listen at; port 0 takes a free one.
+        state: Faults that it shows.
+        hooks: What to do when it starts and stops.
+    """
+    hooks = hooks or Hooks()
+    faults.add_fault_routes(app, state)
+    await app.start()  # type: ignore[no-untyped-call]
+    listener = _open_listener(address)
+    host, port = listener.getsockname()[:2]
+    server = _Server(_build_config(app, state))
+    stopping = asyncio.Event()
+    serving = asyncio.create_task(server.serve([listener]))
+    await server.listening.wait()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    if hooks.start is not None:
+        await hooks.start(f"{host}:{port}")
+    print(json.dumps({"ready": f"{host}:{port}"}), flush=True)
+    await stopping.wait()
+    if hooks.stop is not None:
+        await hooks.stop()
+    server.should_exit = True
+    server.force_exit = True
+    state.connections.abort()
+    await serving
+
+
+def _open_listener(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.setblocking(False)
+    return listener
+
+
+def _build_config(
+    app: blacksheep.Application, state: faults.FaultState
+) -> uvicorn.Config:
+    def build_protocol(**kwargs: typing.Any) -> asyncio.Protocol:
+        return connections.TrackedProtocol(
+            connections_open=state.connections, **kwargs
+        )
+
+    return uvicorn.Config(
+        wrap_faults(typing.cast(AsgiApp, app), state),
+        http=typing.cast(typing.Any, build_protocol),
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        backlog=_BACKLOG,
+        timeout_keep_alive=_KEEP_ALIVE_S,
+    )
+
+
+def wrap_faults(app: AsgiApp, state: faults.FaultState) -> AsgiApp:
+    """Returns an application that shows the faults common to stand-ins."""
+
+    async def run(scope: Scope, receive: Receive, send: Send) -> None:
+        connection = state.connections.get(scope["client"])
+        if connection is None:
+            return
+        scope[CONNECTION_KEY] = connection
+        if scope["path"] == "/faults":
+            await app(scope, receive, send)
+            return
+        if state.is_dead():
+            connection.transport.abort()
+            return
+        await _hold_if_silent(connection)
+        await state.wait_while_paused()
+        if state.faults.down:
+            await _refuse(send)
+            return
+        await asyncio.sleep(state.faults.slow_ms / _MS_PER_S)
+        guarded = _guard_send(send, connection, state)
+        await app(scope, receive, guarded)
+
+    return run
+
+
+def _guard_send(
+    send: Send,
+    connection: connections.Connection,
+    state: faults.FaultState,
+) -> Send:
+    """Returns a send that holds, delays or drops what an answer sends."""
+    started = False
+    lost = False
+
+    async def guarded(message: AsgiMessage) -> None:
+        nonlocal started, lost
+        if not started:
+            started = True
+            lost = state.take_lost_answer()
+            await asyncio.sleep(state.faults.late_ms / _MS_PER_S)
+        if lost:
+            connection.transport.abort()
+            return
+        await state.wait_while_paused()
+        await _hold_if_silent(connection)
+        await send(message)
+
+    return guarded
+
+
+async def _hold_if_silent(connection: connections.Connection) -> None:
+    """Waits until a silent connection is closed by its client."""
+    if connection.silent:
+        await connection.lost.wait()
+
+
+async def _refuse(send: Send) -> None:
+    headers = [(b"content-type", b"application/json")]
+    await send(
+        {"type": "http.response.start", "status": 503, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": _DOWN_BODY})
