Serve callers end to end: listeners, dispatcher, shutdown, status

Cause: the parts of the core had no path from a caller to a target. Ruled out: uvicorn's own server class, which decides the shutdown by itself; blacksheep's body reading without a bound; a ready state before any target is known, which answered the first requests with NO_TARGET; assertions on the transport's class, which uvloop's transports don't share. Calls that may not be repeated and cold targets are refused until claims and permits are wired in.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import typing
 
 import httptools
 
@@ -249,8 +250,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        # uvloop's transports don't inherit from those of asyncio.
+        self._transport = typing.cast(asyncio.Transport, transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the exchange that was running."""
--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import http
 import typing
 
@@ -32,9 +33,15 @@
         header_limit_bytes: Larger sets of headers get 431.
         connections: Connections open at once; further ones get 503.
         encode_refusal: Encodes the body of such an answer.
+        closed: Set when the last connection has been closed.
     """
 
-    __slots__ = ("connections", "encode_refusal", "header_limit_bytes")
+    __slots__ = (
+        "closed",
+        "connections",
+        "encode_refusal",
+        "header_limit_bytes",
+    )
 
     def __init__(
         self,
@@ -47,6 +54,7 @@
         self.header_limit_bytes = header_limit_bytes
         self.connections = connections
         self.encode_refusal = encode_refusal
+        self.closed = asyncio.Event()
 
 
 class Caller:
@@ -110,6 +118,8 @@
         """Tells the requests of this connection."""
         self._stop_header_timer()
         super().connection_lost(exc)
+        if not self.connections:
+            self._bounds.closed.set()
         for caller in self._callers:
             caller.leave()
         self._callers.clear()
@@ -214,15 +224,17 @@
 class Listener:
     """An open listener and its connections."""
 
-    __slots__ = ("_server", "_state")
+    __slots__ = ("_bounds", "_server", "_state")
 
     def __init__(
         self,
         *,
         server: asyncio.AbstractServer,
         state: uvicorn_server.ServerState,
+        bounds: Bounds,
     ) -> None:
         """Keeps a server that is listening."""
+        self._bounds = bounds
         self._server = server
         self._state = state
 
@@ -232,10 +244,6 @@
         server = typing.cast(asyncio.Server, self._server)
         return int(server.sockets[0].getsockname()[1])
 
-    def count_running(self) -> int:
-        """Counts the requests that have not been answered whole."""
-        return len(self._state.tasks)
-
     def stop_accepting(self) -> None:
         """Closes the listening socket and the idle connections.
 
@@ -245,6 +253,23 @@
         for connection in list(self._state.connections):
             connection.shutdown()
 
+    async def drain(self, deadline: float) -> int:
+        """Waits until all requests are answered and all answers are sent.
+
+        Args:
+            deadline: Time of the loop at which to stop waiting.
+
+        Returns:
+            Connections that are left.
+        """
+        self._bounds.closed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                while self._state.connections:
+                    await self._bounds.closed.wait()
+                    self._bounds.closed.clear()
+        return len(self._state.connections)
+
     def abort(self) -> None:
         """Closes all connections at once."""
         for connection in list(self._state.connections):
@@ -286,7 +311,7 @@
         backlog=2048,
         reuse_address=True,
     )
-    return Listener(server=server, state=state)
+    return Listener(server=server, state=state, bounds=bounds)
 
 
 def _encode_answer(refusal: errors.Refusal, bounds: Bounds) -> bytes:
--- a/mothpass/daemon/answers.py
+++ b/mothpass/daemon/answers.py
@@ -14,6 +14,9 @@
 EVENTS_TYPE = b"text/event-stream"
 
 
+_NO_USAGE = msgspec.Raw(b"null")
+
+
 class _Delta(msgspec.Struct, forbid_unknown_fields=True):
     role: str | None = None
     content: str | None = None
@@ -30,7 +33,7 @@
     id: str = ""
     created: int = 0
     model: str = ""
-    usage: msgspec.Raw | None = None
+    usage: msgspec.Raw = _NO_USAGE
 
 
 class _WholeMessage(msgspec.Struct, kw_only=True):
@@ -115,7 +118,7 @@
     if not chunks:
         raise _refuse_chunk("no events")
     first = chunks[0]
-    usages = [chunk.usage for chunk in chunks if chunk.usage is not None]
+    usages = [x.usage for x in chunks if bytes(x.usage) != b"null"]
     completion = _Completion(
         id=first.id,
         object="chat.completion",
--- a/mothpass/daemon/callers.py
+++ b/mothpass/daemon/callers.py
@@ -35,15 +35,17 @@
 
     Attributes:
         directory: Entries of the catalogue in force, None before the first.
+        leaving: Whether the daemon is to shut down.
         ready: Whether the balancer should send new requests.
         taking: Whether new requests are still taken.
     """
 
-    __slots__ = ("directory", "ready", "taking")
+    __slots__ = ("directory", "leaving", "ready", "taking")
 
     def __init__(self) -> None:
         """Starts without a catalogue."""
         self.directory: calls.Directory | None = None
+        self.leaving = False
         self.ready = False
         self.taking = True
 
@@ -102,37 +104,55 @@
         self._clock = clock
         self.background: set[asyncio.Task[targets.Answer]] = set()
 
+    async def drain(self, deadline: float) -> int:
+        """Waits for the calls that go on without their caller.
+
+        Args:
+            deadline: Time of the loop at which to stop waiting.
+
+        Returns:
+            Calls that are left.
+        """
+        while self.background:
+            left_s = deadline - asyncio.get_running_loop().time()
+            if left_s <= 0:
+                break
+            await asyncio.wait(self.background, timeout=left_s)
+        return len(self.background)
+
     def build_application(self) -> blacksheep.Application:
         """Returns the application with its routes; it must be started."""
-        application = blacksheep.Application()
+        application = blacksheep.Application(router=blacksheep.Router())
         router = application.router
-        router.add_get("/healthz", self._handle_health)
-        router.add_get("/readyz", self._handle_readiness)
-        router.add_post("/v1/chat/completions", self._handle_chat)
-        router.add_post("/v1/services/{name}", self._handle_service)
-        router.fallback = caller_messages.handle_unknown_path
-        return application
 
-    async def _handle_health(
-        self, request: blacksheep.Request
-    ) -> blacksheep.Response:
-        del request
-        return caller_messages.respond(200, b'{"state":"running"}')
+        # The library sets attributes on its handlers, which methods lack.
+        async def show_readiness(
+            _request: blacksheep.Request,
+        ) -> blacksheep.Response:
+            if self._state.ready:
+                return caller_messages.respond(200, b'{"state":"ready"}')
+            return caller_messages.respond(503, b'{"state":"not ready"}')
+
+        async def complete_chat(
+            request: blacksheep.Request,
+        ) -> blacksheep.Response:
+            return await self._serve(
+                request, self._read_chat, self._answer_chat
+            )
 
-    async def _handle_readiness(
-        self, request: blacksheep.Request
-    ) -> blacksheep.Response:
-        del request
-        if self._state.ready:
-            return caller_messages.respond(200, b'{"state":"ready"}')
-        return caller_messages.respond(503, b'{"state":"not ready"}')
+        async def call_service(
+            request: blacksheep.Request,
+        ) -> blacksheep.Response:
+            return await self._serve_call(request)
 
-    async def _handle_chat(
-        self, request: blacksheep.Request
-    ) -> blacksheep.Response:
-        return await self._serve(request, self._read_chat, self._answer_chat)
+        router.add_get("/healthz", _show_health)
+        router.add_get("/readyz", show_readiness)
+        router.add_post("/v1/chat/completions", complete_chat)
+        router.add_post("/v1/services/{name}", call_service)
+        router.fallback = caller_messages.handle_unknown_path
+        return application
 
-    async def _handle_service(
+    async def _serve_call(
         self, request: blacksheep.Request
     ) -> blacksheep.Response:
         def read_call(
@@ -225,8 +245,7 @@
             first = await anext(batches)
             record.first_at = self._clock()
             content = contents.StreamedContent(
-                answers.EVENTS_TYPE,
-                lambda: self._show_events(record, first, batches),
+                answers.EVENTS_TYPE, self._show_events(record, first, batches)
             )
             response = blacksheep.Response(200, content=content)
             response.add_header(b"X-Request-Id", record.request_id.encode())
@@ -242,32 +261,38 @@
         self._end(record, results.Code.OK)
         return caller_messages.respond(200, body, record.request_id)
 
-    async def _show_events(
+    def _show_events(
         self,
         record: _Record,
         first: list[targets.Event],
         batches: abc.AsyncGenerator[list[targets.Event], None],
-    ) -> abc.AsyncIterator[bytes]:
-        """Yields the bytes of a streamed answer, to its end or its error."""
-        code = results.Code.CALLER_GONE
-        try:
-            yield answers.encode_events(first)
-            async for events in batches:
-                yield answers.encode_events(events)
-            code = results.Code.OK
-        except errors.RefusalError as error:
-            code = error.refusal.code
-            yield answers.encode_refusal_event(error.refusal, record.request_id)
-        except Exception:
-            _log.exception(
-                "stream failed", extra={"request_id": record.request_id}
-            )
-            refusal = _refuse_internal(record)
-            code = refusal.code
-            yield answers.encode_refusal_event(refusal, record.request_id)
-        finally:
-            self._end(record, code)
-            await batches.aclose()
+    ) -> abc.Callable[[], abc.AsyncIterator[bytes]]:
+        """Returns what yields a streamed answer, to its end or its error."""
+
+        async def show() -> abc.AsyncIterator[bytes]:
+            code = results.Code.CALLER_GONE
+            try:
+                yield answers.encode_events(first)
+                async for events in batches:
+                    yield answers.encode_events(events)
+                code = results.Code.OK
+            except errors.RefusalError as error:
+                code = error.refusal.code
+                yield answers.encode_refusal_event(
+                    error.refusal, record.request_id
+                )
+            except Exception:
+                _log.exception(
+                    "stream failed", extra={"request_id": record.request_id}
+                )
+                refusal = _refuse_internal(record)
+                code = refusal.code
+                yield answers.encode_refusal_event(refusal, record.request_id)
+            finally:
+                self._end(record, code)
+                await batches.aclose()
+
+        return show
 
     async def _answer_service(
         self, record: _Record, call: calls.Call
@@ -349,6 +374,10 @@
     return run
 
 
+async def _show_health(_request: blacksheep.Request) -> blacksheep.Response:
+    return caller_messages.respond(200, b'{"state":"running"}')
+
+
 def _measure_ms(record: _Record, moment: float | None) -> float | None:
     """Returns the time from the start of a request to a moment."""
     if moment is None:
--- /dev/null
+++ b/mothpass/daemon/status.py
@@ -0,0 +1,155 @@
+"""Fills the status page of this daemon."""
+
+from collections import abc
+
+import msgspec
+
+from mothpass.core import routing
+from mothpass.core import suspects
+from mothpass.core import targets
+from mothpass.daemon import callers
+from mothpass.daemon import catalogues
+from mothpass.daemon import settings
+from mothpass.daemon import status_page
+from mothpass.daemon import telemetry
+from mothpass.ports import clock
+from mothpass.ports import targets as targets_port
+
+# Returns the cost of control so far.
+ReadControl = abc.Callable[[], status_page.ControlStatus]
+
+
+class Parts(msgspec.Struct, frozen=True, kw_only=True):
+    """What the page is filled from.
+
+    Attributes:
+        instance: Who this daemon is.
+        state: State of the daemon towards callers.
+        catalogues: The catalogue in force.
+        router: What is known of targets.
+        suspects: Requests that crash targets.
+        telemetry: Counts and histograms.
+        read_control: Returns the cost of control.
+        clock: Monotonic seconds.
+        started_at: Monotonic seconds at which the daemon started.
+    """
+
+    instance: settings.Instance
+    state: callers.State
+    catalogues: catalogues.Catalogues
+    router: routing.Router
+    suspects: suspects.Suspects
+    telemetry: telemetry.Telemetry
+    read_control: ReadControl
+    clock: clock.Monotonic
+    started_at: float
+
+
+def build_page(parts: Parts) -> status_page.StatusPage:
+    """Returns the page as it stands now."""
+    now = parts.clock()
+    revision = parts.catalogues.revision
+    return status_page.StatusPage(
+        id=parts.instance.id,
+        region=parts.instance.region,
+        availability_zone=parts.instance.availability_zone,
+        slot=parts.instance.slot,
+        state=_name_state(parts.state),
+        uptime_s=round(now - parts.started_at, 3),
+        catalogue=status_page.CatalogueStatus(
+            version=parts.catalogues.version,
+            digest="" if revision is None else revision.digest,
+        ),
+        availability_zones=_list_zones(parts),
+        targets=_list_targets(parts, now),
+        teams=parts.telemetry.list_teams(),
+        classes=parts.telemetry.list_classes(),
+        control=parts.read_control(),
+        suspects=_list_suspects(parts, now),
+    )
+
+
+def _name_state(state: callers.State) -> str:
+    if state.leaving:
+        return "leaving"
+    return "ready" if state.ready else "starting"
+
+
+def _list_zones(parts: Parts) -> list[status_page.ZoneStatus]:
+    revision = parts.catalogues.revision
+    if revision is None:
+        return []
+    zones = [
+        item.instance.availability_zone
+        for item in parts.router.targets.values()
+    ]
+    return [
+        status_page.ZoneStatus(
+            name=zone.name, out=zone.out, targets=zones.count(zone.name)
+        )
+        for zone in revision.catalogue.availability_zones
+    ]
+
+
+def _list_targets(parts: Parts, now: float) -> list[status_page.TargetStatus]:
+    out = _find_out(parts)
+    return [
+        _show_target(parts, target, out, now)
+        for _, target in sorted(parts.router.targets.items())
+    ]
+
+
+def _find_out(parts: Parts) -> set[str]:
+    """Returns the ids of the targets that operators have taken out."""
+    revision = parts.catalogues.revision
+    if revision is None:
+        return set()
+    entries = revision.catalogue
+    zones = {zone.name for zone in entries.availability_zones if zone.out}
+    return {
+        target.id
+        for target in parts.router.targets.values()
+        if target.id in entries.instances_out
+        or target.instance.availability_zone in zones
+    }
+
+
+def _show_target(
+    parts: Parts, target: targets.Target, out: set[str], now: float
+) -> status_page.TargetStatus:
+    instance = target.instance
+    record = target.record
+    phase = targets_port.Phase.COLD
+    if target.is_leaving():
+        phase = targets_port.Phase.LEAVING
+    elif not target.is_cold():
+        phase = targets_port.Phase.WARM
+    age_ms = None if record is None else (now - record.measured_at) * 1000
+    return status_page.TargetStatus(
+        id=target.id,
+        role=instance.role.value,
+        availability_zone=instance.availability_zone,
+        serves=instance.serves,
+        state=instance.state.value,
+        phase=phase.value,
+        out=target.id in out,
+        boot_id=target.boot_id,
+        load=target.load,
+        bound=sum(parts.router.bound(name) for name in instance.serves[:1]),
+        own=target.own,
+        report_age_ms=None if age_ms is None else round(age_ms, 1),
+    )
+
+
+def _list_suspects(parts: Parts, now: float) -> list[status_page.SuspectStatus]:
+    records = parts.suspects.export(changed_after=float("-inf"), now=now)
+    return [
+        status_page.SuspectStatus(
+            fingerprint=f"{record.fingerprint:016x}",
+            deaths=len(record.boots),
+            quarantined=parts.suspects.check(record.fingerprint, now=now)
+            is suspects.Verdict.QUARANTINED,
+        )
+        for record in records
+        if not record.cleared
+    ]
--- /dev/null
+++ b/mothpass/programs/mothpassd.py
@@ -0,0 +1,73 @@
+"""Runs one daemon of the fleet, or checks its settings."""
+
+import logging
+import pathlib
+import sys
+
+import cleo.application
+import cleo.commands.command
+import cleo.helpers
+from cleo.io.inputs import argv_input
+import uvloop
+
+from mothpass.core import errors
+from mothpass.daemon import service
+from mothpass.daemon import settings
+from mothpass.daemon import telemetry
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+
+class DaemonCommand(cleo.commands.command.Command):
+    """Runs a daemon until SIGTERM, then shuts it down gracefully."""
+
+    name = "run"
+    description = "Runs one daemon until SIGTERM."
+    arguments = [  # noqa: RUF012
+        cleo.helpers.argument("settings", "JSON file.", optional=True)
+    ]
+    options = [  # noqa: RUF012
+        cleo.helpers.option(
+            "check-settings", None, "Checks a JSON file and exits.", flag=False
+        )
+    ]
+
+    def handle(self) -> int:
+        """Returns the exit status."""
+        checked = self.option("check-settings")
+        path = checked or self.argument("settings")
+        if not path:
+            print("a settings file is needed", file=sys.stderr)
+            return EXIT_SETTINGS
+        try:
+            chosen = settings.decode_settings(pathlib.Path(path).read_bytes())
+        except (OSError, errors.DocumentError) as error:
+            print(error, file=sys.stderr)
+            return EXIT_SETTINGS
+        return 0 if checked else run_daemon(chosen)
+
+
+def run_daemon(chosen: settings.Settings) -> int:
+    """Runs a daemon and returns the exit status."""
+    telemetry.start_logging(chosen.telemetry.log_level)
+    try:
+        uvloop.run(service.run_daemon(chosen))
+    except OSError as error:
+        logging.getLogger(__name__).error("daemon not started: %s", error)
+        return EXIT_FAILED
+    return 0
+
+
+def main() -> int:
+    """Runs the command line and returns its exit status."""
+    application = cleo.application.Application("mothpassd")
+    application.auto_exits(False)
+    application.add(DaemonCommand())
+    # There is one command, so that its name isn't typed.
+    words = [sys.argv[0], DaemonCommand.name, *sys.argv[1:]]
+    return int(application.run(argv_input.ArgvInput(words)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
