Add the exchange between daemons: digests, grid, links over gRPC

Cause: daemons each see a sliver of the traffic; loads, suspects and catalogue changes have to reach all of them within the control budget. Change: each target's report is read by one daemon, named once in a roster and then sent as three bytes a tick; a full mesh up to 16 daemons and a grid above, where each record reaches each daemon once; links that take a new batch only when the last has left; membership and load readers. Ruled out: flooding to k neighbours, which sends each record k times; a full mesh at 200 daemons, 400 messages a second each.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 # Regenerates the committed gRPC code after a change of peers.proto.
 proto: install
-	$(BIN)/python -m grpc_tools.protoc --proto_path=. --python_out=. \
+	$(BIN)/python -m grpc_tools.protoc --proto_path=. --python_out=. --pyi_out=. \
 	  --grpc_python_out=. mothpass/adapters/peers.proto
 
 clean:
--- /dev/null
+++ b/mothpass/adapters/peer_messages.py
@@ -0,0 +1,174 @@
+"""Converts messages between daemons from and to their protobuf form."""
+
+from mothpass.adapters import peers_pb2
+from mothpass.core import digests
+from mothpass.core import gates
+from mothpass.core import suspects
+from mothpass.ports import peers
+
+
+def encode_batch(batch: peers.Batch) -> peers_pb2.Batch:
+    """Returns the protobuf form of a batch."""
+    return peers_pb2.Batch(
+        sender=batch.sender,
+        operators_address=batch.operators_address,
+        catalogue_version=batch.catalogue_version,
+        loads=[_encode_digest(item) for item in batch.loads],
+        rosters=[_encode_roster(item) for item in batch.rosters],
+        rosters_wanted=batch.rosters_wanted,
+        suspicions=[_encode_suspect(item) for item in batch.suspicions],
+        changes=batch.changes,
+    )
+
+
+def decode_batch(message: peers_pb2.Batch) -> peers.Batch:
+    """Returns the typed form of a batch."""
+    return peers.Batch(
+        sender=message.sender,
+        operators_address=message.operators_address,
+        catalogue_version=message.catalogue_version,
+        loads=[_decode_digest(item) for item in message.loads],
+        rosters=[_decode_roster(item) for item in message.rosters],
+        rosters_wanted=list(message.rosters_wanted),
+        suspicions=[_decode_suspect(item) for item in message.suspicions],
+        changes=list(message.changes),
+    )
+
+
+def encode_grant_request(
+    request: gates.GrantRequest,
+) -> peers_pb2.GrantRequest:
+    """Returns the protobuf form of a request for a permit."""
+    return peers_pb2.GrantRequest(
+        target_id=request.target_id,
+        boot_id=request.boot_id,
+        call_ms=request.call_ms,
+    )
+
+
+def decode_grant_request(
+    message: peers_pb2.GrantRequest,
+) -> gates.GrantRequest:
+    """Returns the typed form of a request for a permit."""
+    return gates.GrantRequest(
+        target_id=message.target_id,
+        boot_id=message.boot_id,
+        call_ms=message.call_ms,
+    )
+
+
+def encode_grant_reply(
+    reply: gates.Granted | gates.Denied,
+) -> peers_pb2.GrantReply:
+    """Returns the protobuf form of a gate's decision."""
+    if isinstance(reply, gates.Denied):
+        return peers_pb2.GrantReply(granted=False, reason=reply.reason.value)
+    return peers_pb2.GrantReply(
+        granted=True,
+        number=reply.number,
+        fencing=reply.fencing,
+        dispatch_ms=reply.dispatch_ms,
+    )
+
+
+def decode_grant_reply(
+    message: peers_pb2.GrantReply,
+) -> gates.Granted | gates.Denied:
+    """Returns the typed form of a gate's decision.
+
+    Raises:
+        ValueError: It gives a reason that isn't known.
+    """
+    if not message.granted:
+        return gates.Denied(reason=gates.Reason(message.reason))
+    return gates.Granted(
+        number=message.number,
+        fencing=message.fencing,
+        dispatch_ms=message.dispatch_ms,
+    )
+
+
+def encode_release(release: gates.Release) -> peers_pb2.Release:
+    """Returns the protobuf form of a release."""
+    return peers_pb2.Release(
+        target_id=release.target_id,
+        boot_id=release.boot_id,
+        source=release.source.value,
+        number=release.number,
+        fencing=release.fencing,
+        answered=release.answered,
+    )
+
+
+def decode_release(message: peers_pb2.Release) -> gates.Release:
+    """Returns the typed form of a release.
+
+    Raises:
+        ValueError: It names a source that isn't known.
+    """
+    return gates.Release(
+        target_id=message.target_id,
+        boot_id=message.boot_id,
+        source=gates.Source(message.source),
+        number=message.number,
+        fencing=message.fencing,
+        answered=message.answered,
+    )
+
+
+def _encode_digest(digest: digests.Digest) -> peers_pb2.Digest:
+    return peers_pb2.Digest(
+        origin=digest.origin,
+        roster_version=digest.roster_version,
+        sequence=digest.sequence,
+        age_ms=digest.age_ms,
+        loads=digest.loads,
+    )
+
+
+def _decode_digest(message: peers_pb2.Digest) -> digests.Digest:
+    return digests.Digest(
+        origin=message.origin,
+        roster_version=message.roster_version,
+        sequence=message.sequence,
+        age_ms=message.age_ms,
+        loads=message.loads,
+    )
+
+
+def _encode_roster(roster: digests.Roster) -> peers_pb2.Roster:
+    return peers_pb2.Roster(
+        origin=roster.origin,
+        version=roster.version,
+        target_ids=roster.target_ids,
+        boot_ids=roster.boot_ids,
+    )
+
+
+def _decode_roster(message: peers_pb2.Roster) -> digests.Roster:
+    return digests.Roster(
+        origin=message.origin,
+        version=message.version,
+        target_ids=list(message.target_ids),
+        boot_ids=list(message.boot_ids),
+    )
+
+
+def _encode_suspect(record: suspects.Record) -> peers_pb2.Suspect:
+    return peers_pb2.Suspect(
+        fingerprint=record.fingerprint,
+        boots=record.boots,
+        position=record.position,
+        cleared=record.cleared,
+        age_ms=record.age_ms,
+    )
+
+
+def _decode_suspect(message: peers_pb2.Suspect) -> suspects.Record:
+    return suspects.Record(
+        fingerprint=message.fingerprint,
+        boots=list(message.boots),
+        position=message.position,
+        cleared=message.cleared,
+        age_ms=message.age_ms,
+    )
--- /dev/null
+++ b/mothpass/adapters/peer_transport.py
@@ -0,0 +1,52 @@
+"""What the server and the links between daemons have in common."""
+
+import typing
+
+import msgspec
+
+KEY_HEADER = "x-mothpass-key"
+KEEPALIVE_MS = 3000
+KEEPALIVE_TIMEOUT_MS = 1500
+RECONNECT_MS = 1000
+MESSAGE_LIMIT_BYTES = 4 << 20
+# Overhead of HTTP/2 framing and of the gRPC prefix for a message.
+FRAMING_BYTES = 14
+
+OPTIONS: list[tuple[str, typing.Any]] = [
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 1000),
+    ("grpc.http2.min_ping_interval_without_data_ms", 1000),
+    ("grpc.max_reconnect_backoff_ms", RECONNECT_MS),
+    ("grpc.initial_reconnect_backoff_ms", RECONNECT_MS // 4),
+    ("grpc.max_receive_message_length", MESSAGE_LIMIT_BYTES),
+]
+
+
+class Traffic(msgspec.Struct, kw_only=True):
+    """Bytes and messages exchanged with peers since the start.
+
+    Attributes:
+        sent_bytes: Sizes of the messages sent, framing included.
+        received_bytes: Sizes of the messages received, framing included.
+        sent: Messages sent.
+        received: Messages received.
+    """
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent: int = 0
+    received: int = 0
+
+    def count_sent(self, size: int) -> None:
+        """Counts a message that was sent."""
+        self.sent += 1
+        self.sent_bytes += size + FRAMING_BYTES
+
+    def count_received(self, size: int) -> None:
+        """Counts a message that was received."""
+        self.received += 1
+        self.received_bytes += size + FRAMING_BYTES
--- /dev/null
+++ b/tests/test_peer_links.py
@@ -0,0 +1,183 @@
+"""Tests for mothpass.adapters.peer_links and peer_server over loopback."""
+
+import asyncio
+import time
+import unittest
+
+from grpc import aio
+
+from mothpass.adapters import peer_links
+from mothpass.adapters import peer_server
+from mothpass.adapters import peer_transport
+from mothpass.core import digests
+from mothpass.core import errors
+from mothpass.core import gates
+from mothpass.core import suspects
+from mothpass.ports import peers
+
+_KEY = "key-of-the-tests"
+
+
+def _make_batch(version: int) -> peers.Batch:
+    return peers.Batch(
+        sender="d1",
+        operators_address="127.0.0.1:1",
+        catalogue_version=version,
+        loads=[
+            digests.Digest(
+                origin="d1",
+                roster_version=1,
+                sequence=2,
+                age_ms=3,
+                loads=b"abc",
+            )
+        ],
+        rosters=[
+            digests.Roster(
+                origin="d1", version=1, target_ids=["e1"], boot_ids=["b1"]
+            )
+        ],
+        rosters_wanted=["d9"],
+        suspicions=[
+            suspects.Record(
+                fingerprint=2**64 - 1,
+                boots=["b1"],
+                position=4,
+                cleared=True,
+                age_ms=5,
+            )
+        ],
+        changes=[b"{}"],
+    )
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """Checks the calls between two daemons."""
+
+    async def asyncSetUp(self) -> None:
+        self.batches: list[peers.Batch] = []
+        self.releases: list[gates.Release] = []
+        self.traffic = peer_transport.Traffic()
+        self.server = await self._start_server("127.0.0.1:0")
+        self.links = peer_links.Links(
+            key=_KEY, traffic=self.traffic, monotonic=time.monotonic
+        )
+        self.address = f"127.0.0.1:{self.port}"
+
+    async def asyncTearDown(self) -> None:
+        await self.links.close()
+        await self.server.stop(None)
+
+    async def _start_server(self, address: str) -> aio.Server:
+        server, self.port = await peer_server.start_server(
+            address=address,
+            key=_KEY,
+            handlers=peer_server.Handlers(
+                accept_batch=self.batches.append,
+                decide_grant=self._decide_grant,
+                accept_release=self.releases.append,
+                read_changes=self._read_changes,
+            ),
+            traffic=self.traffic,
+        )
+        return server
+
+    def _decide_grant(
+        self, request: gates.GrantRequest
+    ) -> gates.Granted | gates.Denied:
+        if request.target_id == "full":
+            return gates.Denied(reason=gates.Reason.FULL)
+        return gates.Granted(number=7, fencing=3, dispatch_ms=1000)
+
+    def _read_changes(self, after: int, limit_bytes: int) -> peers.Changes:
+        return peers.Changes(
+            catalogue_version=after + limit_bytes, changes=[b"1", b"2"]
+        )
+
+    async def _send(self, link: peer_links.Link, batch: peers.Batch) -> None:
+        """Sends a batch until it has arrived, over new connections too."""
+        async with asyncio.timeout(20.0):
+            while batch not in self.batches:
+                if link.is_ready:
+                    link.send_batch(batch)
+                await asyncio.sleep(0.01)
+
+    async def test_a_batch_arrives_as_it_was_sent(self) -> None:
+        batch = _make_batch(4)
+        await self._send(self.links.get(self.address), batch)
+        self.assertEqual(self.batches[0], batch)
+        self.assertGreater(self.traffic.sent_bytes, 0)
+
+    async def test_a_link_counts_a_failure_and_recovers(self) -> None:
+        link = self.links.get(self.address)
+        await self._send(link, _make_batch(1))
+        await self.server.stop(None)
+        link.send_batch(_make_batch(2))
+        async with asyncio.timeout(20.0):
+            while link.is_reachable:
+                await asyncio.sleep(0.01)
+                if link.is_ready:
+                    link.send_batch(_make_batch(2))
+        self.assertGreater(link.failures, 0)
+        self.server = await self._start_server(self.address)
+        await self._send(link, _make_batch(3))
+        self.assertEqual(self.batches[-1].catalogue_version, 3)
+
+    async def test_a_wrong_key_is_not_heard(self) -> None:
+        links = peer_links.Links(
+            key="another-key-here",
+            traffic=self.traffic,
+            monotonic=time.monotonic,
+        )
+        self.addAsyncCleanup(links.close)
+        link = links.get(self.address)
+        request = gates.GrantRequest(target_id="e1", boot_id="b1", call_ms=1000)
+        self.assertIsNone(await link.ask_grant(request, timeout_s=5.0))
+        with self.assertRaises(errors.StoreUnavailableError):
+            await link.fetch_changes(0, limit_bytes=1, timeout_s=5.0)
+        link.send_batch(_make_batch(1))
+        async with asyncio.timeout(20.0):
+            while link.failures == 0:
+                await asyncio.sleep(0.01)
+                if link.is_ready:
+                    link.send_batch(_make_batch(1))
+        self.assertEqual(self.batches, [])
+
+    async def test_a_gate_answers_yes_and_no(self) -> None:
+        link = self.links.get(self.address)
+        granted = await link.ask_grant(
+            gates.GrantRequest(target_id="e1", boot_id="b1", call_ms=5),
+            timeout_s=5.0,
+        )
+        self.assertEqual(
+            granted, gates.Granted(number=7, fencing=3, dispatch_ms=1000)
+        )
+        denied = await link.ask_grant(
+            gates.GrantRequest(target_id="full", boot_id="b1", call_ms=5),
+            timeout_s=5.0,
+        )
+        self.assertEqual(denied, gates.Denied(reason=gates.Reason.FULL))
+
+    async def test_a_release_arrives_as_it_was_sent(self) -> None:
+        release = gates.Release(
+            target_id="e1",
+            boot_id="b1",
+            source=gates.Source.GATE,
+            number=7,
+            fencing=3,
+            answered=True,
+        )
+        link = self.links.get(self.address)
+        self.assertTrue(await link.send_release(release, timeout_s=5.0))
+        self.assertEqual(self.releases, [release])
+
+    async def test_changes_are_fetched(self) -> None:
+        link = self.links.get(self.address)
+        found = await link.fetch_changes(5, limit_bytes=10, timeout_s=5.0)
+        self.assertEqual(
+            found, peers.Changes(catalogue_version=15, changes=[b"1", b"2"])
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
