--- /dev/null
+++ b/bench/skew.py
@@ -0,0 +1,111 @@
+"""Skew of load across engines while one team surges tenfold."""
+
+from collections import abc
+import math
+import random
+
+import msgspec
+
+from bench import baselines
+from bench import fleet
+from bench import measures
+from bench import traffic
+
+RATE = 33.0
+DURATION_S = 60.0
+SURGE = traffic.Surge(team=1, factor=10.0, begin=20.0, end=40.0)
+SETTLE_S = 5.0
+SAMPLE_S = 0.1
+CHATS = 400
+
+
+class Skew(msgspec.Struct, frozen=True, kw_only=True):
+    """Load of the engines against the bound, over all samples.
+
+    Attributes:
+        worst: Largest load of an engine, as a share of the bound.
+        above: Share of the samples with an engine above the bound.
+        mean: Mean load over all samples.
+    """
+
+    worst: float
+    above: float
+    mean: float
+
+
+def run_skew(
+    choose: abc.Callable[[fleet.Fleet], fleet.Choose] | None,
+    *,
+    seed: int,
+    rate: float = RATE,
+    layout: fleet.Layout | None = None,
+) -> Skew:
+    """Runs the surge under one way to choose."""
+    world = fleet.Fleet(layout=layout or fleet.Layout(), seed=seed)
+    if choose is not None:
+        world.set_choose(choose(world))
+    world.start(DURATION_S)
+    world.submit(
+        traffic.make_turns(
+            rng=random.Random(seed),
+            rate=rate,
+            duration=DURATION_S,
+            chats=CHATS,
+            surge=SURGE,
+        )
+    )
+    seen: list[tuple[float, float]] = []
+
+    def sample() -> None:
+        if world.loop.now < SETTLE_S:
+            return
+        loads = world.list_loads()
+        mean = sum(loads) / len(loads)
+        bound = max(1, math.ceil(world.layout.skew_multiple * mean))
+        seen.append((max(loads) / bound, mean))
+
+    world.loop.call_every(SAMPLE_S, DURATION_S, sample)
+    world.loop.run(DURATION_S)
+    return Skew(
+        worst=max(ratio for ratio, _ in seen),
+        above=sum(ratio > 1 for ratio, _ in seen) / len(seen),
+        mean=sum(mean for _, mean in seen) / len(seen),
+    )
+
+
+def measure(seed: int) -> list[measures.Measure]:
+    """Measures the worst load against the bound, beside the baselines."""
+    found = run_skew(None, seed=seed)
+    others = {
+        "random": run_skew(lambda _: baselines.make_random(seed), seed=seed),
+        "round_robin": run_skew(
+            lambda _: baselines.make_round_robin(), seed=seed
+        ),
+        "least_reported": run_skew(
+            lambda _: baselines.choose_least_reported, seed=seed
+        ),
+        "plain_hash": run_skew(lambda _: baselines.choose_hash, seed=seed),
+    }
+    best = run_skew(
+        lambda world: baselines.make_oracle(world.engines, 1.25), seed=seed
+    )
+    return [
+        measures.Measure(
+            measure="skew_worst_load_over_bound",
+            value=found.worst,
+            bound=1.0,
+            ok=found.worst <= 1.0,
+            baselines={name: item.worst for name, item in others.items()},
+            best=best.worst,
+            seed=seed,
+        ),
+        measures.Measure(
+            measure="skew_share_of_samples_above",
+            value=found.above,
+            bound=0.0,
+            ok=found.above <= 0.0,
+            baselines={name: item.above for name, item in others.items()},
+            best=best.above,
+            seed=seed,
+        ),
+    ]
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -14,9 +14,9 @@
 from mothpass.core import catalogue as catalogue_module
 from mothpass.core import cold
 from mothpass.core import errors
+from mothpass.core import gate_table
 from mothpass.core import gates
 from mothpass.core import pools
-from mothpass.core import preference
 from mothpass.core import reserves
 from mothpass.core import results
 from mothpass.core import targets
@@ -24,8 +24,6 @@
 
 ASKS_PER_S_AT_GATE = 20.0
 ASK_INTERVAL_S = 0.25
-GATES_ASKED = 2
-PARTITIONS = 16
 WAIT_S = 0.1
 RETRY_AFTER_MS = 1000
 CALL_LIMIT_MS = 600_000
@@ -88,16 +86,6 @@
 Choice = Send | AskPermit | Wait | errors.Refusal
 
 
-def find_partition(target_id: str) -> int:
-    """Returns the partition of the region's gates that a target is in."""
-    return preference.hash_name(target_id) % PARTITIONS
-
-
-def rank_gates(partition: int, daemons: abc.Iterable[str]) -> list[str]:
-    """Ranks the daemons that are to hold a partition, best first."""
-    return preference.rank_names(f"partition {partition}".encode(), daemons)
-
-
 class Router:
     """Chooses targets for the calls of one daemon.
 
@@ -192,8 +180,12 @@
         self.daemons = sorted(live | {self._instance_id})
         self._rank = self.daemons.index(self._instance_id)
         self._gates = {
-            partition: tuple(rank_gates(partition, self.daemons)[:GATES_ASKED])
-            for partition in range(PARTITIONS)
+            number: tuple(
+                gate_table.rank_daemons(number, self.daemons)[
+                    : gate_table.GATES_ASKED
+                ]
+            )
+            for number in range(gate_table.PARTITIONS)
         }
         self._rebuild()
 
@@ -252,7 +244,7 @@
             given back and the call must be routed again.
         """
         target = self.targets.get(target_id)
-        if target is None or not self._may_take_work(target):
+        if target is None or not self.may_take_work(target):
             self._give_back(permit)
             return False
         if permit is None:
@@ -269,12 +261,30 @@
         return True
 
     def record_first_token(
-        self, target_id: str, *, first_token_ms: float, now: float
+        self,
+        target_id: str,
+        *,
+        first_token_ms: float,
+        now: float,
+        prompt_tokens: int = 0,
     ) -> None:
-        """Takes in how long a target took to its first token."""
+        """Takes in how long a target took to its first token.
+
+        It tells a target that turned cold before its report does. A target
+        above the bound is slow for another reason, and is not judged.
+
+        Args:
+            target_id: The target.
+            first_token_ms: Time from the start of the call.
+            now: Monotonic seconds.
+            prompt_tokens: Length of the prompt, roughly; 0 where unknown.
+        """
         target = self.targets.get(target_id)
-        if target is not None:
-            target.record_first_token(first_token_ms, now)
+        if target is None or self._is_busy(target):
+            return
+        target.record_first_token(
+            first_token_ms, prompt_tokens=prompt_tokens, now=now
+        )
 
     def finish_call(
         self,
@@ -304,7 +314,9 @@
         if boot_id is not None:
             target.note_boot(boot_id, now)
         if first_token_ms is not None:
-            target.record_first_token(first_token_ms, now)
+            self.record_first_token(
+                target_id, first_token_ms=first_token_ms, now=now
+            )
         target.finish_call(outcome, now)
 
     def bound(self, name: str) -> int:
@@ -312,6 +324,20 @@
         pool = self._pools.get(name)
         return pool.bound() if pool is not None else 0
 
+    def rank(self, name: str, chat: int) -> list[str]:
+        """Returns a chat's order of preference among what may take work."""
+        pool = self._pools.get(name)
+        return pool.ring.rank(chat) if pool is not None else []
+
+    def may_take_work(self, target: targets.Target) -> bool:
+        """Tells whether neither operators nor the target itself forbid it."""
+        if target.is_leaving() or self._catalogue is None:
+            return False
+        instance = target.instance
+        if instance.id in self._instances_out:
+            return False
+        return instance.availability_zone not in self._zones_out
+
     def _choose_preferred(
         self, pool: pools.Pool, request: RouteRequest, chat: int, now: float
     ) -> Choice:
@@ -424,7 +450,7 @@
         return AskPermit(
             target_id=target.id,
             boot_id=target.boot_id,
-            gates=self._gates.get(find_partition(target.id), ()),
+            gates=self._gates.get(gate_table.find_partition(target.id), ()),
         )
 
     def _ask_interval(self) -> float:
@@ -449,14 +475,14 @@
         if permit is not None and permit.source is gates.Source.RESERVE:
             self._reserves.release(permit)
 
-    def _may_take_work(self, target: targets.Target) -> bool:
-        """Tells whether neither operators nor the target itself say no."""
-        if target.is_leaving() or self._catalogue is None:
-            return False
-        instance = target.instance
-        if instance.id in self._instances_out:
-            return False
-        return instance.availability_zone not in self._zones_out
+    def _is_busy(self, target: targets.Target) -> bool:
+        """Tells whether calls have to wait at a target."""
+        record = target.record
+        if record is None or record.queued:
+            return True
+        served = [self._pools.get(name) for name in target.instance.serves]
+        bounds = [pool.bound() for pool in served if pool is not None]
+        return target.load > max(bounds, default=0)
 
     def _set_instance(self, instance: members_port.Instance) -> None:
         known = self.targets.get(instance.id)
@@ -487,7 +513,7 @@
             self._add_pool(old, service.name, service.target_in_flight, 1.0)
         members: dict[str, list[targets.Target]] = {}
         for target in self.targets.values():
-            if self._may_take_work(target):
+            if self.may_take_work(target):
                 for name in target.instance.serves:
                     members.setdefault(name, []).append(target)
         for name, pool in self._pools.items():
--- a/mothpass/core/targets.py
+++ b/mothpass/core/targets.py
@@ -13,8 +13,10 @@
 OWN_HISTORY_S = 10.0
 BACK_OFF_S = 0.5
 BACK_OFF_LIMIT_S = 8.0
-FIRST_TOKEN_SAMPLES = 8
-SLOW_FACTOR = 4.0
+FIRST_TOKEN_SAMPLES = 32
+FIRST_TOKEN_SAMPLES_MIN = 8
+FIXED_COST_TOKENS = 300
+SLOW_FACTOR = 1.5
 SLOW_FLOOR_MS = 400.0
 SLOW_ANSWERS = 2
 SUSPICION_S = 5.0
@@ -89,7 +91,7 @@
     __slots__ = (
         "_boot_unknown_since",
         "_failures",
-        "_first_token_ms",
+        "_first_token_costs",
         "_own_history",
         "_slow_answers",
         "_suspected_since",
@@ -122,7 +124,7 @@
         )
         self._failures = 0
         self._boot_unknown_since: float | None = None
-        self._first_token_ms: collections.deque[float] = collections.deque(
+        self._first_token_costs: collections.deque[float] = collections.deque(
             maxlen=FIRST_TOKEN_SAMPLES
         )
         self._slow_answers = 0
@@ -219,23 +221,28 @@
             pause = BACK_OFF_S * 2 ** min(self._failures - 1, 8)
             self.closed_until = now + min(pause, BACK_OFF_LIMIT_S)
 
-    def record_first_token(self, first_token_ms: float, now: float) -> None:
+    def record_first_token(
+        self, first_token_ms: float, *, prompt_tokens: int, now: float
+    ) -> None:
         """Compares a first-token time with what is usual here.
 
-        After ``SLOW_ANSWERS`` slow ones in a row the target counts as cold,
-        until an answer comes at the usual speed, or a report that is
-        ``SUSPICION_S`` younger says that it is warm.
+        The time is taken for each token of the prompt, as if nothing of it
+        had been cached. After ``SLOW_ANSWERS`` slow ones in a row the target
+        counts as cold, until an answer comes at the usual speed, or a report
+        that is ``SUSPICION_S`` younger says that it is warm.
         """
-        usual = self._usual_first_token_ms()
-        limit = max(SLOW_FLOOR_MS, SLOW_FACTOR * usual) if usual else None
-        if limit is not None and first_token_ms > limit:
+        cost = first_token_ms / (FIXED_COST_TOKENS + prompt_tokens)
+        costs = self._first_token_costs
+        known = len(costs) >= FIRST_TOKEN_SAMPLES_MIN
+        slow = known and cost > SLOW_FACTOR * max(costs)
+        if slow and first_token_ms > SLOW_FLOOR_MS:
             self._slow_answers += 1
             if self._slow_answers >= SLOW_ANSWERS:
                 self._suspected_since = now
             return
         self._slow_answers = 0
         self._suspected_since = None
-        self._first_token_ms.append(first_token_ms)
+        costs.append(cost)
 
     def note_boot(self, boot_id: str, now: float) -> None:
         """Compares the boot id of an answer with the reported one."""
@@ -244,19 +251,13 @@
             self._boot_unknown_since = now
 
     def _restart(self) -> None:
-        self._first_token_ms.clear()
+        self._first_token_costs.clear()
         self._slow_answers = 0
         self._suspected_since = None
         self._failures = 0
         self.closed_until = float("-inf")
         self.ask_after = float("-inf")
 
-    def _usual_first_token_ms(self) -> float:
-        samples = self._first_token_ms
-        if not samples:
-            return 0.0
-        return sorted(samples)[len(samples) // 2]
-
     def _log_own(self, now: float) -> None:
         history = self._own_history
         history.append((now, self.own))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -37,10 +37,7 @@
         routers = [fixtures.make_warm_router(daemon=i) for i in range(8)]
         for chat in range(50):
             # The room of one daemon depends on its rank; the order doesn't.
-            found = {
-                router._pools[fixtures.MODEL].ring.rank(chat)[0]
-                for router in routers
-            }
+            found = {router.rank(fixtures.MODEL, chat)[0] for router in routers}
             self.assertEqual(len(found), 1)
 
     def test_a_chat_returns_to_its_second_place_while_first_is_out(
