--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,239 @@
+"""Starts stand-ins and daemons as processes of their own for tests."""
+
+import json
+import pathlib
+import select
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+import unittest
+
+from tests import http_calls
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_READY_S = 20.0
+_POLL_S = 0.02
+_STANDIN = "mothpass.programs.mothpass_standin"
+_DAEMON = "mothpass.programs.mothpassd"
+
+
+class Process:
+    """One process and where it listens.
+
+    Attributes:
+        name: Name for messages.
+        address: ``ip:port`` of its HTTP listener.
+        popen: The process itself.
+        log: File with what it wrote to its standard error.
+    """
+
+    __slots__ = ("address", "log", "name", "popen")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        popen: subprocess.Popen[str],
+        log: pathlib.Path,
+    ) -> None:
+        """Keeps a process that was just started; it listens nowhere yet."""
+        self.name = name
+        self.address = ""
+        self.log = log
+        self.popen = popen
+
+    @property
+    def url(self) -> str:
+        """Base URL of its HTTP listener."""
+        return f"http://{self.address}"
+
+    def kill(self) -> None:
+        """Ends it with SIGKILL and waits until it is gone."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stops it with SIGSTOP; its connections stay open."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets it go on after a freeze."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Asks it to stop with SIGTERM, without waiting."""
+        self.popen.terminate()
+
+    def wait(self) -> int:
+        """Waits until it has ended and returns its exit status."""
+        return self.popen.wait(_READY_S)
+
+    def set_faults(self, **fields: object) -> None:
+        """Sets faults of a stand-in."""
+        body = json.dumps(fields).encode()
+        answer = http_calls.call(self.address, "POST", "/faults", body)
+        if answer.status != http_calls.OK:
+            raise AssertionError(f"{self.name}: {answer.body!r}")
+
+    def clear_faults(self) -> None:
+        """Clears the faults of a stand-in."""
+        http_calls.call(self.address, "DELETE", "/faults")
+
+
+class Processes:
+    """Processes of one test, all ended with it.
+
+    Attributes:
+        folder: Temporary folder for settings and logs.
+    """
+
+    __slots__ = ("_holder", "_started", "folder")
+
+    def __init__(self) -> None:
+        """Makes the folder; close() removes it."""
+        self._holder = tempfile.TemporaryDirectory(prefix="mothpass-test-")
+        self.folder = pathlib.Path(self._holder.name)
+        self._started: list[Process] = []
+
+    def close(self) -> None:
+        """Ends all processes, frozen ones too, and removes the folder."""
+        for process in self._started:
+            if process.popen.poll() is None:
+                process.popen.kill()
+        for process in self._started:
+            process.popen.wait()
+            if process.popen.stdout is not None:
+                process.popen.stdout.close()
+        self._holder.cleanup()
+
+    def start_standin(self, kind: str, **settings: object) -> Process:
+        """Starts a stand-in on a free port and waits until it listens.
+
+        Args:
+            kind: Subcommand of mothpass-standin.
+            settings: Settings beside the address.
+
+        Returns:
+            The process.
+        """
+        document = {"address": "127.0.0.1:0", **settings}
+        name = str(settings.get("id", kind))
+        path = self.write_document(f"{name}-{len(self._started)}", document)
+        process = self._start(name, _STANDIN, kind, "--config", str(path))
+        process.address = _read_ready(process)
+        return process
+
+    def start_daemon(self, settings: dict[str, typing.Any]) -> Process:
+        """Starts a daemon and waits until it is ready for callers.
+
+        Args:
+            settings: All its settings.
+
+        Returns:
+            The process, with the address of its listener for callers.
+        """
+        process = self.launch_daemon(settings)
+        wait_until(lambda: is_ready(process), process)
+        return process
+
+    def launch_daemon(self, settings: dict[str, typing.Any]) -> Process:
+        """Starts a daemon as start_daemon does, without waiting."""
+        name = str(settings["instance"]["id"])
+        path = self.write_document(f"{name}-{len(self._started)}", settings)
+        process = self._start(name, _DAEMON, "--settings", str(path))
+        process.address = settings["callers"]["address"]
+        return process
+
+    def write_document(self, name: str, document: object) -> pathlib.Path:
+        """Writes a JSON file to the folder and returns its path."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(document), encoding="utf-8")
+        return path
+
+    def _start(self, name: str, module: str, *arguments: str) -> Process:
+        log = self.folder / f"{name}-{len(self._started)}.log"
+        with log.open("w", encoding="utf-8") as stream:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=_ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=stream,
+                text=True,
+            )
+        process = Process(name=name, popen=popen, log=log)
+        self._started.append(process)
+        return process
+
+
+def open_processes(test: unittest.TestCase) -> Processes:
+    """Returns processes that end with a test."""
+    processes = Processes()
+    test.addCleanup(processes.close)
+    return processes
+
+
+def open_class_processes(test_class: type[unittest.TestCase]) -> Processes:
+    """Returns processes that end after the last test of a class."""
+    processes = Processes()
+    test_class.addClassCleanup(processes.close)
+    return processes
+
+
+def find_free_address() -> str:
+    """Returns ``ip:port`` on loopback that nothing listens at."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        host, port = probe.getsockname()
+    return f"{host}:{port}"
+
+
+def is_ready(process: Process) -> bool:
+    """Tells whether a daemon says that it is ready for callers."""
+    try:
+        answer = http_calls.call(process.address, "GET", "/readyz")
+    except OSError:
+        return False
+    return answer.status == http_calls.OK
+
+
+def wait_until(
+    condition: typing.Callable[[], bool], process: Process | None = None
+) -> None:
+    """Waits until a condition holds.
+
+    Args:
+        condition: Asked again and again.
+        process: Process that must not end meanwhile.
+
+    Raises:
+        AssertionError: The process ended, or it took far too long.
+    """
+    deadline = time.monotonic() + _READY_S
+    while not condition():
+        if process is not None and process.popen.poll() is not None:
+            raise AssertionError(_describe_end(process))
+        if time.monotonic() > deadline:
+            raise AssertionError("what was waited for didn't come about")
+        time.sleep(_POLL_S)
+
+
+def _read_ready(process: Process) -> str:
+    """Returns the address from the line that a stand-in prints."""
+    stdout = process.popen.stdout
+    if stdout is None:
+        raise AssertionError("standard output isn't a pipe")
+    readable, _, _ = select.select([stdout], [], [], _READY_S)
+    line = stdout.readline() if readable else ""
+    if not line:
+        raise AssertionError(_describe_end(process))
+    return str(json.loads(line)["ready"])
+
+
+def _describe_end(process: Process) -> str:
+    text = process.log.read_text(encoding="utf-8")
+    return f"{process.name} ended with {process.popen.poll()}: {text}"
