--- a/mothpass/adapters/peer_server.py
+++ b/mothpass/adapters/peer_server.py
@@ -111,13 +111,32 @@
             await context.abort(grpc.StatusCode.UNAUTHENTICATED, "unknown peer")
 
 
+class Server:
+    """A running listener.
+
+    Attributes:
+        port: Port that it listens at.
+    """
+
+    __slots__ = ("_server", "port")
+
+    def __init__(self, *, server: aio.Server, port: int) -> None:
+        """Keeps the server of the library."""
+        self._server = server
+        self.port = port
+
+    async def close(self) -> None:
+        """Stops at once; open calls end with an error."""
+        await self._server.stop(None)
+
+
 async def start_server(
     *,
     address: str,
     key: str,
     handlers: Handlers,
     traffic: peer_transport.Traffic,
-) -> tuple[aio.Server, int]:
+) -> Server:
     """Starts to listen for peers.
 
     Args:
@@ -127,7 +146,7 @@
         traffic: Counts what goes through.
 
     Returns:
-        The running server and the port that it listens at.
+        The running server.
 
     Raises:
         RuntimeError: The address can't be listened at.
@@ -139,4 +158,4 @@
     peers_pb2_grpc.add_PeersServicer_to_server(servicer, server)
     port = server.add_insecure_port(address)
     await server.start()
-    return server, port
+    return Server(server=server, port=port)
--- a/mothpass/core/digests.py
+++ b/mothpass/core/digests.py
@@ -227,13 +227,13 @@
         ]
 
     def list_digests(
-        self, origins: abc.Iterable[str], *, received_after: float, now: float
+        self, origins: abc.Iterable[str], *, received_since: float, now: float
     ) -> list[Digest]:
         """Returns the newest digests of these origins, for sending on.
 
         Args:
             origins: Daemons that measured them.
-            received_after: Digests received earlier are left out.
+            received_since: Digests received before it are left out.
             now: Monotonic seconds; the time spent here adds to their age.
         """
         chosen = []
@@ -241,7 +241,7 @@
             origin = self._origins.get(name)
             if origin is None or origin.digest is None:
                 continue
-            if origin.received_at <= received_after:
+            if origin.received_at < received_since:
                 continue
             held_ms = int((now - origin.received_at) * 1000.0)
             age_ms = origin.digest.age_ms + held_ms
--- a/mothpass/core/suspects.py
+++ b/mothpass/core/suspects.py
@@ -162,8 +162,8 @@
         suspect.changed_at = now
         return True
 
-    def export(self, *, changed_after: float, now: float) -> list[Record]:
-        """Returns the records that changed after a moment, for the peers."""
+    def export(self, *, changed_since: float, now: float) -> list[Record]:
+        """Returns the records changed at or after a moment, for the peers."""
         return [
             Record(
                 fingerprint=fingerprint,
@@ -173,7 +173,7 @@
                 age_ms=int((now - suspect.changed_at) * 1000.0),
             )
             for fingerprint, suspect in self._suspects.items()
-            if suspect.changed_at > changed_after
+            if suspect.changed_at >= changed_since
             and not _is_expired(suspect, now)
         ]
 
--- a/mothpass/daemon/exchange.py
+++ b/mothpass/daemon/exchange.py
@@ -69,7 +69,7 @@
         self.rosters_sent: dict[str, int] = {}
         self.rosters_wanted: set[str] = set()
         self.sent_at = float("-inf")
-        self.version = 0
+        self.version: int | None = None
 
     def forget_sent(self) -> None:
         """Sends all anew, after a batch may have been lost."""
@@ -95,7 +95,11 @@
 
 
 class Exchange:
-    """The control messages of one daemon."""
+    """The control messages of one daemon.
+
+    Attributes:
+        own_id: Id of this daemon.
+    """
 
     __slots__ = (
         "_board",
@@ -105,7 +109,7 @@
         "_neighbours",
         "_find_link",
         "_operators_address",
-        "_own_id",
+        "own_id",
         "_peers",
         "_plan",
         "_router",
@@ -137,7 +141,7 @@
             find_link: Returns the link to an address.
             monotonic: Clock.
         """
-        self._own_id = own_id
+        self.own_id = own_id
         self._operators_address = operators_address
         self._board = board
         self._router = router
@@ -159,7 +163,7 @@
         self._daemons = {
             item.id: item.address
             for item in listing.instances
-            if item.role is members.Role.DAEMON and item.id != self._own_id
+            if item.role is members.Role.DAEMON and item.id != self.own_id
         }
         for gone in self._peers.keys() - self._daemons.keys():
             del self._peers[gone]
@@ -238,7 +242,7 @@
             if not item.link.is_reachable
         }
         self._plan = grid.plan_exchange(
-            own_id=self._own_id,
+            own_id=self.own_id,
             daemons=self._daemons,
             unreachable=unreachable,
         )
@@ -258,19 +262,19 @@
         self, peer_id: str, neighbour: _Neighbour, now: float
     ) -> peers.Batch:
         is_relayed = peer_id in self._plan.column
-        origins = self._plan.origins if is_relayed else {self._own_id}
+        origins = self._plan.origins if is_relayed else {self.own_id}
         found = self._board.list_digests(
-            origins, received_after=neighbour.sent_at, now=now
+            origins, received_since=neighbour.sent_at, now=now
         )
         return peers.Batch(
-            sender=self._own_id,
+            sender=self.own_id,
             operators_address=self._operators_address,
             catalogue_version=self._catalogues.version,
             loads=found,
             rosters=self._choose_rosters(neighbour, origins),
             rosters_wanted=self._board.list_wanted(),
             suspicions=self._suspects.export(
-                changed_after=neighbour.sent_at, now=now
+                changed_since=neighbour.sent_at, now=now
             ),
             changes=self._choose_changes(neighbour),
         )
@@ -297,7 +301,7 @@
     def _choose_changes(self, neighbour: _Neighbour) -> list[bytes]:
         """Returns the catalogue changes that the neighbour lacks."""
         own = self._catalogues.version
-        if neighbour.version == 0 or neighbour.version >= own:
+        if neighbour.version is None or neighbour.version >= own:
             return []
         changes = self._catalogues.changes_since(
             neighbour.version, CHANGES_LIMIT_BYTES
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -34,7 +34,7 @@
 
     def _list_digests(self, now: float) -> list[digests.Digest]:
         return self.sender.list_digests(
-            ["d1"], received_after=float("-inf"), now=now
+            ["d1"], received_since=float("-inf"), now=now
         )
 
     def _pass_rosters(self) -> None:
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,231 @@
+"""Tests for mothpass.daemon.exchange between daemons without a network."""
+
+import asyncio
+from collections import abc
+import unittest
+
+import msgspec
+
+from mothpass.core import digests
+from mothpass.core import suspects
+from mothpass.daemon import exchange
+from mothpass.ports import members
+from mothpass.ports import peers
+from tests import catalogue_parts
+from tests import fakes_platform
+from tests import routing_fixtures
+
+
+class FakeLink:
+    """A link that hands batches over at once, or loses them."""
+
+    __slots__ = ("_deliver", "address", "down", "failures", "sent")
+
+    def __init__(
+        self, *, address: str, deliver: abc.Callable[[str, peers.Batch], None]
+    ) -> None:
+        self.address = address
+        self._deliver = deliver
+        self.down = False
+        self.failures = 0
+        self.sent: list[peers.Batch] = []
+
+    @property
+    def is_ready(self) -> bool:
+        return True
+
+    @property
+    def is_reachable(self) -> bool:
+        return not self.down
+
+    def send_batch(self, batch: peers.Batch) -> None:
+        self.sent.append(batch)
+        if self.down:
+            self.failures += 1
+            return
+        self._deliver(self.address, batch)
+
+
+class Daemon:
+    """The parts of one daemon that the exchange connects."""
+
+    def __init__(self, number: int, fleet: "Fleet") -> None:
+        self.fleet = fleet
+        self.links: dict[str, FakeLink] = {}
+        self.router = routing_fixtures.make_router(daemon=number)
+        self.suspects = suspects.Suspects()
+        self.node = catalogue_parts.build_node(
+            f"d{number}", fleet.tables, fleet.objects
+        )
+        self.exchange = exchange.Exchange(
+            own_id=f"d{number}",
+            operators_address=f"127.0.0.1:{9000 + number}",
+            board=digests.Board(own_id=f"d{number}", first_sequence=1),
+            router=self.router,
+            suspects=self.suspects,
+            catalogues=self.node.catalogues,
+            find_link=self._find_link,
+            monotonic=fleet.read_clock,
+        )
+
+    def _find_link(self, address: str) -> FakeLink:
+        if address not in self.links:
+            self.links[address] = FakeLink(
+                address=address, deliver=self.fleet.deliver
+            )
+        return self.links[address]
+
+
+class Fleet:
+    """Some daemons that exchange batches in virtual time."""
+
+    def __init__(self, count: int) -> None:
+        self.now = 100.0
+        self.tables = fakes_platform.MemoryTables()
+        self.objects = fakes_platform.MemoryObjects()
+        self.daemons = [Daemon(number, self) for number in range(count)]
+        self.listing = members.Members(
+            revision=1,
+            instances=[
+                members.Instance(
+                    id=f"d{number}",
+                    role=members.Role.DAEMON,
+                    state=members.State.LIVE,
+                    address=f"127.0.0.1:{number + 1}",
+                    availability_zone="a",
+                )
+                for number in range(count)
+            ],
+        )
+        for daemon in self.daemons:
+            daemon.exchange.set_members(self.listing)
+            daemon.node.catalogues.set_peers(
+                [
+                    item.id
+                    for item in self.listing.instances
+                    if item.id != daemon.exchange.own_id
+                ]
+            )
+
+    def read_clock(self) -> float:
+        return self.now
+
+    def deliver(self, address: str, batch: peers.Batch) -> None:
+        number = int(address.partition(":")[2]) - 1
+        self.daemons[number].exchange.accept_batch(batch)
+
+    def run_ticks(self, count: int, *, reader: int = 0) -> None:
+        """Runs ticks in which one daemon reads the load of e0."""
+        for _ in range(count):
+            self.now += 0.5
+            for number, daemon in enumerate(self.daemons):
+                records = []
+                if number == reader:
+                    records = [
+                        routing_fixtures.make_record(
+                            "e0", at=self.now, running=9
+                        )
+                    ]
+                daemon.exchange.run_tick(records)
+
+
+class ExchangeTest(unittest.TestCase):
+    """Checks what spreads over a fleet, and how fast."""
+
+    def test_loads_reach_every_daemon_of_a_mesh(self) -> None:
+        fleet = Fleet(8)
+        fleet.run_ticks(2)
+        for daemon in fleet.daemons[1:]:
+            record = daemon.router.targets["e0"].record
+            assert record is not None
+            self.assertEqual(record.in_flight, 9)
+
+    def test_loads_reach_every_daemon_of_a_grid_in_a_few_ticks(self) -> None:
+        fleet = Fleet(40)
+        fleet.run_ticks(4)
+        for daemon in fleet.daemons[1:]:
+            record = daemon.router.targets["e0"].record
+            assert record is not None
+            self.assertGreaterEqual(record.measured_at, fleet.now - 2.0)
+
+    def test_a_daemon_without_batches_for_a_while_gets_the_rosters(
+        self,
+    ) -> None:
+        fleet = Fleet(8)
+        fleet.run_ticks(1)
+        fleet.daemons[0].links["127.0.0.1:2"].down = True
+        fleet.run_ticks(3)
+        fleet.daemons[0].links["127.0.0.1:2"].down = False
+        fleet.run_ticks(2)
+        record = fleet.daemons[1].router.targets["e0"].record
+        assert record is not None
+        self.assertEqual(record.measured_at, fleet.now)
+
+    def test_a_suspect_is_known_everywhere_after_two_ticks(self) -> None:
+        fleet = Fleet(8)
+        fleet.run_ticks(1)
+        running = [suspects.Running(fingerprint=5, position=0)]
+        fleet.daemons[3].suspects.record_death("b1", running, now=fleet.now)
+        fleet.run_ticks(2)
+        for daemon in fleet.daemons:
+            verdict = daemon.suspects.check(5, now=fleet.now)
+            self.assertIs(verdict, suspects.Verdict.ALONE)
+
+    def test_a_suspicion_whose_batch_was_lost_is_sent_again(self) -> None:
+        fleet = Fleet(2)
+        fleet.run_ticks(1)
+        running = [suspects.Running(fingerprint=5, position=0)]
+        fleet.daemons[0].suspects.record_death("b1", running, now=fleet.now)
+        link = fleet.daemons[0].links["127.0.0.1:2"]
+        link.down = True
+        fleet.run_ticks(2)
+        link.down = False
+        fleet.run_ticks(1)
+        verdict = fleet.daemons[1].suspects.check(5, now=fleet.now)
+        self.assertIs(verdict, suspects.Verdict.ALONE)
+
+    def test_a_change_accepted_on_one_daemon_reaches_the_others(self) -> None:
+        fleet = Fleet(8)
+        sample = catalogue_parts.decode_sample()
+
+        async def accept() -> None:
+            for daemon in fleet.daemons:
+                await daemon.node.catalogues.poll()
+            await fleet.daemons[0].node.proposals.propose(
+                0, sample, author="ann"
+            )
+
+        asyncio.run(accept())
+        fleet.tables.faults.down = True
+        fleet.run_ticks(3)
+        versions = {item.node.catalogues.version for item in fleet.daemons}
+        self.assertEqual(versions, {1})
+
+    def test_a_batch_that_is_not_readable_changes_nothing(self) -> None:
+        fleet = Fleet(2)
+        batch = peers.Batch(
+            sender="d1",
+            operators_address="",
+            catalogue_version=0,
+            loads=[],
+            rosters=[],
+            rosters_wanted=[],
+            suspicions=[],
+            changes=[b"{", msgspec.json.encode({"version": "x"})],
+        )
+        with self.assertLogs("mothpass.exchange", level="WARNING"):
+            fleet.daemons[0].exchange.accept_batch(batch)
+        self.assertEqual(fleet.daemons[0].node.catalogues.version, 0)
+
+    def test_peers_that_left_the_list_are_forgotten(self) -> None:
+        fleet = Fleet(3)
+        fleet.run_ticks(1)
+        self.assertEqual(len(fleet.daemons[0].exchange.list_peers()), 2)
+        fleet.daemons[0].exchange.set_members(
+            members.Members(revision=2, instances=[])
+        )
+        self.assertEqual(fleet.daemons[0].exchange.list_peers(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -4,8 +4,6 @@
 import time
 import unittest
 
-from grpc import aio
-
 from mothpass.adapters import peer_links
 from mothpass.adapters import peer_server
 from mothpass.adapters import peer_transport
@@ -66,10 +64,10 @@
 
     async def asyncTearDown(self) -> None:
         await self.links.close()
-        await self.server.stop(None)
+        await self.server.close()
 
-    async def _start_server(self, address: str) -> aio.Server:
-        server, self.port = await peer_server.start_server(
+    async def _start_server(self, address: str) -> peer_server.Server:
+        server = await peer_server.start_server(
             address=address,
             key=_KEY,
             handlers=peer_server.Handlers(
@@ -80,6 +78,7 @@
             ),
             traffic=self.traffic,
         )
+        self.port = server.port
         return server
 
     def _decide_grant(
@@ -111,7 +110,7 @@
     async def test_a_link_counts_a_failure_and_recovers(self) -> None:
         link = self.links.get(self.address)
         await self._send(link, _make_batch(1))
-        await self.server.stop(None)
+        await self.server.close()
         link.send_batch(_make_batch(2))
         async with asyncio.timeout(20.0):
             while link.is_reachable:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -63,21 +63,21 @@
         other = suspects.Suspects()
         other.record_death("b2", [_run(_KILLER)], now=0.0)
         self.suspects.record_death("b1", [_run(_KILLER)], now=0.0)
-        records = other.export(changed_after=-1.0, now=0.1)
+        records = other.export(changed_since=-1.0, now=0.1)
         self.assertEqual(self.suspects.merge(records, now=0.2), 1)
         self.assertIs(self._check(_KILLER), suspects.Verdict.QUARANTINED)
 
     def test_merging_again_tells_nothing_new(self) -> None:
         other = suspects.Suspects()
         other.record_death("b2", [_run(_KILLER)], now=0.0)
-        records = other.export(changed_after=-1.0, now=0.1)
+        records = other.export(changed_since=-1.0, now=0.1)
         self.suspects.merge(records, now=0.2)
         self.assertEqual(self.suspects.merge(records, now=0.3), 0)
 
     def test_an_old_record_does_not_undo_a_clearing(self) -> None:
         other = suspects.Suspects()
         other.record_death("b1", [_run(_INNOCENT)], now=0.0)
-        records = other.export(changed_after=-1.0, now=0.1)
+        records = other.export(changed_since=-1.0, now=0.1)
         self.suspects.merge(records, now=0.2)
         self.suspects.record_progress(_INNOCENT, 1, now=0.3)
         self.suspects.merge(records, now=0.4)
@@ -88,7 +88,7 @@
         other.record_death("b1", [_run(_KILLER)], now=0.0)
         other.record_progress(_KILLER, 1, now=0.1)
         self.suspects.record_death("b2", [_run(_KILLER)], now=0.0)
-        self.suspects.merge(other.export(changed_after=-1.0, now=0.2), now=0.3)
+        self.suspects.merge(other.export(changed_since=-1.0, now=0.2), now=0.3)
         self.assertIs(self._check(_KILLER), suspects.Verdict.QUARANTINED)
 
     def test_memory_is_bounded(self) -> None:
