Run calls that may not be repeated at most once

Cause: a payment that is sent again after a lost answer runs twice.

Change: one row a key, claimed by compare-and-set and confirmed before anything is sent; nobody takes a claimed row from a silent owner; rows are never deleted before their time, so that a late write finds another version. Rows are pruned by a walk that the daemons share by slot.

Release by deletion: a release whose answer was lost and that arrives late would delete the next claim.

--- a/mothpass/core/budget.py
+++ b/mothpass/core/budget.py
@@ -123,6 +123,15 @@
         bucket.tokens -= calls
         return True
 
+    def count_available(
+        self, kind: Kind, priority: Priority, *, now: float
+    ) -> int:
+        """Returns how many calls could be made now."""
+        bucket = self._buckets[kind]
+        bucket.fill(now)
+        left = bucket.tokens - bucket.size * _RESERVE[priority]
+        return max(0, int(left))
+
     def wait_s(
         self, kind: Kind, priority: Priority, *, now: float, calls: int = 1
     ) -> float:
--- a/tests/fakes_platform.py
+++ b/tests/fakes_platform.py
@@ -1,6 +1,7 @@
 """Fakes of the table service and the object store, with fault switches."""
 
 import asyncio
+from collections import abc
 
 from mothpass.core import errors
 from mothpass.ports import tables
@@ -50,21 +51,25 @@
 
     Attributes:
         faults: What goes wrong.
+        on_read: Called when a row has been read; it may raise.
         reads: Reads and scans so far.
         transactions: Transactions so far.
     """
 
-    __slots__ = ("_rows", "faults", "reads", "transactions")
+    __slots__ = ("_rows", "faults", "on_read", "reads", "transactions")
 
     def __init__(self) -> None:
         self._rows: dict[tuple[str, str], tables.Row] = {}
         self.faults = Faults()
+        self.on_read: abc.Callable[[], None] | None = None
         self.reads = 0
         self.transactions = 0
 
     async def read_row(self, table: str, key: str) -> tables.Row | None:
         self.reads += 1
         await self.faults.begin()
+        if self.on_read is not None:
+            self.on_read()
         return self._rows.get((table, key))
 
     async def scan_rows(
--- /dev/null
+++ b/tests/test_claim_pruning.py
@@ -0,0 +1,122 @@
+"""Tests of the walk over the claims and of what it deletes."""
+
+import unittest
+
+import msgspec
+
+from mothpass.core import budget
+from mothpass.core import claims
+from mothpass.core import pruning
+from mothpass.daemon import claim_pruning
+from mothpass.daemon import stores
+from mothpass.ports import tables
+from tests import fakes_platform
+
+
+class PruneWalkTest(unittest.TestCase):
+    """Checks that the parts cover all keys."""
+
+    def test_slots_together_cover_each_prefix_once(self) -> None:
+        for slots in (1, 8, 9, 300):
+            walks = [
+                pruning.PruneWalk(slot=slot, slots=slots)
+                for slot in range(slots)
+            ]
+            length = len(walks[0].next_prefix())
+            seen: list[str] = []
+            for slot in range(slots):
+                walk = pruning.PruneWalk(slot=slot, slots=slots)
+                count = sum(
+                    number * slots // 16**length == slot
+                    for number in range(16**length)
+                )
+                seen.extend(walk.next_prefix() for _ in range(count))
+            self.assertEqual(len(seen), 16**length)
+            self.assertEqual(len(set(seen)), 16**length)
+
+    def test_one_slot_reaches_the_parts_of_others_in_later_rounds(self) -> None:
+        walk = pruning.PruneWalk(slot=3, slots=9)
+        seen = {walk.next_prefix() for _ in range(16)}
+        self.assertEqual(len(seen), 16)
+
+    def test_full_read_divides_the_prefix(self) -> None:
+        walk = pruning.PruneWalk(slot=0, slots=1)
+        prefix = walk.next_prefix()
+        walk.record(prefix, pruning.SCAN_LIMIT_ROWS)
+        seen = {walk.next_prefix() for _ in range(16)}
+        self.assertEqual(seen, set("0123456789abcdef"))
+
+
+class ClaimPrunerTest(unittest.IsolatedAsyncioTestCase):
+    """Checks when a row is deleted."""
+
+    async def asyncSetUp(self) -> None:
+        self.now = 1000.0
+        self.tables = fakes_platform.MemoryTables()
+        objects = fakes_platform.MemoryObjects()
+        store = stores.Store(
+            read_row=self.tables.read_row,
+            scan_rows=self.tables.scan_rows,
+            transact=self.tables.transact,
+            get_object=objects.get_object,
+            put_object=objects.put_object,
+            store_budget=budget.StoreBudget(
+                reads_per_s=100, writes_per_s=100, daemons=1, now=self.now
+            ),
+            monotonic=self.read_clock,
+        )
+        self.pruner = claim_pruning.ClaimPruner(
+            store=store,
+            monotonic=self.read_clock,
+            wall=self.read_clock,
+            slot=0,
+            slots=1,
+        )
+
+    def read_clock(self) -> float:
+        return self.now
+
+    def put_claim(self, key: str, kept_until_ms: int) -> None:
+        claim = claims.Claim(
+            state=claims.State.UNKNOWN,
+            token="t",
+            team="north",
+            service="payment",
+            idempotency_key=key,
+            body_sha256="",
+            may_run_until_ms=0,
+            kept_until_ms=kept_until_ms,
+        )
+        write = tables.Write(
+            table=claims.TABLE,
+            key=claims.name_row("north", "payment", key),
+            expected_version=0,
+            value=msgspec.Raw(msgspec.json.encode(claim)),
+        )
+        self.tables.apply_writes([write])
+
+    async def test_row_is_kept_for_its_time_and_the_clocks_difference(
+        self,
+    ) -> None:
+        kept_until_ms = 1_100_000
+        self.put_claim("k", kept_until_ms)
+        self.now = (kept_until_ms + claims.CLOCK_SKEW_MS) / 1000
+        await self.pruner.step()
+        self.assertEqual(len(self.tables.list_rows(claims.TABLE)), 1)
+        self.now += 1.0
+        await self.pruner.step()
+        self.assertEqual(self.tables.list_rows(claims.TABLE), [])
+
+    async def test_many_rows_go_within_the_budget(self) -> None:
+        for number in range(500):
+            self.put_claim(str(number), 0)
+        steps = 0
+        while self.tables.list_rows(claims.TABLE) and steps < 200:
+            self.now += claim_pruning.BUSY_S
+            await self.pruner.step()
+            steps += 1
+        self.assertEqual(self.pruner.deleted, 500)
+
+
+if __name__ == "__main__":
+    unittest.main()
