Wire claims, permits and the control loop into the daemon

Cause: calls that may not be repeated and cold targets were refused, since the parts that decide on them were written apart from the daemon. Change: the service builds the control loop, feeds load reports to the gates, asks them for permits, runs calls that may not be repeated through claims, and fills the status and fleet pages. A target that refused or was never reached is replaced by another within one claim. A "not run" for a request with an idempotency key becomes "unknown" where its claim was not looked up, since an earlier ask under the key may have run; so do the listener's own refusals, which are given before a request is read. Ruled out: placing a call before its claim, which would hide a stored result while no target is live.

--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -211,9 +211,10 @@
         if self._refused:
             return
         self._refused = True
+        # The request isn't read, so that it may be one that ran before.
         refusal = errors.Refusal(
             code=code,
-            ran=results.Ran.NO,
+            ran=results.Ran.UNKNOWN,
             message=message,
             retry_after_ms=retry_after_ms,
         )
--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -24,16 +24,25 @@
     Attributes:
         target_id: Target of the last attempt.
         attempts: Attempts that were sent.
+        claim_known: Whether the claim of a call that may not be repeated has
+            been looked up, so that a refusal can tell whether it ran.
         may_have_run: Whether one of them ended without a known result.
         sent_at: Monotonic seconds at which the last one was sent.
     """
 
-    __slots__ = ("attempts", "may_have_run", "sent_at", "target_id")
+    __slots__ = (
+        "attempts",
+        "claim_known",
+        "may_have_run",
+        "sent_at",
+        "target_id",
+    )
 
     def __init__(self) -> None:
         """Starts before the first attempt."""
         self.target_id = ""
         self.attempts = 0
+        self.claim_known = False
         self.may_have_run = False
         self.sent_at: float | None = None
 
@@ -93,6 +102,10 @@
         self.repeated = 0
         self.resumed = 0
 
+    def name_attempt(self) -> str:
+        """Returns an id that no other attempt has."""
+        return f"{self._prefix}-{next(self._ids):x}"
+
     async def stream(
         self, call: calls.Call, place: placement.Place, trace: Trace
     ) -> abc.AsyncGenerator[list[targets.Event], None]:
@@ -101,7 +114,7 @@
         Raises:
             errors.MothpassError: As ``ports.targets.OpenStream``.
         """
-        attempt = self._build_attempt(call, place, 0)
+        attempt = _build_attempt(call, place, self.name_attempt())
         stream = streams.AnswerStream(attempt_id=attempt.id)
         boot_id = self._start_attempt(call, attempt, trace)
         sent_at = self._ports.clock()
@@ -139,14 +152,20 @@
         call: calls.Call,
         place: placement.Place,
         trace: Trace,
-        fencing: int,
+        attempt_id: str,
     ) -> targets.Answer:
         """Returns the whole answer of one attempt.
 
+        Args:
+            call: The call.
+            place: Where it goes.
+            trace: What happens to the request.
+            attempt_id: What ``name_attempt`` gave.
+
         Raises:
             errors.MothpassError: As ``ports.targets.CallTarget``.
         """
-        attempt = self._build_attempt(call, place, fencing)
+        attempt = _build_attempt(call, place, attempt_id)
         boot_id = self._start_attempt(call, attempt, trace)
         outcome = target_states.Outcome.CANCELLED
         answer: targets.Answer | None = None
@@ -180,24 +199,6 @@
             return lost
         return lost
 
-    def _build_attempt(
-        self, call: calls.Call, place: placement.Place, fencing: int
-    ) -> targets.Attempt:
-        permit = place.permit
-        if permit is not None:
-            fencing = permit.fencing
-        return targets.Attempt(
-            id=f"{self._prefix}-{next(self._ids):x}",
-            target_id=place.target_id,
-            address=place.address,
-            path=call.path,
-            body=call.body,
-            priority=call.priority,
-            idempotency_key=call.idempotency_key,
-            fencing=fencing,
-            deadline=call.deadline,
-        )
-
     def _start_attempt(
         self, call: calls.Call, attempt: targets.Attempt, trace: Trace
     ) -> str:
@@ -256,3 +257,19 @@
             task = asyncio.ensure_future(self._ports.cancel(attempt))
             self._cancels.add(task)
             task.add_done_callback(self._cancels.discard)
+
+
+def _build_attempt(
+    call: calls.Call, place: placement.Place, attempt_id: str
+) -> targets.Attempt:
+    return targets.Attempt(
+        id=attempt_id,
+        target_id=place.target_id,
+        address=place.address,
+        path=call.path,
+        body=call.body,
+        priority=call.priority,
+        idempotency_key=call.idempotency_key,
+        fencing=0 if place.permit is None else place.permit.fencing,
+        deadline=call.deadline,
+    )
--- a/mothpass/daemon/callers.py
+++ b/mothpass/daemon/callers.py
@@ -8,6 +8,7 @@
 
 import blacksheep
 from blacksheep import contents
+import msgspec
 
 from mothpass.adapters import http_listener
 from mothpass.core import catalogue
@@ -198,10 +199,9 @@
             self._telemetry.start_request(call.team, call.service_class)
             return await answer(record, call)
         except errors.RefusalError as error:
-            self._end(record, error.refusal.code)
-            return caller_messages.respond_refusal(
-                error.refusal, record.request_id
-            )
+            refusal = _correct_refusal(error.refusal, headers, record)
+            self._end(record, refusal.code)
+            return caller_messages.respond_refusal(refusal, record.request_id)
         except asyncio.CancelledError:
             self._end(record, results.Code.CALLER_GONE)
             raise
@@ -385,6 +385,23 @@
     return (moment - record.started_at) * 1000
 
 
+def _correct_refusal(
+    refusal: errors.Refusal, headers: calls.Headers, record: _Record
+) -> errors.Refusal:
+    """Takes back a "not run" that can't be known.
+
+    Under an idempotency key the request may have run at an earlier ask; only
+    the claim tells.
+    """
+    call = record.call
+    repeatable = call is not None and call.repeatable
+    if repeatable or not headers.idempotency_key or record.trace.claim_known:
+        return refusal
+    if refusal.ran is not results.Ran.NO:
+        return refusal
+    return msgspec.structs.replace(refusal, ran=results.Ran.UNKNOWN)
+
+
 def _refuse_internal(record: _Record) -> errors.Refusal:
     ran = results.Ran.UNKNOWN if record.trace.attempts else results.Ran.NO
     return errors.Refusal(
--- a/mothpass/daemon/calls.py
+++ b/mothpass/daemon/calls.py
@@ -66,6 +66,7 @@
         stream: Whether the caller wants events.
         repeatable: Whether the call may run more than once.
         idempotency_key: The caller's key, None where none was sent.
+        kept_ms: How long the result is kept, 0 where it isn't.
         fingerprint: By which a request that crashes targets is known.
     """
 
@@ -83,6 +84,7 @@
     stream: bool = False
     repeatable: bool = True
     idempotency_key: str | None = None
+    kept_ms: int = 0
     fingerprint: int
 
 
@@ -213,6 +215,7 @@
         body=body,
         repeatable=service.repeatable,
         idempotency_key=_read_key(headers, service),
+        kept_ms=0 if service.repeatable else service.result_kept_ms,
         fingerprint=suspects.compute_fingerprint(
             team=team.name, name=service.name, body=body
         ),
--- a/mothpass/daemon/dispatch.py
+++ b/mothpass/daemon/dispatch.py
@@ -6,6 +6,7 @@
 import random as random_module
 
 import msgspec
+from returns import result
 
 from mothpass.core import errors
 from mothpass.core import limits
@@ -14,6 +15,7 @@
 from mothpass.core import suspects
 from mothpass.daemon import attempts
 from mothpass.daemon import calls
+from mothpass.daemon import claims
 from mothpass.daemon import placement
 from mothpass.ports import clock
 from mothpass.ports import targets
@@ -22,12 +24,10 @@
 RETRY_AFTER_MS = 1000
 QUARANTINE_RETRY_MS = 60_000
 
-# Places and sends a call once, under a fencing number.
-Run = abc.Callable[[int], abc.Awaitable[targets.Answer]]
-
-# Runs a call that may not be repeated at most once, by ``Run``, or returns
-# the result of its one run. Raises errors.RefusalError.
-RunOnce = abc.Callable[[calls.Call, Run], abc.Awaitable[targets.Answer]]
+# Runs a call that may not be repeated at most once, see daemon.claims.
+RunOnce = abc.Callable[
+    [claims.Request, targets.Attempt, claims.Run], abc.Awaitable[claims.Outcome]
+]
 
 
 class Parts(msgspec.Struct, frozen=True, kw_only=True):
@@ -113,9 +113,7 @@
         with self._admit(call):
             if call.repeatable:
                 return await self._call_repeatable(call, trace)
-            return await self._run_once(
-                call, lambda fencing: self._call_once(call, trace, fencing)
-            )
+            return await self._call_claimed(call, trace)
 
     @contextlib.contextmanager
     def _admit(self, call: calls.Call) -> abc.Iterator[None]:
@@ -135,11 +133,15 @@
     async def _call_repeatable(
         self, call: calls.Call, trace: attempts.Trace
     ) -> targets.Answer:
+        """Calls until a target answers."""
         excluded: frozenset[str] = frozenset()
         while True:
             place = await self._place(call, trace, excluded)
+            attempt_id = self._parts.runner.name_attempt()
             try:
-                answer = await self._parts.runner.call(call, place, trace, 0)
+                answer = await self._parts.runner.call(
+                    call, place, trace, attempt_id
+                )
             except errors.RefusalError:
                 raise
             except errors.MothpassError as error:
@@ -149,19 +151,60 @@
                 self._find_budget(call).record_success()
                 return answer
 
+    async def _call_claimed(
+        self, call: calls.Call, trace: attempts.Trace
+    ) -> targets.Answer:
+        """Calls once the claim of the caller's key is confirmed."""
+        attempt = targets.Attempt(
+            id=self._parts.runner.name_attempt(),
+            target_id="",
+            address="",
+            path=call.path,
+            body=call.body,
+            priority=call.priority,
+            idempotency_key=call.idempotency_key,
+            deadline=call.deadline,
+        )
+        outcome = await self._run_once(
+            claims.Request(
+                team=call.team,
+                service=call.name,
+                idempotency_key=call.idempotency_key or "",
+                body=call.body,
+                deadline=call.deadline,
+                kept_ms=call.kept_ms,
+            ),
+            attempt,
+            lambda sent: self._call_once(call, trace, sent.id),
+        )
+        trace.claim_known = True
+        if isinstance(outcome, result.Failure):
+            raise errors.RefusalError(outcome.failure())
+        answer: targets.Answer = outcome.unwrap()
+        return answer
+
     async def _call_once(
-        self, call: calls.Call, trace: attempts.Trace, fencing: int
+        self, call: calls.Call, trace: attempts.Trace, attempt_id: str
     ) -> targets.Answer:
-        """Places and sends a call that may not be repeated, one time.
+        """Calls until a target has taken the call, and no further.
 
         Raises:
-            errors.RefusalError: If it was not placed; it did not run.
-            errors.TargetUnreachableError: It did not run.
-            errors.TargetRefusedError: It did not run.
+            errors.RefusalError: If none took it; it did not run.
             errors.TargetAnswerLostError: It may have run.
         """
-        place = await self._place(call, trace, frozenset())
-        return await self._parts.runner.call(call, place, trace, fencing)
+        excluded: frozenset[str] = frozenset()
+        while True:
+            place = await self._place(call, trace, excluded)
+            try:
+                return await self._parts.runner.call(
+                    call, place, trace, attempt_id
+                )
+            except (
+                errors.TargetUnreachableError,
+                errors.TargetRefusedError,
+            ) as error:
+                await self._prepare_retry(call, trace, error)
+                excluded |= {place.target_id}
 
     async def _place(
         self, call: calls.Call, trace: attempts.Trace, excluded: frozenset[str]
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -12,39 +12,35 @@
 
 from mothpass.adapters import http_listener
 from mothpass.adapters import http_pool
-from mothpass.adapters import members_http
-from mothpass.adapters import objects_http
-from mothpass.adapters import platform_http
-from mothpass.adapters import tables_http
 from mothpass.adapters import targets_http
 from mothpass.core import budget
-from mothpass.core import errors
-from mothpass.core import gates
+from mothpass.core import catalogue
 from mothpass.core import limits
 from mothpass.core import results
 from mothpass.core import revisions
 from mothpass.core import routing
 from mothpass.core import suspects
-from mothpass.core import targets as target_states
 from mothpass.daemon import answers
 from mothpass.daemon import attempts
 from mothpass.daemon import callers
 from mothpass.daemon import calls
 from mothpass.daemon import catalogue_log
 from mothpass.daemon import catalogues
+from mothpass.daemon import claim_pruning
+from mothpass.daemon import claims
+from mothpass.daemon import control_cost
+from mothpass.daemon import control_parts
 from mothpass.daemon import dispatch
 from mothpass.daemon import operators
 from mothpass.daemon import placement
+from mothpass.daemon import platform
 from mothpass.daemon import proposals
 from mothpass.daemon import resumption
 from mothpass.daemon import settings as settings_module
 from mothpass.daemon import status
 from mothpass.daemon import status_page
-from mothpass.daemon import stores
 from mothpass.daemon import telemetry
-from mothpass.daemon import watch
 from mothpass.ports import members
-from mothpass.ports import targets
 
 PRUNE_MS = 1000
 OPERATOR_CONNECTIONS = 64
@@ -52,58 +48,22 @@
 _log = logging.getLogger(__name__)
 
 
-class Platform:
-    """Connections to the platform's services."""
-
-    __slots__ = ("_exchanges", "read_members", "store")
-
-    def __init__(
-        self, *, chosen: settings_module.Platform, region: str
-    ) -> None:
-        """Opens nothing yet."""
-        tables_exchange = _build_exchange(chosen.tables_url, chosen)
-        objects_exchange = _build_exchange(chosen.objects_url, chosen)
-        members_exchange = _build_exchange(chosen.members_url, chosen)
-        self._exchanges = (tables_exchange, objects_exchange, members_exchange)
-        rows = tables_http.build_tables(tables_exchange)
-        items = objects_http.build_objects(objects_exchange)
-        self.read_members = members_http.build_read_members(
-            members_exchange, region
-        )
-        self.store = stores.Store(
-            read_row=rows.read_row,
-            scan_rows=rows.scan_rows,
-            transact=rows.transact,
-            get_object=items.get_object,
-            put_object=items.put_object,
-            store_budget=budget.StoreBudget(
-                reads_per_s=chosen.reads_per_s,
-                writes_per_s=chosen.writes_per_s,
-                daemons=1,
-                now=time.monotonic(),
-            ),
-            monotonic=time.monotonic,
-        )
-
-    async def close(self) -> None:
-        """Closes the connections."""
-        for exchange in self._exchanges:
-            await exchange.close()
-
-
 class Service:
     """One daemon."""
 
     __slots__ = (
         "_callers",
         "_catalogues",
-        "_dispatcher",
+        "_claims",
+        "_control",
+        "_cost",
         "_listeners",
         "_names",
         "_placement",
         "_platform",
         "_pool",
         "_proposals",
+        "_pruner",
         "_router",
         "_settings",
         "_started_at",
@@ -125,7 +85,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[http_listener.Listener] = []
         self._telemetry = telemetry.build_telemetry(settings.telemetry)
-        self._platform = Platform(
+        self._platform = platform.Platform(
             chosen=settings.platform, region=instance.region
         )
         self._router = routing.Router(
@@ -145,21 +105,6 @@
         self._targets = targets_http.HttpTargets(
             pool=self._pool, silence_ms=settings.targets.silence_ms
         )
-        self._placement = placement.Placement(
-            router=self._router,
-            names=self._names,
-            acquire=_acquire_no_permit,
-            release=_release_no_permit,
-            clock=time.monotonic,
-        )
-        self._dispatcher = self._build_dispatcher(random)
-        self._callers = callers.Callers(
-            state=self._state,
-            dispatcher=self._dispatcher,
-            telemetry=self._telemetry,
-            body_limit_bytes=settings.callers.body_limit_bytes,
-            clock=time.monotonic,
-        )
         self._catalogues = catalogues.Catalogues(
             log=self._build_log(budget.Priority.POLL),
             monotonic=time.monotonic,
@@ -174,32 +119,51 @@
             sleep=asyncio.sleep,
             random=random,
         )
+        self._claims = claims.Claims(
+            store=self._platform.store,
+            monotonic=time.monotonic,
+            wall=time.time,
+            sleep=asyncio.sleep,
+            random=random,
+        )
+        self._pruner = claim_pruning.ClaimPruner(
+            store=self._platform.store,
+            monotonic=time.monotonic,
+            wall=time.time,
+            slot=instance.slot,
+            slots=instance.slots,
+        )
+        self._control = self._build_control(random)
+        self._cost = control_cost.ControlCost(traffic=self._control.traffic)
+        self._placement = placement.Placement(
+            router=self._router,
+            names=self._names,
+            acquire=self._control.permits.acquire,
+            release=self._control.permits.release,
+            clock=time.monotonic,
+        )
+        self._callers = callers.Callers(
+            state=self._state,
+            dispatcher=self._build_dispatcher(random),
+            telemetry=self._telemetry,
+            body_limit_bytes=settings.callers.body_limit_bytes,
+            clock=time.monotonic,
+        )
 
     async def start(self) -> None:
         """Opens the listeners and starts to follow the platform.
 
         Raises:
             OSError: If an address can't be listened at.
+            RuntimeError: If that of the peers can't.
         """
         chosen = self._settings.callers
         self._listeners = [
             await self._open_callers(chosen),
             await self._open_operators(),
         ]
-        for work in (
-            watch.follow_catalogue(self._catalogues, time.monotonic),
-            watch.follow_members(
-                self._platform.read_members, self._take_members
-            ),
-            watch.follow_loads(
-                self._router,
-                self._targets.read_load,
-                self._settings.targets.load_poll_ms,
-                time.monotonic,
-                self._placement.wake,
-            ),
-            self._prune_connections(),
-        ):
+        await self._control.control.start()
+        for work in (self._prune_connections(), self._prune_claims()):
             self._tasks.append(asyncio.ensure_future(work))
         _log.info("daemon started")
 
@@ -213,6 +177,7 @@
         _log.info("shutdown begins")
         self._state.ready = False
         self._state.leaving = True
+        await self._control.control.parts.membership.announce_leaving()
         await asyncio.sleep(chosen.announce_ms / 1000)
         self._state.taking = False
         for listener in self._listeners:
@@ -225,6 +190,9 @@
         """Waits for what runs, for a time."""
         deadline = asyncio.get_running_loop().time() + drain_ms / 1000
         left = await self._callers.drain(deadline)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                await self._claims.drain()
         for listener in self._listeners:
             left += await listener.drain(deadline)
         if left:
@@ -257,7 +225,42 @@
             random=random,
             clock=time.monotonic,
         )
-        return dispatch.Dispatcher(parts=parts, run_once=_refuse_once)
+        return dispatch.Dispatcher(parts=parts, run_once=self._claims.run_once)
+
+    def _build_control(
+        self, random: random_module.Random
+    ) -> control_parts.Built:
+        return control_parts.build_control(
+            self._settings,
+            control_parts.Needs(
+                router=self._router,
+                suspects=self._suspects,
+                catalogues=self._catalogues,
+                platform=self._platform,
+                read_load=self._targets.read_load,
+                find_start=self._find_cold_start,
+                on_members=self._take_members,
+                on_tick=self._run_tick,
+                random=random,
+            ),
+        )
+
+    def _find_cold_start(self, target_id: str) -> catalogue.ColdStart | None:
+        """Returns what a target bears while cold; None without a model."""
+        target = self._router.targets.get(target_id)
+        directory = self._state.directory
+        if target is None or directory is None:
+            return None
+        for name in target.instance.serves:
+            model = directory.models.get(name)
+            if model is not None:
+                return model.cold_start
+        return None
+
+    def _run_tick(self) -> None:
+        """Looks again at what waits; a check once a tick serves all changes."""
+        self._placement.wake()
+        self._cost.sample(time.monotonic())
 
     def _build_log(
         self, priority: budget.Priority
@@ -340,29 +343,39 @@
         self._state.ready = bool(known) and not self._state.leaving
 
     async def _read_status(self) -> status_page.StatusPage:
-        return status.build_page(
-            status.Parts(
-                instance=self._settings.instance,
-                state=self._state,
-                catalogues=self._catalogues,
-                router=self._router,
-                suspects=self._suspects,
-                telemetry=self._telemetry,
-                read_control=status_page.ControlStatus,
-                clock=time.monotonic,
-                started_at=self._started_at,
-            )
-        )
+        return status.build_page(self._build_status_parts())
 
-    async def _read_fleet(self) -> dict[str, list[str]]:
-        return {"daemons": list(self._router.daemons)}
+    async def _read_fleet(self) -> status.Fleet:
+        return status.build_fleet(self._build_status_parts())
+
+    def _build_status_parts(self) -> status.Parts:
+        return status.Parts(
+            instance=self._settings.instance,
+            operators_address=self._settings.operators.address,
+            state=self._state,
+            catalogues=self._catalogues,
+            router=self._router,
+            suspects=self._suspects,
+            telemetry=self._telemetry,
+            control=self._control.control,
+            cost=self._cost,
+            clock=time.monotonic,
+            started_at=self._started_at,
+        )
 
     async def _prune_connections(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_MS / 1000)
             self._pool.prune()
 
+    async def _prune_claims(self) -> None:
+        while True:
+            await asyncio.sleep(PRUNE_MS / 1000)
+            if self._pruner.needs_step(time.monotonic()):
+                await self._pruner.step()
+
     async def _close(self) -> None:
+        await self._control.control.stop()
         for task in self._tasks:
             task.cancel()
         for task in self._tasks:
@@ -379,6 +392,7 @@
 
     Raises:
         OSError: If an address can't be listened at.
+        RuntimeError: If that of the peers can't.
     """
     loop = asyncio.get_running_loop()
     asked_to_stop = asyncio.Event()
@@ -393,36 +407,3 @@
 async def _start_application(application: typing.Any) -> None:
     """Starts an application; blacksheep has no type for this method."""
     await application.start()
-
-
-def _build_exchange(
-    url: str, chosen: settings_module.Platform
-) -> platform_http.Exchange:
-    return platform_http.Exchange(url=url, timeout_s=chosen.timeout_ms / 1000)
-
-
-async def _acquire_no_permit(
-    ask: routing.AskPermit, deadline: float
-) -> gates.Permit | None:
-    """Stands for the gates until they are asked: no permit is given."""
-    del ask, deadline
-    await asyncio.sleep(0.1)
-    return None
-
-
-def _release_no_permit(
-    permit: gates.Permit, outcome: target_states.Outcome
-) -> None:
-    del permit, outcome
-
-
-async def _refuse_once(call: calls.Call, run: dispatch.Run) -> targets.Answer:
-    """Refuses a call that may not be repeated, without claims."""
-    del call, run
-    raise errors.RefusalError(
-        errors.Refusal(
-            code=results.Code.STORE_UNAVAILABLE,
-            ran=results.Ran.NO,
-            message="calls that may not be repeated are not served",
-        )
-    )
--- a/mothpass/daemon/status.py
+++ b/mothpass/daemon/status.py
@@ -1,7 +1,5 @@
 """Fills the status page of this daemon."""
 
-from collections import abc
-
 import msgspec
 
 from mothpass.core import routing
@@ -9,14 +7,38 @@
 from mothpass.core import targets
 from mothpass.daemon import callers
 from mothpass.daemon import catalogues
+from mothpass.daemon import control
+from mothpass.daemon import control_cost
 from mothpass.daemon import settings
 from mothpass.daemon import status_page
 from mothpass.daemon import telemetry
 from mothpass.ports import clock
+from mothpass.ports import members
 from mothpass.ports import targets as targets_port
 
-# Returns the cost of control so far.
-ReadControl = abc.Callable[[], status_page.ControlStatus]
+HEARD_TICKS = 10
+
+
+class FleetDaemon(msgspec.Struct, frozen=True, kw_only=True):
+    """One daemon of the region.
+
+    Attributes:
+        id: Instance id.
+        address: Its listener for operators, empty where it isn't known.
+        availability_zone: Its zone.
+        state: Its state in the membership list; of this daemon, its own.
+    """
+
+    id: str
+    address: str
+    availability_zone: str
+    state: str
+
+
+class Fleet(msgspec.Struct, frozen=True, kw_only=True):
+    """The daemons of the region."""
+
+    daemons: list[FleetDaemon]
 
 
 class Parts(msgspec.Struct, frozen=True, kw_only=True):
@@ -24,23 +46,27 @@
 
     Attributes:
         instance: Who this daemon is.
+        operators_address: This daemon's listener for operators.
         state: State of the daemon towards callers.
         catalogues: The catalogue in force.
         router: What is known of targets.
         suspects: Requests that crash targets.
         telemetry: Counts and histograms.
-        read_control: Returns the cost of control.
+        control: The control loop.
+        cost: What control costs.
         clock: Monotonic seconds.
         started_at: Monotonic seconds at which the daemon started.
     """
 
     instance: settings.Instance
+    operators_address: str
     state: callers.State
     catalogues: catalogues.Catalogues
     router: routing.Router
     suspects: suspects.Suspects
     telemetry: telemetry.Telemetry
-    read_control: ReadControl
+    control: control.Control
+    cost: control_cost.ControlCost
     clock: clock.Monotonic
     started_at: float
 
@@ -64,11 +90,46 @@
         targets=_list_targets(parts, now),
         teams=parts.telemetry.list_teams(),
         classes=parts.telemetry.list_classes(),
-        control=parts.read_control(),
+        control=_show_control(parts, now),
         suspects=_list_suspects(parts, now),
     )
 
 
+def build_fleet(parts: Parts) -> Fleet:
+    """Returns the daemons of the region as far as known."""
+    heard = {
+        item.id: item for item in parts.control.parts.exchange.list_peers()
+    }
+    own = FleetDaemon(
+        id=parts.instance.id,
+        address=parts.operators_address,
+        availability_zone=parts.instance.availability_zone,
+        state=_name_state(parts.state),
+    )
+    listing = parts.control.parts.membership.listing
+    found = [own]
+    for item in [] if listing is None else listing.instances:
+        if item.role is members.Role.DAEMON and item.id != own.id:
+            peer = heard.get(item.id)
+            found.append(
+                FleetDaemon(
+                    id=item.id,
+                    address="" if peer is None else peer.operators_address,
+                    availability_zone=item.availability_zone,
+                    state=item.state.value,
+                )
+            )
+    return Fleet(daemons=sorted(found, key=lambda item: item.id))
+
+
+def _show_control(parts: Parts, now: float) -> status_page.ControlStatus:
+    shown = parts.cost.show(now)
+    peers = [x for x in parts.router.daemons if x != parts.instance.id]
+    shown.peers_known = len(peers)
+    shown.peers_heard = parts.control.count_peers_heard(ticks=HEARD_TICKS)
+    return shown
+
+
 def _name_state(state: callers.State) -> str:
     if state.leaving:
         return "leaving"
@@ -125,6 +186,7 @@
     elif not target.is_cold():
         phase = targets_port.Phase.WARM
     age_ms = None if record is None else (now - record.measured_at) * 1000
+    gate = parts.control.parts.gates.find_gate(target.id)
     return status_page.TargetStatus(
         id=target.id,
         role=instance.role.value,
@@ -137,12 +199,14 @@
         load=target.load,
         bound=sum(parts.router.bound(name) for name in instance.serves[:1]),
         own=target.own,
+        gate=None if gate is None else parts.instance.id,
+        gate_fencing=0 if gate is None else gate.fencing,
         report_age_ms=None if age_ms is None else round(age_ms, 1),
     )
 
 
 def _list_suspects(parts: Parts, now: float) -> list[status_page.SuspectStatus]:
-    records = parts.suspects.export(changed_after=float("-inf"), now=now)
+    records = parts.suspects.export(changed_since=float("-inf"), now=now)
     return [
         status_page.SuspectStatus(
             fingerprint=f"{record.fingerprint:016x}",
--- a/mothpass/programs/mothpassd.py
+++ b/mothpass/programs/mothpassd.py
@@ -53,7 +53,7 @@
     telemetry.start_logging(chosen.telemetry.log_level)
     try:
         uvloop.run(service.run_daemon(chosen))
-    except OSError as error:
+    except (OSError, RuntimeError) as error:
         logging.getLogger(__name__).error("daemon not started: %s", error)
         return EXIT_FAILED
     return 0
