Add mothpass-load: profiles, open loop, checks, comparison, report and demo

Cause: the measures need load that no slow answer holds up, and every answer checked as whole and its own. Ruled out: blacksheep's client (sends again by itself); waiting for an answer before the chat's next turn, which would close the loop. Change: seeded schedule, check of each event and of the text as a whole, histograms by team and class, watched engines and daemons, actions with marks, comparison of two files, a page of figures, the demo's client and script.

--- a/mothpass/control/fleets.py
+++ b/mothpass/control/fleets.py
@@ -85,6 +85,26 @@
     serves: list[catalogue.Name]
 
 
+class Standins(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Options of the stand-ins that take the place of targets and platform.
+
+    Attributes:
+        engine: Options of each engine.
+        service: Options of each plain service.
+        table: Options of the table service.
+        objects: Options of the object store.
+        members: Options of the membership list.
+    """
+
+    engine: dict[str, object] = {}
+    service: dict[str, object] = {}
+    table: dict[str, object] = {}
+    objects: dict[str, object] = {}
+    members: dict[str, object] = {}
+
+
 class Fleet(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -99,6 +119,7 @@
         daemons: The daemons.
         engines: Model engines.
         services: Plain services.
+        standins: Options of their stand-ins.
     """
 
     region: catalogue.Name
@@ -108,6 +129,7 @@
     daemons: list[Daemon]
     engines: list[Target]
     services: list[Target]
+    standins: Standins = Standins()
 
 
 class Keys(
@@ -190,11 +212,42 @@
 
 def encode_settings(document: settings.Settings) -> bytes:
     """Encodes settings as indented JSON with every field written out."""
-    return msgspec.json.format(msgspec.json.encode(document)) + b"\n"
+    return _format_json(document)
+
+
+def list_standins(fleet: Fleet) -> dict[str, dict[str, object]]:
+    """Returns the configs of all stand-ins of a fleet, by file name.
+
+    A name starts with the kind, as `mothpass-standin` knows it.
+    """
+    options = fleet.standins
+    members_url = f"http://{fleet.platform.members}"
+    configs: dict[str, dict[str, object]] = {
+        "members": {"address": fleet.platform.members, **options.members},
+        "table": {"address": fleet.platform.tables, **options.table},
+        "objects": {"address": fleet.platform.objects, **options.objects},
+    }
+    for kind, targets, shared in (
+        ("engine", fleet.engines, options.engine),
+        ("service", fleet.services, options.service),
+    ):
+        for target in targets:
+            configs[f"{kind}-{target.id}"] = {
+                "id": target.id,
+                "address": target.address,
+                "availability_zone": target.availability_zone,
+                "serves": target.serves,
+                "members_url": members_url,
+                **shared,
+            }
+    return configs
 
 
 def write_settings(folder: pathlib.Path) -> list[pathlib.Path]:
-    """Writes ``daemons/<id>.json`` for each daemon of a folder's fleet.
+    """Writes the settings that follow from a folder's fleet file.
+
+    There is a file ``daemons/<id>.json`` for each daemon and a file
+    ``standins/<kind>-<id>.json`` for each stand-in.
 
     Args:
         folder: Holds ``fleet.json`` and ``keys.json``.
@@ -208,10 +261,18 @@
     """
     fleet = read_fleet(folder)
     keys = read_keys(folder)
-    (folder / "daemons").mkdir(exist_ok=True)
-    written = []
+    files: dict[pathlib.Path, bytes] = {}
     for daemon in fleet.daemons:
         path = folder / "daemons" / f"{daemon.id}.json"
-        path.write_bytes(encode_settings(build_settings(fleet, keys, daemon)))
-        written.append(path)
-    return written
+        files[path] = encode_settings(build_settings(fleet, keys, daemon))
+    for name, config in list_standins(fleet).items():
+        path = folder / "standins" / f"{name}.json"
+        files[path] = _format_json(config)
+    for path, data in files.items():
+        path.parent.mkdir(exist_ok=True)
+        path.write_bytes(data)
+    return list(files)
+
+
+def _format_json(document: object) -> bytes:
+    return msgspec.json.format(msgspec.json.encode(document)) + b"\n"
--- /dev/null
+++ b/mothpass/load/profiles.py
@@ -0,0 +1,237 @@
+"""Profiles of the load tool, checked in full before anything is sent.
+
+docs/LOAD.md shows an example and describes each field; a test holds that
+page against these structs.
+"""
+
+import pathlib
+import typing
+
+import msgspec
+
+from mothpass.control import fleets
+from mothpass.core import catalogue
+from mothpass.core import documents
+from mothpass.core import errors
+from mothpass.daemon import settings
+from mothpass.load import addresses
+
+Rate = typing.Annotated[float, msgspec.Meta(gt=0.0, le=100_000.0)]
+Offset = typing.Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
+
+
+class Chats(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Generated chats of one team that return.
+
+    Attributes:
+        team: Team that sends them.
+        service_class: Label for the histograms; ``class`` in JSON.
+        model: Model that is called.
+        requests_per_s: Requests a second, on average.
+        chats: Chats that are open at once.
+        turns: Requests of a chat before another takes its place.
+        opening_words: Words of a chat's first message.
+        turn_words: Words of each further message.
+        max_tokens: Tokens of each answer.
+        stream: Whether answers are streamed.
+    """
+
+    team: catalogue.Name
+    service_class: catalogue.Name = msgspec.field(name="class")
+    model: catalogue.Name
+    requests_per_s: Rate
+    chats: catalogue.Count = 10
+    turns: catalogue.Count = 8
+    opening_words: catalogue.Count = 300
+    turn_words: catalogue.Count = 30
+    max_tokens: typing.Annotated[int, msgspec.Meta(ge=2, le=100_000)] = 32
+    stream: bool = True
+
+
+class Calls(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Calls of a plain service.
+
+    Attributes:
+        team: Team that sends them.
+        service_class: Label for the histograms; ``class`` in JSON.
+        service: Service that is called.
+        requests_per_s: Calls a second, on average.
+        resent_share: Share of the calls that repeat an earlier one under the
+            same key, as a caller does that lost its answer.
+    """
+
+    team: catalogue.Name
+    service_class: catalogue.Name = msgspec.field(name="class")
+    service: catalogue.Name
+    requests_per_s: Rate
+    resent_share: typing.Annotated[float, msgspec.Meta(ge=0.0, lt=1.0)] = 0.0
+
+
+class Recorded(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Recorded chats, sent again and again under new names.
+
+    Attributes:
+        file: A file of chats, relative to the profile.
+        service_class: Label for the histograms; ``class`` in JSON.
+        requests_per_s: Requests a second, on average.
+    """
+
+    file: str
+    service_class: catalogue.Name = msgspec.field(name="class")
+    requests_per_s: Rate
+
+
+class Surge(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """A time during which one team sends more.
+
+    Attributes:
+        team: The team.
+        from_ms: When it starts, from the start of the run.
+        until_ms: When it ends.
+        multiple: Factor on the team's rates.
+    """
+
+    team: catalogue.Name
+    from_ms: Offset
+    until_ms: Offset
+    multiple: typing.Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)]
+
+
+class Action(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What is done to the fleet during the run.
+
+    Attributes:
+        at_ms: When, from the start of the run.
+        action: ``zone out``, ``zone in``, ``instance out``, ``instance in``,
+            ``faults`` (at a stand-in's address), or ``mark`` for a mark on
+            the time axis alone.
+        name: Zone, instance, stand-in's ``ip:port``, or text of the mark.
+        faults: Faults to set, for ``faults``; empty clears them.
+    """
+
+    at_ms: Offset
+    action: typing.Literal[
+        "zone out", "zone in", "instance out", "instance in", "faults", "mark"
+    ]
+    name: str
+    faults: dict[str, object] = {}
+
+
+class Watch(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What is read of the fleet during the run.
+
+    Attributes:
+        every_ms: Time between two reads.
+        engines: Addresses whose load reports are read, for the skew.
+        operators: Operators' addresses whose status pages are read, for the
+            control traffic; actions go to these as well.
+    """
+
+    every_ms: catalogue.Milliseconds = 500
+    engines: list[settings.Address] = []
+    operators: list[settings.Address] = []
+
+
+class Profile(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """One run of the load tool.
+
+    Attributes:
+        seed: Seed of arrivals, chats and texts.
+        duration_ms: Time during which requests start.
+        drain_ms: Time that the last ones have to end after that.
+        request_limit: Most requests in all.
+        in_flight_limit: Most requests at once; further ones are not sent
+            and are counted.
+        keys_file: File with the teams' keys, relative to the profile.
+        daemons: Callers' addresses, taken in turn.
+        chats: Generated chats.
+        calls: Calls of plain services.
+        recorded: Recorded chats.
+        surges: Times of more load.
+        actions: What is done to the fleet.
+        watch: What is read of the fleet.
+    """
+
+    seed: typing.Annotated[int, msgspec.Meta(ge=0)]
+    duration_ms: catalogue.Milliseconds
+    drain_ms: catalogue.Milliseconds = 30_000
+    request_limit: typing.Annotated[int, msgspec.Meta(ge=1, le=10_000_000)] = (
+        100_000
+    )
+    in_flight_limit: typing.Annotated[int, msgspec.Meta(ge=1, le=20_000)] = 2000
+    keys_file: str
+    daemons: typing.Annotated[
+        list[settings.Address], msgspec.Meta(min_length=1, max_length=4096)
+    ]
+    chats: list[Chats] = []
+    calls: list[Calls] = []
+    recorded: Recorded | None = None
+    surges: list[Surge] = []
+    actions: list[Action] = []
+    watch: Watch = Watch()
+
+
+def decode_profile(data: bytes) -> Profile:
+    """Decodes and checks a profile in full.
+
+    Raises:
+        errors.DocumentError: With every fault found, each with its path.
+    """
+    profile = documents.decode_document(data, Profile)
+    addresses.check_loopback(profile.daemons, "$.daemons")
+    addresses.check_loopback(profile.watch.engines, "$.watch.engines")
+    addresses.check_loopback(profile.watch.operators, "$.watch.operators")
+    _check_actions(profile)
+    if not (profile.chats or profile.calls or profile.recorded):
+        problem = errors.Problem(path="$", message="nothing to send")
+        raise errors.DocumentError([problem])
+    return profile
+
+
+def read_keys(path: pathlib.Path, profile: Profile) -> fleets.Keys:
+    """Reads the keys of a profile and checks that all teams have one.
+
+    Args:
+        path: Path of the profile.
+        profile: The profile.
+
+    Raises:
+        errors.DocumentError: Where the keys have faults or miss a team.
+        OSError: Where they can't be read.
+    """
+    data = (path.parent / profile.keys_file).read_bytes()
+    keys = documents.decode_document(data, fleets.Keys)
+    teams = {x.team for x in profile.chats} | {x.team for x in profile.calls}
+    missing = sorted(teams - keys.team_keys.keys())
+    if missing:
+        problems = [
+            errors.Problem(path="$.keys_file", message=f"no key of {team}")
+            for team in missing
+        ]
+        raise errors.DocumentError(problems)
+    return keys
+
+
+def _check_actions(profile: Profile) -> None:
+    places = [x.name for x in profile.actions if x.action == "faults"]
+    addresses.check_loopback(places, "$.actions")
+    moves = [x for x in profile.actions if x.action.endswith(("out", "in"))]
+    if moves and not profile.watch.operators:
+        problem = errors.Problem(
+            path="$.watch.operators", message="needed for the actions"
+        )
+        raise errors.DocumentError([problem])
--- /dev/null
+++ b/mothpass/load/report.py
@@ -0,0 +1,204 @@
+"""Draws the four measures of one or more runs as one HTML page."""
+
+import base64
+from collections import abc
+import html
+import io
+import typing
+
+import matplotlib.backends.backend_agg
+import matplotlib.figure
+
+from mothpass.load import samples
+from mothpass.load import series
+
+_INCHES = (9.0, 3.2)
+_MARK_COLOUR = "0.4"
+_STYLE = (
+    "body{font-family:sans-serif;max-width:60em;margin:2em auto}"
+    "table{border-collapse:collapse}td,th{border:1px solid #ccc;"
+    "padding:.2em .6em;text-align:right}th:first-child,td:first-child"
+    "{text-align:left}img{max-width:100%}.bad{color:#b00;font-weight:bold}"
+)
+# Draws one run into axes.
+Draw = abc.Callable[[typing.Any, series.RunData], None]
+
+
+def build_page(
+    runs: list[series.RunData], measures: list[series.BenchMeasure]
+) -> str:
+    """Returns the page.
+
+    Args:
+        runs: The run to show first, then its baselines.
+        measures: Lines of the bench, may be empty.
+    """
+    parts = [
+        "<!doctype html><html><head><meta charset='utf-8'>",
+        f"<title>mothpass</title><style>{_STYLE}</style></head><body>",
+        "<h1>mothpass: what was measured</h1>",
+    ]
+    if runs:
+        parts += _build_run_sections(runs)
+    if measures:
+        parts += ["<h2>Bench</h2>", _build_measures(measures)]
+        parts += [_draw_measure(item) for item in measures]
+    parts.append("</body></html>")
+    return "\n".join(parts)
+
+
+def _build_run_sections(runs: list[series.RunData]) -> list[str]:
+    sections: list[tuple[str, str, Draw]] = [
+        ("Cache reuse of returning chats", "share", _draw_reuse),
+        ("Skew of load across engines", "highest / mean", _draw_skew),
+        ("Control traffic of each daemon", "bytes / s", _draw_control),
+        ("First token, 95th percentile", "ms", _draw_first_token),
+        ("Requests by when they were due", "requests / s", _draw_service),
+    ]
+    parts = [_build_table(runs)]
+    for title, unit, draw in sections:
+        image = _draw_runs(runs, title, unit, draw)
+        parts += [f"<h2>{html.escape(title)}</h2>", image]
+    return parts
+
+
+def _build_table(runs: list[series.RunData]) -> str:
+    heads = "".join(f"<th>{html.escape(run.label)}</th>" for run in runs)
+    lines = [f"<table><tr><th></th>{heads}</tr>"]
+    for name, read in _list_rows():
+        cells = "".join(f"<td>{read(run.summary)}</td>" for run in runs)
+        lines.append(f"<tr><td>{name}</td>{cells}</tr>")
+    return "\n".join([*lines, "</table>"])
+
+
+def _list_rows() -> list[tuple[str, abc.Callable[[samples.Summary], str]]]:
+    rows: list[tuple[str, abc.Callable[[samples.Summary], str]]] = [
+        ("requests", lambda x: str(x.requests)),
+    ]
+    rows += [(str(fate), _read_fate(fate)) for fate in samples.Fate]
+    rows += [
+        ("cache reuse", lambda x: _show(x.cache_reuse)),
+        ("skew p95", lambda x: _show(x.skew.p95 or None)),
+        ("skew highest", lambda x: _show(x.skew.highest or None)),
+        (
+            "control bytes/s p95",
+            lambda x: _show(x.control_bytes_per_s.p95),
+        ),
+    ]
+    return rows
+
+
+def _read_fate(fate: samples.Fate) -> abc.Callable[[samples.Summary], str]:
+    return lambda summary: str(summary.fates.get(fate, 0))
+
+
+def _draw_runs(
+    runs: list[series.RunData], title: str, unit: str, draw: Draw
+) -> str:
+    """Draws the runs beside each other on the same scale."""
+    figure = matplotlib.figure.Figure(
+        figsize=(_INCHES[0], _INCHES[1] * len(runs)), layout="constrained"
+    )
+    matplotlib.backends.backend_agg.FigureCanvasAgg(figure)
+    all_axes = figure.subplots(
+        len(runs), 1, sharex=True, sharey=True, squeeze=False
+    )
+    for axes, run in zip(all_axes[:, 0], runs, strict=True):
+        axes.set_title(run.label, loc="left", fontsize=9)
+        axes.set_ylabel(unit)
+        axes.set_ylim(bottom=0)
+        draw(axes, run)
+        _draw_marks(axes, run.marks)
+        if axes.get_legend_handles_labels()[0]:
+            axes.legend(fontsize=7, loc="lower right")
+    all_axes[-1, 0].set_xlabel("seconds from the start")
+    return _embed(figure, title)
+
+
+def _draw_marks(axes: typing.Any, marks: list[samples.Mark]) -> None:
+    """Draws a line for each failure or move, with its name."""
+    for mark in marks:
+        second = mark.at_ms / 1000.0
+        style = "--" if mark.done else ":"
+        axes.axvline(second, color=_MARK_COLOUR, linestyle=style, linewidth=1)
+        text = mark.text if mark.done else f"{mark.text} (not confirmed)"
+        axes.annotate(
+            text,
+            (second, 1.0),
+            xycoords=("data", "axes fraction"),
+            rotation=90,
+            va="top",
+            ha="right",
+            fontsize=7,
+        )
+
+
+def _draw_reuse(axes: typing.Any, run: series.RunData) -> None:
+    axes.plot(run.cache_reuse.seconds, run.cache_reuse.values)
+    axes.set_ylim(0, 1.05)
+
+
+def _draw_skew(axes: typing.Any, run: series.RunData) -> None:
+    axes.plot(run.skew.seconds, run.skew.values)
+
+
+def _draw_control(axes: typing.Any, run: series.RunData) -> None:
+    for daemon, points in sorted(run.control.items()):
+        axes.plot(points.seconds, points.values, label=daemon, linewidth=0.8)
+
+
+def _draw_first_token(axes: typing.Any, run: series.RunData) -> None:
+    axes.plot(run.first_token_p95.seconds, run.first_token_p95.values)
+
+
+def _draw_service(axes: typing.Any, run: series.RunData) -> None:
+    axes.plot(run.whole.seconds, run.whole.values, label="whole")
+    axes.plot(run.failed.seconds, run.failed.values, label="not whole")
+
+
+def _build_measures(measures: list[series.BenchMeasure]) -> str:
+    lines = [
+        "<table><tr><th>measure</th><th>value</th><th>bound</th><th>best</th>"
+        "<th>within</th></tr>"
+    ]
+    for item in measures:
+        verdict = "yes" if item.ok else "<span class='bad'>no</span>"
+        lines.append(
+            f"<tr><td>{html.escape(item.measure)}</td><td>{_show(item.value)}"
+            f"</td><td>{_show(item.bound)}</td><td>{_show(item.best)}</td>"
+            f"<td>{verdict}</td></tr>"
+        )
+    return "\n".join([*lines, "</table>"])
+
+
+def _draw_measure(item: series.BenchMeasure) -> str:
+    """Draws a measure of the bench with its baselines beside it."""
+    bars = {"mothpass": item.value}
+    if item.best is not None:
+        bars["best possible"] = item.best
+    known = {k: x for k, x in item.baselines.items() if x is not None}
+    bars |= known
+    figure = matplotlib.figure.Figure(figsize=_INCHES, layout="constrained")
+    matplotlib.backends.backend_agg.FigureCanvasAgg(figure)
+    axes = figure.subplots()
+    axes.barh(list(bars), list(bars.values()))
+    axes.invert_yaxis()
+    axes.set_title(item.measure, loc="left", fontsize=9)
+    if item.bound is not None:
+        axes.axvline(item.bound, color="tab:red", linestyle="--")
+        axes.annotate("bound", (item.bound, -0.45), fontsize=7)
+    return _embed(figure, item.measure)
+
+
+def _embed(figure: typing.Any, title: str) -> str:
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="png", dpi=100)
+    data = base64.b64encode(buffer.getvalue()).decode()
+    return (
+        f"<img alt='{html.escape(title, quote=True)}' "
+        f"src='data:image/png;base64,{data}'>"
+    )
+
+
+def _show(value: float | None) -> str:
+    return "-" if value is None else f"{value:.4g}"
--- /dev/null
+++ b/mothpass/programs/mothpass_load.py
@@ -0,0 +1,190 @@
+"""`mothpass-load`: sends load, checks every answer, shows the measures."""
+
+import pathlib
+import sys
+import typing
+
+from cleo import application
+from cleo import exceptions
+from cleo import helpers
+from cleo.commands import command
+import msgspec
+import uvloop
+
+from mothpass.core import errors
+from mothpass.load import comparison
+from mothpass.load import demonstration
+from mothpass.load import running
+from mothpass.load import samples
+from mothpass.load import series
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+_READY_TIMEOUT_S = 20
+
+
+class _Command(command.Command):
+    """What all commands have in common: bad input ends them with 2."""
+
+    def run_command(self) -> int:
+        """Does the work of the command."""
+        raise NotImplementedError
+
+    def handle(self) -> int:
+        """Runs the command and returns the exit code."""
+        try:
+            return self.run_command()
+        except (errors.DocumentError, msgspec.DecodeError, OSError) as error:
+            print(str(error), file=sys.stderr)
+            return EXIT_BAD_INPUT
+
+
+class _Run(_Command):
+    name = "run"
+    description = "Runs a profile; 1 if an answer was wrong or cut."
+    arguments = [helpers.argument("profile", "The profile, JSON.")]
+    options = [
+        helpers.option("output", "o", "File for the JSON lines.", flag=False),
+        helpers.option("check", None, "Checks the profile only."),
+    ]
+
+    def run_command(self) -> int:
+        plan = running.read_plan(pathlib.Path(self.argument("profile")))
+        if self.option("check"):
+            print("good")
+            return EXIT_DONE
+        summary = _run_plan(plan, self.option("output"))
+        print(msgspec.json.encode(summary).decode(), flush=True)
+        bad = (samples.Fate.WRONG, samples.Fate.LOST)
+        failed = any(summary.fates.get(fate, 0) for fate in bad)
+        return EXIT_FAILED if failed else EXIT_DONE
+
+
+class _Compare(_Command):
+    name = "compare"
+    description = "Shows what changed from one result file to another."
+    arguments = [
+        helpers.argument("before", "Result file."),
+        helpers.argument("after", "Result file."),
+    ]
+    options = [
+        helpers.option("json", None, "Print JSON, for scripts."),
+        helpers.option(
+            "bound",
+            "b",
+            "Percent that a time may grow; 1 if one grew more.",
+            flag=False,
+        ),
+    ]
+
+    def run_command(self) -> int:
+        rows = comparison.compare_summaries(
+            samples.summarize_file(pathlib.Path(self.argument("before"))),
+            samples.summarize_file(pathlib.Path(self.argument("after"))),
+        )
+        if self.option("json"):
+            print(msgspec.json.encode(rows).decode())
+        else:
+            print("\n".join(comparison.format_rows(rows)))
+        bound = _parse_percent(self.option("bound"))
+        if bound is None:
+            return EXIT_DONE
+        grown = comparison.list_regressions(rows, bound)
+        for row in grown:
+            print(f"grew past the bound: {row.name}", file=sys.stderr)
+        return EXIT_FAILED if grown else EXIT_DONE
+
+
+class _Report(_Command):
+    name = "report"
+    description = "Draws result files, and lines of the bench, as a page."
+    arguments = [
+        helpers.argument(
+            "files", "Result file, its baselines, bench lines.", multiple=True
+        )
+    ]
+    options = [helpers.option("output", "o", "HTML file.", flag=False)]
+
+    def run_command(self) -> int:
+        # Not all installations have the plotting library.
+        from mothpass.load import report
+
+        paths = [pathlib.Path(name) for name in self.argument("files")]
+        runs, measures = [], []
+        for path in paths:
+            found = series.read_measures(path)
+            measures += found
+            if not found:
+                runs.append(series.read_run(path))
+        output = pathlib.Path(self.option("output") or "report.html")
+        page = report.build_page(runs, measures)
+        output.write_text(page, encoding="utf-8")
+        print(output)
+        return EXIT_DONE
+
+
+class _Demo(_Command):
+    name = "demo"
+    description = "Sends the example chats of a deployment that is up."
+    arguments = [helpers.argument("folder", "Folder of the deployment.")]
+
+    def run_command(self) -> int:
+        totals = _run_demo(pathlib.Path(self.argument("folder")))
+        print(msgspec.json.encode(totals).decode(), flush=True)
+        return EXIT_DONE if totals.good else EXIT_FAILED
+
+
+def build_application() -> application.Application:
+    """Returns the command line with all its commands."""
+    app = application.Application("mothpass-load")
+    app.auto_exits(False)
+    app.catch_exceptions(False)
+    for kind in (_Run, _Compare, _Report, _Demo):
+        app.add(kind())
+    return app
+
+
+def main() -> int:
+    """Runs the command line and returns the exit code."""
+    try:
+        return build_application().run()
+    except exceptions.CleoError as error:
+        print(str(error), file=sys.stderr)
+        return EXIT_BAD_INPUT
+
+
+def _run_plan(plan: running.Plan, output: str | None) -> samples.Summary:
+    path = pathlib.Path(output or f"{pathlib.Path(plan.name).stem}.jsonl")
+    with path.open("wb") as file:
+        return uvloop.run(
+            running.run_plan(plan, typing.cast(typing.BinaryIO, file))
+        )
+
+
+def _run_demo(folder: pathlib.Path) -> demonstration.Totals:
+    try:
+        return uvloop.run(
+            demonstration.run_demo(
+                folder,
+                show=lambda line: print(line, flush=True),
+                ready_timeout_s=_READY_TIMEOUT_S,
+            )
+        )
+    except TimeoutError as error:
+        print(str(error), file=sys.stderr)
+        return demonstration.Totals()
+
+
+def _parse_percent(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError as error:
+        problem = errors.Problem(path="--bound", message="expected a number")
+        raise errors.DocumentError([problem]) from error
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,14 +1,28 @@
 """Checks the two deployments under examples/ against the code's own checks."""
 
+import json
 import pathlib
 import unittest
 
+import msgspec
+
+from mothpass.control import config as configs
 from mothpass.control import fleets
 from mothpass.core import catalogue
+from mothpass.core import documents
 from mothpass.daemon import settings
+from mothpass.load import recordings
+from mothpass.standin import settings as standin_settings
 
 _EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
 _DEPLOYMENTS = ("guild", "cellarwatch")
+_STANDINS: dict[str, type[msgspec.Struct]] = {
+    "engine": standin_settings.EngineSettings,
+    "service": standin_settings.ServiceSettings,
+    "table": standin_settings.TableSettings,
+    "objects": standin_settings.ObjectsSettings,
+    "members": standin_settings.MembersSettings,
+}
 
 
 class DeploymentTest(unittest.TestCase):
@@ -27,12 +41,54 @@
                     expected = fleets.build_settings(fleet, keys, daemon)
                     self.assertEqual(committed, expected)
 
-    def test_no_settings_file_is_left_of_a_daemon_that_is_gone(self) -> None:
+    def test_no_file_is_left_of_an_instance_that_is_gone(self) -> None:
         for name in _DEPLOYMENTS:
             folder = _EXAMPLES / name
-            ids = {item.id for item in fleets.read_fleet(folder).daemons}
+            fleet = fleets.read_fleet(folder)
+            ids = {item.id for item in fleet.daemons}
             files = {path.stem for path in (folder / "daemons").iterdir()}
             self.assertEqual(files, ids)
+            files = {path.stem for path in (folder / "standins").iterdir()}
+            self.assertEqual(files, fleets.list_standins(fleet).keys())
+
+    def test_standins_are_what_the_fleet_file_gives(self) -> None:
+        for name in _DEPLOYMENTS:
+            folder = _EXAMPLES / name
+            configs = fleets.list_standins(fleets.read_fleet(folder))
+            for file_name, config in configs.items():
+                with self.subTest(standin=file_name):
+                    path = folder / "standins" / f"{file_name}.json"
+                    data = path.read_bytes()
+                    self.assertEqual(json.loads(data), config)
+                    kind = _STANDINS[file_name.partition("-")[0]]
+                    documents.decode_document(data, kind)
+
+    def test_engines_bear_what_the_catalogue_says(self) -> None:
+        for name in _DEPLOYMENTS:
+            folder = _EXAMPLES / name
+            data = (folder / "catalogue.json").read_bytes()
+            (model,) = catalogue.decode_catalogue(data).models
+            start = model.cold_start
+            engine = fleets.read_fleet(folder).standins.engine
+            self.assertEqual(start.in_flight, engine["cold_in_flight"])
+            self.assertEqual(start.answers_per_step, engine["answers_per_step"])
+            self.assertEqual(start.warm_in_flight, engine["warm_in_flight"])
+            self.assertEqual(model.target_in_flight, engine["max_running"])
+
+    def test_recorded_chats_and_calls_use_what_their_team_may(self) -> None:
+        for name in _DEPLOYMENTS:
+            folder = _EXAMPLES / name
+            data = (folder / "catalogue.json").read_bytes()
+            uses = {
+                x.name: x.uses for x in catalogue.decode_catalogue(data).teams
+            }
+            recording = recordings.read_recording(folder / "chats.json")
+            for chat in recording.chats:
+                self.assertIn(recording.model, uses[chat.team])
+            for call in recording.calls:
+                self.assertIn(call.service, uses[call.team])
+            names = [call.name for call in recording.calls]
+            self.assertIn(recording.paid_once, names)
 
     def test_catalogue_is_good_and_knows_the_fleet(self) -> None:
         for name in _DEPLOYMENTS:
@@ -61,6 +117,17 @@
             }
             self.assertEqual(hashes, {x.name: x.key_sha256 for x in teams})
 
+    def test_operators_file_names_all_daemons(self) -> None:
+        for name in _DEPLOYMENTS:
+            folder = _EXAMPLES / name
+            fleet = fleets.read_fleet(folder)
+            options = configs.Options(config=str(folder / "operators.json"))
+            config = configs.resolve_config(options, {})
+            expected = fleets.list_operator_addresses(fleet)
+            self.assertEqual(config.addresses, expected)
+            token = fleets.read_keys(folder).operator_token
+            self.assertEqual(config.token, token)
+
     def test_no_two_instances_share_an_address(self) -> None:
         for name in _DEPLOYMENTS:
             fleet = fleets.read_fleet(_EXAMPLES / name)
