Test the load tool: checks, schedule, client, open loop, results, report

Cause: a check that can't fail is worth nothing, so each kind of broken answer is scripted against it. Found by these tests: a CR LF pair split between two reads joined two events (load/events.py), and connections were never used again because the parser forgets after the end whether they may be (control/http_client.py); both mended here.

--- a/mothpass/control/http_client.py
+++ b/mothpass/control/http_client.py
@@ -57,6 +57,7 @@
         "_complete",
         "_head_seen",
         "_headers",
+        "_keep_alive",
         "_parser",
         "_reader",
         "_writer",
@@ -81,6 +82,7 @@
         self._chunks: list[bytes] = []
         self._head_seen = False
         self._complete = False
+        self._keep_alive = False
 
     async def send(self, request: Request) -> None:
         """Sends a request.
@@ -133,7 +135,7 @@
         """Whether another request may be sent over this connection."""
         return (
             self._complete
-            and self._parser.should_keep_alive()
+            and self._keep_alive
             and not self._reader.at_eof()
             and not self._writer.is_closing()
         )
@@ -157,6 +159,8 @@
     def on_message_complete(self) -> None:
         """Learns from the parser that the answer is whole."""
         self._complete = True
+        # The parser forgets the headers that tell once the answer is whole.
+        self._keep_alive = self._parser.should_keep_alive()
 
     async def _feed(self) -> None:
         try:
--- a/mothpass/load/events.py
+++ b/mothpass/load/events.py
@@ -30,8 +30,10 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Takes bytes and returns the events that are whole with them."""
-        self._rest += data.replace(b"\r\n", b"\n")
-        *blocks, self._rest = self._rest.split(_END)
+        # A pair of CR and LF may be split between two reads, so the pairs are
+        # replaced in all that is held and not in the new bytes alone.
+        held = (self._rest + data).replace(b"\r\n", b"\n")
+        *blocks, self._rest = held.split(_END)
         return [_parse_block(block) for block in blocks if block]
 
 
--- /dev/null
+++ b/tests/test_load_results.py
@@ -0,0 +1,198 @@
+"""Tests summaries, comparison and report of result files."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from cleo.io.inputs import string_input
+
+from mothpass.load import comparison
+from mothpass.load import samples
+from mothpass.load import series
+from mothpass.programs import mothpass_load
+
+
+def build_sample(**more: object) -> samples.Sample:
+    """Returns the line of a whole answer, changed as told."""
+    fields: dict[str, object] = {
+        "at_ms": 500.0,
+        "team": "quay",
+        "service_class": "quick",
+        "name": "advice",
+        "fate": samples.Fate.WHOLE,
+        "first_token_ms": 20.0,
+        "gaps_ms": [4.0, 6.0],
+        "whole_ms": 30.0,
+        "prompt_tokens": 100,
+        "cached_tokens": 80,
+        "returning": True,
+        **more,
+    }
+    return samples.Sample(**fields)  # type: ignore[arg-type]
+
+
+class ResultsCase(unittest.TestCase):
+    """Writes result files and runs commands on them."""
+
+    def setUp(self) -> None:
+        self.folder = pathlib.Path(
+            self.enterContext(tempfile.TemporaryDirectory())
+        )
+
+    def write(self, name: str, lines: list[samples.Line]) -> pathlib.Path:
+        path = self.folder / name
+        path.write_bytes(b"".join(map(samples.encode_line, lines)))
+        return path
+
+    def run_load(self, line: str) -> int:
+        app = mothpass_load.build_application()
+        quiet = io.StringIO()
+        with (
+            contextlib.redirect_stdout(quiet),
+            contextlib.redirect_stderr(quiet),
+        ):
+            return app.run(string_input.StringInput(line))
+
+
+class SummaryTest(ResultsCase):
+    """Checks the figures of a run."""
+
+    def test_counts_fates_and_codes(self) -> None:
+        refused = build_sample(fate=samples.Fate.REFUSED, code=201)
+        path = self.write("a", [build_sample(), refused, refused])
+        summary = samples.summarize_file(path)
+        self.assertEqual(summary.requests, 3)
+        self.assertEqual(summary.fates, {"whole": 1, "refused": 2})
+        self.assertEqual(summary.codes, {"201": 2})
+
+    def test_reuse_counts_whole_answers_of_returning_chats(self) -> None:
+        new = build_sample(returning=False, cached_tokens=0)
+        cut = build_sample(fate=samples.Fate.LOST, cached_tokens=0)
+        other = build_sample(prompt_tokens=300, cached_tokens=100)
+        path = self.write("a", [build_sample(), new, cut, other])
+        summary = samples.summarize_file(path)
+        self.assertEqual(summary.cache_reuse, 180 / 400)
+
+    def test_histograms_by_team_and_class(self) -> None:
+        slow = build_sample(team="lake", first_token_ms=1000.0)
+        lines = [build_sample() for _ in range(99)]
+        summary = samples.summarize_file(self.write("a", [*lines, slow]))
+        quay = summary.teams["quay"]
+        self.assertEqual(quay.first_token.count, 99)
+        self.assertAlmostEqual(quay.first_token.p95, 20.0, delta=0.1)
+        self.assertEqual(quay.between_tokens.count, 198)
+        both = summary.classes["quick"].first_token
+        self.assertAlmostEqual(both.highest, 1000.0, delta=2.0)
+        self.assertAlmostEqual(both.p95, 20.0, delta=0.1)
+
+    def test_skew_leaves_out_moments_with_hardly_any_load(self) -> None:
+        loads: list[samples.Line] = [
+            samples.EngineLoad(at_ms=1.0, in_flight={"a": 3, "b": 1}),
+            samples.EngineLoad(at_ms=2.0, in_flight={"a": 1, "b": 0}),
+            samples.EngineLoad(at_ms=3.0, in_flight={}),
+        ]
+        skew = samples.summarize_file(self.write("a", loads)).skew
+        self.assertEqual((skew.count, skew.highest), (1, 1.5))
+
+    def test_summary_line_equals_what_the_lines_give(self) -> None:
+        collector = samples.Collector()
+        collector.add(build_sample())
+        summary = collector.summarize()
+        path = self.write("a", [build_sample(), summary])
+        self.assertEqual(list(samples.read_lines(path))[-1], summary)
+        self.assertEqual(samples.summarize_file(path), summary)
+
+
+class ComparisonTest(ResultsCase):
+    """Checks the table of changes."""
+
+    def compare(self, line: samples.Sample) -> dict[str, comparison.Row]:
+        before = samples.summarize_file(self.write("a", [build_sample()]))
+        after = samples.summarize_file(self.write("b", [line]))
+        rows = comparison.compare_summaries(before, after)
+        return {row.name: row for row in rows}
+
+    def test_names_what_changed_and_by_how_much(self) -> None:
+        rows = self.compare(build_sample(cached_tokens=40, whole_ms=60.0))
+        self.assertAlmostEqual(rows["cache_reuse"].change_percent or 0, -50.0)
+        change = rows["teams.quay.whole.p95"].change_percent or 0
+        self.assertAlmostEqual(change, 100.0, delta=0.5)
+        self.assertEqual(rows["teams.quay.first_token.p50"].change_percent, 0)
+
+    def test_figure_that_only_one_has_stays_in_the_table(self) -> None:
+        rows = self.compare(build_sample(team="lake"))
+        self.assertIsNone(rows["teams.quay.whole.p50"].after)
+        self.assertIsNone(rows["teams.lake.whole.p50"].before)
+        lines = comparison.format_rows(list(rows.values()))
+        self.assertEqual(len(lines), len(rows) + 1)
+
+    def test_command_ends_with_1_past_the_bound(self) -> None:
+        before = self.write("a", [build_sample()])
+        after = self.write("b", [build_sample(first_token_ms=23.0)])
+        line = f"compare {before} {after} --bound"
+        self.assertEqual(self.run_load(f"{line} 20"), 0)
+        self.assertEqual(self.run_load(f"{line} 10"), 1)
+
+    def test_file_that_is_no_result_is_bad_input(self) -> None:
+        path = self.folder / "a"
+        path.write_text('{"kind": "else"}\n')
+        self.assertEqual(self.run_load(f"compare {path} {path}"), 2)
+
+
+class ReportTest(ResultsCase):
+    """Checks the series and the page."""
+
+    def write_run(self, name: str) -> pathlib.Path:
+        mark = samples.Mark(at_ms=900.0, text="zone out <a>")
+        control = samples.Control(
+            at_ms=100.0,
+            daemon="d1",
+            bytes_per_s=900.0,
+            processor_share=0.001,
+            version=1,
+        )
+        load = samples.EngineLoad(at_ms=1.0, in_flight={"a": 3, "b": 1})
+        late = build_sample(at_ms=1500.0, fate=samples.Fate.REFUSED)
+        return self.write(name, [build_sample(), late, mark, control, load])
+
+    def test_series_are_by_the_second_in_which_a_request_was_due(self) -> None:
+        run = series.read_run(self.write_run("a.jsonl"))
+        self.assertEqual(run.whole.seconds, [0.0, 1.0])
+        self.assertEqual(run.whole.values, [1, 0])
+        self.assertEqual(run.failed.values, [0, 1])
+        self.assertEqual(run.cache_reuse.values, [0.8])
+        self.assertEqual(run.skew.values, [1.5])
+        self.assertEqual(run.control["d1"].values, [900.0])
+        self.assertEqual([mark.at_ms for mark in run.marks], [900.0])
+
+    def test_page_shows_runs_side_by_side_and_the_bench(self) -> None:
+        bench = self.folder / "bench"
+        measure = {
+            "measure": "skew <b>",
+            "value": 1.4,
+            "bound": 1.25,
+            "ok": False,
+            "baselines": {"random": 1.9},
+            "best": 1.0,
+            "seed": 1,
+        }
+        bench.write_text(f"some text\n{json.dumps(measure)}\n")
+        page = self.folder / "page.html"
+        first, second = (
+            self.write_run("now.jsonl"),
+            self.write_run("then.jsonl"),
+        )
+        status = self.run_load(f"report {first} {second} {bench} -o {page}")
+        self.assertEqual(status, 0)
+        text = page.read_text()
+        self.assertEqual(text.count("data:image/png;base64,"), 6)
+        self.assertIn("<th>now</th><th>then</th>", text)
+        self.assertIn("skew &lt;b&gt;", text)
+        self.assertIn("<span class='bad'>no</span>", text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_load_running.py
@@ -0,0 +1,284 @@
+"""Tests the client and the open loop against a scripted server."""
+
+import asyncio
+from collections import abc
+import hashlib
+import io
+import json
+import pathlib
+import time
+import unittest
+
+import msgspec
+
+from mothpass.load import clients
+from mothpass.load import profiles
+from mothpass.load import running
+from mothpass.load import samples
+from mothpass.load import traffic
+from mothpass.standin import answers
+from tests import test_load_traffic
+
+_GUILD = pathlib.Path(__file__).resolve().parent.parent / "examples" / "guild"
+_TOKENS = 4
+_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+Serve = abc.Callable[[str, bytes, asyncio.StreamWriter], abc.Awaitable[bool]]
+
+
+def write_chunk(data: bytes) -> bytes:
+    """Returns bytes in the form of a chunked body; none ends it."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def write_body(status: str, body: bytes) -> bytes:
+    """Returns an HTTP answer of one body."""
+    head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def list_frames(body: bytes) -> list[bytes]:
+    """Returns the events of the whole answer to a chat request."""
+    chat = json.loads(body)
+    messages = [answers.Message(**item) for item in chat["messages"]]
+    tokens = answers.compose_answer(messages, chat["max_tokens"])
+    frames = []
+    for position, token in enumerate([*tokens, ""]):
+        finish = "stop" if position == len(tokens) else None
+        choice = {"delta": {"content": token}, "finish_reason": finish}
+        data = json.dumps({"choices": [choice]})
+        frames.append(f"id: {position}\ndata: {data}\n\n".encode())
+    return [*frames, b"data: [DONE]\n\n"]
+
+
+async def serve_whole(
+    path: str, body: bytes, writer: asyncio.StreamWriter
+) -> bool:
+    """Answers every request whole, and keeps the connection."""
+    if path.startswith("/v1/services/"):
+        digest = hashlib.sha256(body).hexdigest()
+        receipt = json.dumps({"body_sha256": digest}).encode()
+        writer.write(write_body("200 OK", receipt))
+        return True
+    frames = map(write_chunk, list_frames(body))
+    writer.write(_HEAD + b"".join(frames) + write_chunk(b""))
+    return True
+
+
+class ServerCase(unittest.IsolatedAsyncioTestCase):
+    """Serves on a loopback port what a test scripts."""
+
+    async def asyncSetUp(self) -> None:
+        self.serve: Serve = serve_whole
+        self.connections = 0
+        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self.addCleanup(server.close)
+        self.pool = clients.Pool()
+        self.addCleanup(self.pool.close)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        except asyncio.CancelledError:
+            # The test is over while an answer is held back.
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        size = int(head.lower().split("content-length: ")[1].split("\r")[0])
+        body = await reader.readexactly(size)
+        return await self.serve(head.split()[1], body, writer)
+
+    async def send(
+        self, planned: traffic.Planned, *, limit_s: float = 5.0
+    ) -> clients.Result:
+        now = time.monotonic()
+        return await clients.send_request(
+            self.pool,
+            self.address,
+            "key",
+            planned,
+            due=now,
+            deadline=now + limit_s,
+        )
+
+
+CHAT = traffic.Planned(
+    at_ms=0.0,
+    team="quay",
+    service_class="quick",
+    name="advice",
+    chat_id="c",
+    messages=[answers.Message(role="user", content="Hello")],
+    max_tokens=_TOKENS,
+    stream=True,
+)
+CALL = traffic.Planned(
+    at_ms=0.0,
+    team="quay",
+    service_class="quick",
+    name="booking",
+    idempotency_key="k",
+    body=b"{}",
+)
+
+
+class ClientTest(ServerCase):
+    """Checks what the client makes of each kind of answer."""
+
+    async def test_whole_stream_is_measured(self) -> None:
+        result = await self.send(CHAT)
+        self.assertIs(result.verdict.fate, samples.Fate.WHOLE)
+        self.assertEqual(len(result.gaps_ms), _TOKENS - 1)
+        assert result.first_token_ms is not None
+        assert result.whole_ms is not None
+        self.assertLessEqual(result.first_token_ms, result.whole_ms)
+
+    async def test_connection_is_used_again(self) -> None:
+        for planned in (CHAT, CALL, CHAT):
+            result = await self.send(planned)
+            self.assertIs(result.verdict.fate, samples.Fate.WHOLE)
+        self.assertEqual(self.connections, 1)
+
+    async def test_idle_connection_that_closed_costs_no_request(self) -> None:
+        async def serve_once(
+            path: str, body: bytes, writer: asyncio.StreamWriter
+        ) -> bool:
+            await serve_whole(path, body, writer)
+            return False
+
+        self.serve = serve_once
+        await self.send(CHAT)
+        result = await self.send(CHAT)
+        self.assertIs(result.verdict.fate, samples.Fate.WHOLE)
+        self.assertEqual(self.connections, 2)
+
+    async def test_stream_that_breaks_is_lost(self) -> None:
+        async def cut(
+            _path: str, body: bytes, writer: asyncio.StreamWriter
+        ) -> bool:
+            frames = list_frames(body)[:2]
+            writer.write(_HEAD + b"".join(map(write_chunk, frames)))
+            return False
+
+        self.serve = cut
+        result = await self.send(CHAT)
+        self.assertIs(result.verdict.fate, samples.Fate.LOST)
+        self.assertIsNotNone(result.first_token_ms)
+        self.assertIsNone(result.whole_ms)
+
+    async def test_silence_ends_at_the_deadline_as_lost(self) -> None:
+        async def hang(
+            _path: str, _body: bytes, _writer: asyncio.StreamWriter
+        ) -> bool:
+            await asyncio.sleep(30)
+            return False
+
+        self.serve = hang
+        result = await self.send(CHAT, limit_s=0.05)
+        self.assertIs(result.verdict.fate, samples.Fate.LOST)
+
+    async def test_refusal_keeps_its_code(self) -> None:
+        error = {"code": 201, "name": "TEAM_LIMIT", "ran": "no"}
+        body = json.dumps({"error": error}).encode()
+
+        async def refuse(
+            _path: str, _body: bytes, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(write_body("429 Too Many", body))
+            return True
+
+        self.serve = refuse
+        for planned in (CHAT, CALL):
+            verdict = (await self.send(planned)).verdict
+            self.assertIs(verdict.fate, samples.Fate.REFUSED)
+            self.assertEqual((verdict.code, verdict.ran), (201, "no"))
+
+    async def test_nobody_listening_is_lost(self) -> None:
+        self.address = "127.0.0.1:1"
+        result = await self.send(CALL)
+        self.assertIs(result.verdict.fate, samples.Fate.LOST)
+
+
+class OpenLoopTest(ServerCase):
+    """Checks that the schedule holds and the bounds are kept."""
+
+    def build_plan(self, **more: object) -> running.Plan:
+        profile: profiles.Profile = test_load_traffic.build_profile(
+            daemons=[self.address], duration_ms=400, drain_ms=2000, **more
+        )
+        keys = profiles.read_keys(_GUILD / "profile.json", profile)
+        return running.Plan(name="p", profile=profile, keys=keys)
+
+    async def run_plan(self, plan: running.Plan) -> list[samples.Sample]:
+        output = io.BytesIO()
+        self.summary = await running.run_plan(plan, output)
+        lines = output.getvalue().splitlines()
+        self.kinds = [json.loads(line)["kind"] for line in lines]
+        return [
+            msgspec.json.decode(line, type=samples.Sample)
+            for line, kind in zip(lines, self.kinds, strict=True)
+            if kind == "request"
+        ]
+
+    async def test_all_planned_requests_are_sent_and_checked(self) -> None:
+        plan = self.build_plan()
+        expected = list(traffic.plan_requests(plan.profile, None))
+        found = await self.run_plan(plan)
+        self.assertEqual(len(found), len(expected))
+        self.assertEqual(self.summary.fates, {"whole": len(expected)})
+        self.assertEqual(self.kinds[0], "run")
+        self.assertEqual(self.kinds[-1], "summary")
+
+    async def test_slow_answers_hold_no_request_up(self) -> None:
+        waiting = 0
+        most = 0
+        release = asyncio.Event()
+
+        async def hold(
+            path: str, body: bytes, writer: asyncio.StreamWriter
+        ) -> bool:
+            nonlocal waiting, most
+            waiting += 1
+            most = max(most, waiting)
+            if waiting == 5:
+                release.set()
+            await release.wait()
+            return await serve_whole(path, body, writer)
+
+        self.serve = hold
+        found = await self.run_plan(self.build_plan())
+        self.assertGreaterEqual(most, 5)
+        self.assertEqual({x.fate for x in found}, {samples.Fate.WHOLE})
+
+    async def test_requests_past_the_limit_are_counted_not_sent(self) -> None:
+        async def hang(
+            _path: str, _body: bytes, _writer: asyncio.StreamWriter
+        ) -> bool:
+            await asyncio.sleep(30)
+            return False
+
+        self.serve = hang
+        plan = self.build_plan(in_flight_limit=2)
+        found = await self.run_plan(plan)
+        self.assertEqual(self.connections, 2)
+        fates = [item.fate for item in found]
+        self.assertEqual(fates.count(samples.Fate.LOST), 2)
+        unsent = fates.count(samples.Fate.NOT_SENT)
+        self.assertEqual(unsent, len(found) - 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
