--- a/mothpass/adapters/platform_http.py
+++ b/mothpass/adapters/platform_http.py
@@ -97,10 +97,11 @@
                 response = await connection.send(request)
                 content = await response.read() or b""
         except asyncio.CancelledError:
-            await connection.close()
+            _close(connection)
             raise
         except Exception as error:
-            await self._drop(connection)
+            _close(connection)
+            self.close()
             raise errors.StoreUnconfirmedError(
                 f"{self._base}: answer lost: {error!r}"
             ) from error
@@ -133,11 +134,11 @@
         except errors.StoreUnconfirmedError as error:
             raise errors.StoreUnavailableError(str(error)) from error
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Closes all idle connections."""
         idle, self._idle = self._idle, []
         for connection in idle:
-            await connection.close()
+            _close(connection)
 
     def try_return_connection(
         self, connection: client_connection.HTTP11Connection
@@ -145,8 +146,8 @@
         """Takes back a connection whose answer was read whole."""
         if len(self._idle) < _IDLE_LIMIT:
             self._idle.append(connection)
-        elif connection.writer is not None:
-            connection.writer.close()
+        else:
+            _close(connection)
 
     def _take_idle(self) -> client_connection.HTTP11Connection | None:
         while self._idle:
@@ -154,8 +155,7 @@
             ended = connection.reader is None or connection.reader.at_eof()
             if connection.is_alive() and not ended:
                 return connection
-            if connection.writer is not None:
-                connection.writer.close()
+            _close(connection)
         return None
 
     async def _connect(self) -> client_connection.HTTP11Connection:
@@ -171,12 +171,6 @@
             ) from error
         return connection
 
-    async def _drop(
-        self, connection: client_connection.HTTP11Connection
-    ) -> None:
-        await connection.close()
-        await self.close()
-
     def _build_request(
         self, method: str, path: str, body: bytes | None
     ) -> blacksheep.Request:
@@ -200,6 +194,12 @@
         return reply
 
 
+def _close(connection: client_connection.HTTP11Connection) -> None:
+    """Closes a connection without waiting for its other end."""
+    if connection.writer is not None:
+        connection.writer.close()
+
+
 def quote(name: str) -> str:
     """Percent-encodes a key or name as one part of a path."""
     return urllib.parse.quote(name, safe="")
--- a/mothpass/programs/mothpass_standin.py
+++ b/mothpass/programs/mothpass_standin.py
@@ -40,7 +40,7 @@
     run: abc.Callable[[typing.Any], abc.Coroutine[typing.Any, typing.Any, None]]
 
 
-_KINDS = (
+KINDS = (
     Kind(
         name="engine",
         description="A model engine.",
@@ -161,7 +161,7 @@
 def build_application() -> cleo.application.Application:
     """Returns the command line with all subcommands."""
     application = cleo.application.Application("mothpass-standin")
-    for kind in _KINDS:
+    for kind in KINDS:
         application.add(_build_command(kind))
     return application
 
--- a/mothpass/standin/registrations.py
+++ b/mothpass/standin/registrations.py
@@ -88,7 +88,7 @@
         if self._task is not None:
             self._task.cancel()
         await self._send("DELETE", f"/v1/instances/{self._instance.id}")
-        await self._exchange.close()
+        self._exchange.close()
 
     async def _run(self) -> None:
         while True:
