--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -384,7 +384,7 @@
         for listener in self._listeners:
             listener.abort()
         self._pool.close()
-        await self._platform.close()
+        self._platform.close()
 
 
 async def run_daemon(settings: settings_module.Settings) -> None:
