Bound what a surge, retries and a crashing request cost, and measure it

Cause: a request that crashes its target was tried again by each daemon that got it, and two suspects of different daemons could stand at one target, so that the second death convicted innocents. Ruled out: quarantine at the first death (kills 1, but none of those beside are served); a trial by whichever daemon gets the resend (a third target dies before the news of the second arrives).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,13 +5,17 @@
 
 import msgspec
 
+from bench import killers
 from bench import measures
+from bench import overload
 from bench import skew
 
 SEED = 7
 
 MEASURES: dict[str, abc.Callable[[int], list[measures.Measure]]] = {
     "skew": skew.measure,
+    "overload": overload.measure,
+    "killers": killers.measure,
 }
 
 
--- a/mothpass/adapters/peer_messages.py
+++ b/mothpass/adapters/peer_messages.py
@@ -43,6 +43,7 @@
         target_id=request.target_id,
         boot_id=request.boot_id,
         call_ms=request.call_ms,
+        alone=request.alone,
     )
 
 
@@ -54,6 +55,7 @@
         target_id=message.target_id,
         boot_id=message.boot_id,
         call_ms=message.call_ms,
+        alone=message.alone,
     )
 
 
@@ -159,7 +161,9 @@
         fingerprint=record.fingerprint,
         boots=record.boots,
         position=record.position,
-        cleared=record.cleared,
+        forgiven=record.forgiven,
+        trial_number=record.trial_number,
+        trial_by=record.trial_by,
         age_ms=record.age_ms,
     )
 
@@ -169,6 +173,8 @@
         fingerprint=message.fingerprint,
         boots=list(message.boots),
         position=message.position,
-        cleared=message.cleared,
+        forgiven=list(message.forgiven),
+        trial_number=message.trial_number,
+        trial_by=message.trial_by,
         age_ms=message.age_ms,
     )
--- a/mothpass/core/gate_table.py
+++ b/mothpass/core/gate_table.py
@@ -8,6 +8,7 @@
 from mothpass.core import leases
 from mothpass.core import preference
 from mothpass.core import targets
+from mothpass.core import trials
 
 PARTITIONS = 16
 GATES_ASKED = 2
@@ -52,6 +53,7 @@
         "_gates",
         "_instance_id",
         "_sightings",
+        "_trials",
         "leases",
     )
 
@@ -79,6 +81,7 @@
         self._call_limit_ms = call_limit_ms
         self._gates: dict[str, gates.Gate] = {}
         self._sightings: dict[str, _Sighting] = {}
+        self._trials = trials.TrialTable()
 
     def plan(
         self, daemons: abc.Iterable[str], *, now: float
@@ -117,6 +120,8 @@
         lease = self.leases[find_partition(request.target_id)]
         if not lease.is_held(now):
             return gates.Denied(reason=gates.Reason.NOT_HOLDER)
+        if request.alone:
+            return self._trials.grant(request, fencing=lease.fencing, now=now)
         gate = self._find_gate(request.target_id, lease)
         if gate is None:
             return gates.Denied(reason=gates.Reason.OTHER_BOOT)
@@ -124,6 +129,9 @@
 
     def release(self, release: gates.Release, *, now: float) -> None:
         """Takes in that the call of a permit has ended."""
+        if release.source is gates.Source.TRIAL:
+            self._trials.release(release)
+            return
         lease = self.leases[find_partition(release.target_id)]
         if not lease.is_held(now):
             return
@@ -133,6 +141,7 @@
 
     def expire(self, now: float) -> None:
         """Drops what has surely ended, and gates whose lease has."""
+        self._trials.expire(now)
         for target_id in list(self._gates):
             lease = self.leases[find_partition(target_id)]
             gate = self._gates[target_id]
--- a/mothpass/core/gates.py
+++ b/mothpass/core/gates.py
@@ -26,6 +26,7 @@
 
     GATE = "gate"
     RESERVE = "reserve"
+    TRIAL = "trial"
 
 
 class Permit(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,11 +59,14 @@
         target_id: The target.
         boot_id: Start of the target, as the asking daemon knows it.
         call_ms: Most time that the call may take once it has started.
+        alone: Whether it is for the trial of a suspect, which must be the
+            only one at the target; see core/trials.py.
     """
 
     target_id: str
     boot_id: str
     call_ms: int
+    alone: bool = False
 
 
 class Granted(msgspec.Struct, frozen=True, kw_only=True):
@@ -134,7 +138,7 @@
     return Permit(
         target_id=request.target_id,
         boot_id=request.boot_id,
-        source=Source.GATE,
+        source=Source.TRIAL if request.alone else Source.GATE,
         gate=gate,
         number=granted.number,
         fencing=granted.fencing,
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -36,7 +36,8 @@
         name: Model or service.
         chat: 64-bit hash of the chat; None for a call of a plain service.
         excluded: Targets that the call must not go to.
-        alone: Whether it must be the only call of this daemon there.
+        alone: Whether it is a suspect on trial, which must be the only one
+            at its target.
     """
 
     name: str
@@ -66,11 +67,13 @@
         target_id: The target.
         boot_id: Its start.
         gates: Ids of the daemons to ask, in order.
+        alone: Whether the call is the trial of a suspect.
     """
 
     target_id: str
     boot_id: str
     gates: tuple[str, ...]
+    alone: bool = False
 
 
 class Wait(msgspec.Struct, frozen=True, kw_only=True):
@@ -391,14 +394,16 @@
     def _choose_alone(
         self, pool: pools.Pool, request: RouteRequest, now: float
     ) -> Choice:
-        """Chooses a warm target where this daemon has no other call."""
-        usable = self._list_usable(pool, request, now)
-        idle = [item for item in usable if not item.own and not item.is_cold()]
-        if not idle:
+        """Chooses the least loaded warm target whose gate may be asked."""
+        open_targets = [
+            item
+            for item in self._list_usable(pool, request, now)
+            if not item.is_cold() and item.boot_id and now >= item.ask_after
+        ]
+        if not open_targets:
             return Wait(until=now + WAIT_S)
-        target = min(idle, key=lambda item: item.load)
-        target.alone = True
-        return _send(target)
+        target = min(open_targets, key=lambda item: item.load)
+        return self._ask_gate(target, now, alone=True)
 
     def _list_usable(
         self, pool: pools.Pool, request: RouteRequest, now: float
@@ -446,11 +451,17 @@
             return _send(target, permit)
         if now < target.ask_after or not target.boot_id:
             return None
+        return self._ask_gate(target, now, alone=False)
+
+    def _ask_gate(
+        self, target: targets.Target, now: float, *, alone: bool
+    ) -> AskPermit:
         target.ask_after = now + self._ask_interval()
         return AskPermit(
             target_id=target.id,
             boot_id=target.boot_id,
             gates=self._gates.get(gate_table.find_partition(target.id), ()),
+            alone=alone,
         )
 
     def _ask_interval(self) -> float:
@@ -542,7 +553,7 @@
 
 def _is_open(target: targets.Target, now: float) -> bool:
     """Tells whether a target isn't left alone for now."""
-    return now >= target.closed_until and not target.alone
+    return now >= target.closed_until
 
 
 def _send(target: targets.Target, permit: gates.Permit | None = None) -> Send:
--- a/mothpass/core/targets.py
+++ b/mothpass/core/targets.py
@@ -85,7 +85,6 @@
             a failure.
         ask_after: Monotonic seconds before which no permit is asked for.
         spread: Hash of the id, the same at each daemon.
-        alone: Whether a call that must be alone runs there.
     """
 
     __slots__ = (
@@ -95,7 +94,6 @@
         "_own_history",
         "_slow_answers",
         "_suspected_since",
-        "alone",
         "ask_after",
         "closed_until",
         "cold_start",
@@ -115,7 +113,6 @@
         self.others = 0
         self.own_at_report = 0
         self.cold_start: catalogue.ColdStart | None = None
-        self.alone = False
         self.spread = preference.hash_name(instance.id)
         self.closed_until = float("-inf")
         self.ask_after = float("-inf")
@@ -209,7 +206,6 @@
     def finish_call(self, outcome: Outcome, now: float) -> None:
         """Counts one call less, and backs off after a failure."""
         self.own = max(0, self.own - 1)
-        self.alone = False
         self._log_own(now)
         if outcome is Outcome.ANSWERED:
             self._failures = 0
--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -132,9 +132,10 @@
                             first_token_ms=(now - sent_at) * 1000,
                             now=now,
                         )
-                    self._deaths.note_position(
+                    if self._deaths.note_position(
                         place.target_id, attempt.id, stream.position, now=now
-                    )
+                    ):
+                        self._placement.end_trial(place)
                     if stream.whole:
                         outcome = target_states.Outcome.ANSWERED
                     yield events
--- a/mothpass/daemon/deaths.py
+++ b/mothpass/daemon/deaths.py
@@ -36,15 +36,21 @@
 
     def note_position(
         self, target_id: str, attempt_id: str, position: int, *, now: float
-    ) -> None:
-        """Notes how many events an attempt has brought."""
+    ) -> bool:
+        """Notes how many events an attempt has brought.
+
+        Returns:
+            Whether this cleared a suspect.
+        """
         run = self._runs.get(target_id, {}).get(attempt_id)
-        if run is not None:
-            run.position = position
-            if len(self._suspects):
-                self._suspects.record_progress(
-                    run.fingerprint, position, now=now
-                )
+        if run is None:
+            return False
+        run.position = position
+        if not len(self._suspects):
+            return False
+        return self._suspects.record_progress(
+            run.fingerprint, position, now=now
+        )
 
     def end(
         self, target_id: str, attempt_id: str, *, whole: bool, now: float
--- a/mothpass/daemon/dispatch.py
+++ b/mothpass/daemon/dispatch.py
@@ -23,6 +23,7 @@
 ATTEMPTS_PER_REQUEST = 4
 RETRY_AFTER_MS = 1000
 QUARANTINE_RETRY_MS = 60_000
+TRIAL_RETRY_MS = 2000
 
 # Runs a call that may not be repeated at most once, see daemon.claims.
 RunOnce = abc.Callable[
@@ -81,7 +82,7 @@
         Raises:
             errors.RefusalError: If the answer can't be had, or not whole.
         """
-        with self._admit(call):
+        with self._admit(call, trace):
             excluded: frozenset[str] = frozenset()
             while True:
                 place = await self._place(call, trace, excluded)
@@ -110,13 +111,15 @@
         Raises:
             errors.RefusalError: If there is none.
         """
-        with self._admit(call):
+        with self._admit(call, trace):
             if call.repeatable:
                 return await self._call_repeatable(call, trace)
             return await self._call_claimed(call, trace)
 
     @contextlib.contextmanager
-    def _admit(self, call: calls.Call) -> abc.Iterator[None]:
+    def _admit(
+        self, call: calls.Call, trace: attempts.Trace
+    ) -> abc.Iterator[None]:
         """Counts a call against the limits while it runs."""
         now = self._parts.clock()
         with contextlib.ExitStack() as stack:
@@ -128,8 +131,16 @@
                 if refusal is not None:
                     raise errors.RefusalError(refusal)
                 stack.callback(limiter.finish, name)
+            stack.callback(self._end_trial, call, trace)
             yield
 
+    def _end_trial(self, call: calls.Call, trace: attempts.Trace) -> None:
+        """Lets a resend of a suspect be tried wherever it arrives."""
+        if trace.attempts:
+            self._parts.suspects.give_back_trial(
+                call.fingerprint, now=self._parts.clock()
+            )
+
     async def _call_repeatable(
         self, call: calls.Call, trace: attempts.Trace
     ) -> targets.Answer:
@@ -210,17 +221,7 @@
         self, call: calls.Call, trace: attempts.Trace, excluded: frozenset[str]
     ) -> placement.Place:
         """Finds a target, unless the request is known to crash targets."""
-        verdict = self._parts.suspects.check(
-            call.fingerprint, now=self._parts.clock()
-        )
-        if verdict is suspects.Verdict.QUARANTINED:
-            raise _refuse(
-                trace,
-                results.Code.REQUEST_QUARANTINED,
-                "targets died while running this request",
-                QUARANTINE_RETRY_MS,
-            )
-        alone = verdict is suspects.Verdict.ALONE
+        alone = await self._settle_suspicion(call, trace)
         try:
             return await self._parts.placement.place(
                 call, excluded=excluded, alone=alone
@@ -231,6 +232,46 @@
             )
             raise errors.RefusalError(refusal) from error
 
+    async def _settle_suspicion(
+        self, call: calls.Call, trace: attempts.Trace
+    ) -> bool:
+        """Waits until the request may run; returns whether only on trial.
+
+        Raises:
+            errors.RefusalError: If it may not run here now.
+        """
+        found = self._parts.suspects
+        while True:
+            now = self._parts.clock()
+            decision = found.check(call.fingerprint, now=now)
+            if decision.verdict is suspects.Verdict.CLEAR:
+                return False
+            if decision.verdict is suspects.Verdict.ALONE:
+                return True
+            if decision.verdict is suspects.Verdict.QUARANTINED:
+                raise _refuse(
+                    trace,
+                    results.Code.REQUEST_QUARANTINED,
+                    "targets died while running this request",
+                    QUARANTINE_RETRY_MS,
+                )
+            if decision.verdict is suspects.Verdict.ELSEWHERE:
+                raise _refuse(
+                    trace,
+                    results.Code.REQUEST_QUARANTINED,
+                    "a target died while running this request; it is being "
+                    "tried again already",
+                    TRIAL_RETRY_MS,
+                )
+            if decision.until >= call.deadline:
+                raise _refuse(
+                    trace,
+                    results.Code.DEADLINE_EXCEEDED,
+                    "no time is left to try this request again",
+                    TRIAL_RETRY_MS,
+                )
+            await asyncio.sleep(max(0.0, decision.until - now))
+
     async def _prepare_retry(
         self,
         call: calls.Call,
--- a/mothpass/daemon/permits.py
+++ b/mothpass/daemon/permits.py
@@ -97,6 +97,7 @@
                 target_id=ask.target_id,
                 boot_id=ask.boot_id,
                 call_ms=max(1, math.ceil((deadline - now) * 1000.0)),
+                alone=ask.alone,
             )
             reply = await self._ask(gate_id, request)
             if isinstance(reply, gates.Granted):
@@ -114,7 +115,7 @@
         The gate is told in the background. A release that never arrives
         costs room at the gate until the call has surely ended.
         """
-        if permit.source is not gates.Source.GATE:
+        if permit.source is gates.Source.RESERVE:
             return
         release = gates.make_release(
             permit, answered=outcome is targets.Outcome.ANSWERED
--- a/mothpass/daemon/placement.py
+++ b/mothpass/daemon/placement.py
@@ -158,6 +158,12 @@
             self._release(permit, outcome)
         self.wake()
 
+    def end_trial(self, place: Place) -> None:
+        """Lets another suspect be tried at the target of a cleared one."""
+        permit = place.permit
+        if permit is not None and permit.source is gates.Source.TRIAL:
+            self._release(permit, targets.Outcome.ANSWERED)
+
     def wake(self) -> None:
         """Looks again at what waits, after something has changed."""
         for name, queue in self._queues.items():
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -98,7 +98,7 @@
         )
         self._teams = limits.Limiter(code=results.Code.TEAM_LIMIT)
         self._names = limits.Limiter(code=results.Code.OVERLOADED)
-        self._suspects = suspects.Suspects()
+        self._suspects = suspects.Suspects(own_id=settings.instance.id)
         self._pool = http_pool.Pool(
             connect_timeout_ms=settings.targets.connect_timeout_ms
         )
--- a/mothpass/daemon/status.py
+++ b/mothpass/daemon/status.py
@@ -210,10 +210,11 @@
     return [
         status_page.SuspectStatus(
             fingerprint=f"{record.fingerprint:016x}",
-            deaths=len(record.boots),
-            quarantined=parts.suspects.check(record.fingerprint, now=now)
-            is suspects.Verdict.QUARANTINED,
+            deaths=len(set(record.boots) - set(record.forgiven)),
+            quarantined=parts.suspects.is_quarantined(
+                record.fingerprint, now=now
+            ),
         )
         for record in records
-        if not record.cleared
+        if set(record.boots) - set(record.forgiven)
     ]
