Show a stream fault when its event is sent, and take heartbeats from one place

Cause: all stream faults were taken by the first stream that opened, so that a stream could not be cut again after it was resumed; heartbeats stood twice. Ruled out: an order among faults; the position of the event is enough. Conclusion: faults can be set for each resumption of a stream.

--- a/mothpass/standin/engine_http.py
+++ b/mothpass/standin/engine_http.py
@@ -173,14 +173,15 @@
     start: int,
 ) -> blacksheep.Response:
     connection = servers.get_connection(request)
-    planned = state.faults.take_stream_faults()
     attempt_id = attempt.order.attempt_id
 
     async def send_events() -> abc.AsyncIterator[bytes]:
         state.add_reader(attempt)
         try:
             frames = streams.read_frames(attempt, start, connection)
-            shown = streams.show_faults(frames, planned, attempt_id, connection)
+            shown = streams.show_faults(
+                frames, state.faults.take_stream_fault, attempt_id, connection
+            )
             async for data in shown:
                 yield data
             if attempt.stopped:
--- a/mothpass/standin/faults.py
+++ b/mothpass/standin/faults.py
@@ -16,6 +16,7 @@
 
 from mothpass.core import documents
 from mothpass.core import errors
+from mothpass.standin import bodies
 from mothpass.standin import connections
 
 EXIT_FAULT = 71
@@ -32,7 +33,7 @@
 class StreamFault(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
-    """A fault in the answers of the streams that open next.
+    """A fault where streams send an event at one position.
 
     Attributes:
         kind: ``cut`` closes the connection after the event ``at``;
@@ -41,7 +42,7 @@
             ``skip`` leaves it out; ``reorder`` sends it after the next one;
             ``late`` sends it and what follows ``delay_ms`` later.
         at: Position of the event.
-        count: Streams that still show it; one less with each.
+        count: How often it is still shown; one less with each time.
         delay_ms: Delay of ``late`` in milliseconds.
     """
 
@@ -141,15 +142,15 @@
         if self.on_change is not None:
             self.on_change(self.faults)
 
-    def take_stream_faults(self) -> list[StreamFault]:
-        """Returns the faults of a stream that opens now."""
-        taken = [item for item in self.faults.streams if item.count > 0]
-        self.faults.streams = [
-            msgspec.structs.replace(item, count=item.count - 1)
-            for item in taken
-            if item.count > 1
-        ]
-        return taken
+    def take_stream_fault(self, position: int) -> StreamFault | None:
+        """Returns the fault to show with the event sent now, None without."""
+        for index, item in enumerate(self.faults.streams):
+            if item.at == position and item.count > 0:
+                self.faults.streams[index] = msgspec.structs.replace(
+                    item, count=item.count - 1
+                )
+                return item
+        return None
 
     def take_crossed_answer(self) -> bool:
         """Tells whether the answer given now is to show another attempt."""
@@ -203,21 +204,14 @@
         try:
             state.change(body)
         except errors.DocumentError as error:
-            return _answer_json(422, {"problems": error.problems})
-        return _answer_json(200, state.faults)
+            return bodies.answer_json(422, {"problems": error.problems})
+        return bodies.answer_json(200, state.faults)
 
     @app.router.get(_PATH)
     async def show_faults() -> blacksheep.Response:
-        return _answer_json(200, state.faults)
+        return bodies.answer_json(200, state.faults)
 
     @app.router.delete(_PATH)
     async def clear_faults() -> blacksheep.Response:
         state.clear()
-        return _answer_json(200, state.faults)
-
-
-def _answer_json(status: int, value: object) -> blacksheep.Response:
-    content = blacksheep.Content(
-        b"application/json", msgspec.json.encode(value)
-    )
-    return blacksheep.Response(status, None, content)
+        return bodies.answer_json(200, state.faults)
--- a/mothpass/standin/registrations.py
+++ b/mothpass/standin/registrations.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mothpass.adapters import heartbeats_http
 from mothpass.adapters import platform_http
 from mothpass.core import errors
 from mothpass.ports import members
@@ -13,6 +14,8 @@
 
 _MS_PER_S = 1000
 _TIMEOUT_S = 1.0
+# A heartbeat that is lost is made good by the next one.
+_LOST = (errors.StoreUnavailableError, errors.StoreUnconfirmedError)
 
 ReadState = abc.Callable[[], members.State]
 
@@ -62,8 +65,6 @@
 
     async def start(self, address: str) -> None:
         """Starts to send heartbeats for the target at an address."""
-        if self._exchange is None:
-            return
         self._instance = msgspec.structs.replace(
             self._instance, address=address
         )
@@ -72,34 +73,27 @@
 
     async def beat(self) -> None:
         """Sends one heartbeat now, in the present state."""
+        if self._exchange is None:
+            return
+        send = heartbeats_http.build_send_heartbeat(self._exchange)
         instance = msgspec.structs.replace(
             self._instance, state=self._read_state()
         )
-        await self._send(
-            "POST",
-            f"/v1/heartbeats/{instance.id}",
-            msgspec.json.encode(instance),
-        )
+        with contextlib.suppress(*_LOST):
+            await send(instance)
 
     async def remove(self) -> None:
         """Stops the heartbeats and takes the target off the list."""
-        if self._exchange is None:
-            return
         if self._task is not None:
             self._task.cancel()
-        await self._send("DELETE", f"/v1/instances/{self._instance.id}")
+        if self._exchange is None:
+            return
+        remove = heartbeats_http.build_remove_instance(self._exchange)
+        with contextlib.suppress(*_LOST):
+            await remove(self._instance.id)
         self._exchange.close()
 
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(self._interval_s)
             await self.beat()
-
-    async def _send(
-        self, method: str, path: str, body: bytes | None = None
-    ) -> None:
-        if self._exchange is None:
-            return
-        lost = (errors.StoreUnavailableError, errors.StoreUnconfirmedError)
-        with contextlib.suppress(*lost):
-            await self._exchange.write(method, path, body)
--- a/mothpass/standin/servers.py
+++ b/mothpass/standin/servers.py
@@ -8,6 +8,7 @@
 import typing
 
 import blacksheep
+import msgspec
 import uvicorn
 
 from mothpass.standin import connections
@@ -26,7 +27,7 @@
 _DOWN_BODY = b'{"ran": "no", "message": "down"}'
 
 
-class Hooks(typing.NamedTuple):
+class Hooks(msgspec.Struct, frozen=True, kw_only=True):
     """What a stand-in does beside serving.
 
     Attributes:
--- a/mothpass/standin/streams.py
+++ b/mothpass/standin/streams.py
@@ -10,6 +10,10 @@
 from mothpass.standin import faults
 
 _MS_PER_S = 1000
+_CROSSED_DATA = b'{"choices":[{"delta":{"content":"crossed"}}]}'
+
+# Returns the fault to show with the event at a position, None without one.
+TakeFault = abc.Callable[[int], faults.StreamFault | None]
 
 
 class Frame(msgspec.Struct, frozen=True, kw_only=True):
@@ -73,37 +77,55 @@
 
 async def show_faults(
     frames: abc.AsyncIterator[Frame],
-    planned: list[faults.StreamFault],
+    take_fault: TakeFault,
     attempt_id: str,
     connection: connections.Connection,
 ) -> abc.AsyncIterator[bytes]:
-    """Yields the bytes of events with faults at the positions asked for."""
+    """Yields the bytes of events with faults at the positions asked for.
+
+    Args:
+        frames: Events in order.
+        take_fault: Returns the fault to show with an event.
+        attempt_id: Attempt that the events belong to.
+        connection: Where they are sent.
+
+    Yields:
+        What to send.
+    """
     held = b""
-    by_position = {item.at: item for item in planned}
     async for frame in frames:
-        fault = by_position.get(frame.position)
+        fault = take_fault(frame.position)
         kind = None if fault is None else fault.kind
         if fault is not None and kind == "late":
             await asyncio.sleep(fault.delay_ms / _MS_PER_S)
         if kind == "reorder":
             held = frame.data
             continue
-        if kind != "skip":
-            yield frame.data
-        if held:
-            yield held
-            held = b""
-        if kind == "double":
-            yield frame.data
-        elif kind == "cross":
-            yield encode_event(
-                f"other-{attempt_id}",
-                frame.position + 1,
-                b'{"choices":[{"delta":{"content":"crossed"}}]}',
-                False,
-            )
+        data = _spoil_frame(frame, kind, attempt_id) + held
+        held = b""
+        # An empty chunk would end the answer.
+        if data:
+            yield data
+        if kind == "silent":
+            connection.silent = True
         elif kind == "cut":
             connection.close()
             return
-        elif kind == "silent":
-            connection.silent = True
+    if held:
+        yield held
+
+
+def _spoil_frame(
+    frame: Frame, kind: faults.StreamKind | None, attempt_id: str
+) -> bytes:
+    """Returns what is sent in the place of one event."""
+    if kind == "skip":
+        return b""
+    if kind == "double":
+        return frame.data + frame.data
+    if kind == "cross":
+        crossed = encode_event(
+            f"other-{attempt_id}", frame.position + 1, _CROSSED_DATA, False
+        )
+        return frame.data + crossed
+    return frame.data
--- /dev/null
+++ b/tests/deployments.py
@@ -0,0 +1,208 @@
+"""A small deployment of stand-ins and daemons as processes for tests."""
+
+import hashlib
+import json
+import typing
+
+from tests import http_calls
+from tests import processes
+
+MODEL = "advice"
+SERVICE = "chair-payment"
+TEAM_KEY = "victoria-harbour-test-key"
+ZONES = ("bc-west-a", "bc-west-b")
+_OPERATOR_TOKEN = "operator-token-of-the-tests"
+_REGION = "bc-west"
+_SILENCE_MS = 300
+_COLD_IN_FLIGHT = 4
+_WARM_IN_FLIGHT = 16
+_TARGET_IN_FLIGHT = 64
+
+
+def _hash(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+class Deployment:
+    """Platform, targets and daemons that end with the test.
+
+    Attributes:
+        started: All its processes.
+        table: Table service.
+        objects: Object store.
+        members: Membership list.
+        daemons: Daemons by id.
+        targets: Engines and services by id.
+    """
+
+    __slots__ = (
+        "_operators",
+        "daemons",
+        "members",
+        "objects",
+        "started",
+        "table",
+        "targets",
+    )
+
+    def __init__(self, *, started: processes.Processes) -> None:
+        """Starts the platform.
+
+        Args:
+            started: Ends the processes.
+        """
+        self.started = started
+        self.table = started.start_standin("table")
+        self.objects = started.start_standin("objects")
+        self.members = started.start_standin(
+            "members", lag_ms=100, heartbeat_ttl_ms=2000
+        )
+        self.daemons: dict[str, processes.Process] = {}
+        self.targets: dict[str, processes.Process] = {}
+        self._operators: dict[str, str] = {}
+
+    def add_engine(
+        self, name: str, zone: int = 0, **settings: object
+    ) -> processes.Process:
+        """Starts an engine that registers itself.
+
+        Args:
+            name: Instance id.
+            zone: Index of its zone.
+            settings: Settings that differ from those of the tests.
+
+        Returns:
+            Its process.
+        """
+        fields = {
+            "start_warm": True,
+            "cold_in_flight": _COLD_IN_FLIGHT,
+            "warm_in_flight": _WARM_IN_FLIGHT,
+            "token_us": 2000,
+            "load_lag_ms": 200,
+            "serves": [MODEL],
+        }
+        return self._add_target("engine", name, zone, fields | settings)
+
+    def add_service(self, name: str, zone: int = 0) -> processes.Process:
+        """Starts a service that registers itself."""
+        return self._add_target("service", name, zone, {"serves": [SERVICE]})
+
+    def add_daemon(self, name: str, zone: int = 0) -> processes.Process:
+        """Starts a daemon and waits until it is ready.
+
+        The first one accepts the catalogue of the tests.
+        """
+        settings = self._build_settings(name, zone)
+        process = self.started.launch_daemon(settings)
+        self.daemons[name] = process
+        self._operators[name] = settings["operators"]["address"]
+        if len(self.daemons) == 1:
+            processes.wait_until(lambda: self._apply_catalogue(name), process)
+        processes.wait_until(lambda: processes.is_ready(process), process)
+        return process
+
+    def operate(
+        self, daemon: str, method: str, path: str, document: object = None
+    ) -> http_calls.Answer:
+        """Makes a call of an operator at a daemon."""
+        body = None if document is None else json.dumps(document).encode()
+        headers = {"Authorization": f"Bearer {_OPERATOR_TOKEN}"}
+        return http_calls.call(
+            self._operators[daemon], method, path, body, headers
+        )
+
+    def read_started(self, target: str) -> int:
+        """Returns the attempts that an engine has taken so far."""
+        address = self.targets[target].address
+        stats = http_calls.call(address, "GET", "/v1/stats").decode()
+        return typing.cast(int, stats["started"])
+
+    def _add_target(
+        self, kind: str, name: str, zone: int, settings: dict[str, typing.Any]
+    ) -> processes.Process:
+        process = self.started.start_standin(
+            kind,
+            id=name,
+            availability_zone=ZONES[zone],
+            members_url=self.members.url,
+            heartbeat_ms=100,
+            **settings,
+        )
+        self.targets[name] = process
+        return process
+
+    def _apply_catalogue(self, name: str) -> bool:
+        change = {
+            "base_version": 0,
+            "catalogue": _build_catalogue(),
+            "author": "tests",
+        }
+        try:
+            answer = self.operate(name, "PUT", "/v1/catalogue", change)
+        except OSError:
+            return False
+        return answer.status == http_calls.OK
+
+    def _build_settings(self, name: str, zone: int) -> dict[str, typing.Any]:
+        return {
+            "instance": {
+                "id": name,
+                "region": _REGION,
+                "availability_zone": ZONES[zone],
+                "slot": len(self.daemons),
+                "slots": 4,
+            },
+            "callers": {"address": processes.find_free_address()},
+            "operators": {
+                "address": processes.find_free_address(),
+                "token_sha256": [_hash(_OPERATOR_TOKEN)],
+            },
+            "peers": {
+                "address": processes.find_free_address(),
+                "key": "secret-of-the-daemons-in-tests",
+                "tick_ms": 100,
+            },
+            "platform": {
+                "tables_url": self.table.url,
+                "objects_url": self.objects.url,
+                "members_url": self.members.url,
+                "timeout_ms": 500,
+            },
+            "targets": {"silence_ms": _SILENCE_MS, "load_poll_ms": 200},
+            "telemetry": {"log_level": "warning"},
+            "shutdown": {"announce_ms": 200, "drain_ms": 20_000},
+        }
+
+
+def _build_catalogue() -> dict[str, typing.Any]:
+    limits = {"in_flight": 500, "requests_per_s": 5000, "queued": 500}
+    entry = {"owner": "tests", "class": "quick", "limits": limits}
+    model = {
+        "name": MODEL,
+        "target_in_flight": _TARGET_IN_FLIGHT,
+        "cold_start": {
+            "in_flight": _COLD_IN_FLIGHT,
+            "answers_per_step": 2,
+            "warm_in_flight": _WARM_IN_FLIGHT,
+        },
+    }
+    service = {
+        "name": SERVICE,
+        "repeatable": False,
+        "target_in_flight": _TARGET_IN_FLIGHT,
+    }
+    team = {
+        "name": "victoria-harbour",
+        "key_sha256": [_hash(TEAM_KEY)],
+        "uses": [MODEL, SERVICE],
+    }
+    return {
+        "classes": [{"name": "quick", "priority": 1, "deadline_ms": 20_000}],
+        "models": [entry | model],
+        "services": [entry | service],
+        "teams": [entry | team],
+        "availability_zones": [
+            {"name": zone, "region": _REGION} for zone in ZONES
+        ],
+    }
