--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -297,6 +297,7 @@
         lifespan="off",
         log_config=None,
         access_log=False,
+        proxy_headers=False,
         server_header=False,
         date_header=False,
         timeout_keep_alive=KEEP_ALIVE_S,
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -144,7 +144,7 @@
         """Starts a daemon as start_daemon does, without waiting."""
         name = str(settings["instance"]["id"])
         path = self.write_document(f"{name}-{len(self._started)}", settings)
-        process = self._start(name, _DAEMON, "--settings", str(path))
+        process = self._start(name, _DAEMON, str(path))
         process.address = settings["callers"]["address"]
         return process
 
