Bound the demo in time, and let it keep a deployment up

Cause: first runs of the demo: with answers lost it ran past 100 s (15 s for each), and a port taken by another deployment was reported only as a catalogue that was not accepted. Change: one deadline of 40 s for all sending; the script stops at once when a process that it started has ended; a deployment may be a path; 'up' keeps it running for operators' commands.

--- a/mothpass/load/demonstration.py
+++ b/mothpass/load/demonstration.py
@@ -20,6 +20,7 @@
 _ROUNDS = 2
 _PAYMENTS = 3
 _ANSWER_TIMEOUT_S = 15.0
+_DEMO_TIMEOUT_S = 40.0
 _PROBE_TIMEOUT_MS = 1000
 _PROBE_PAUSE_S = 0.1
 _SHOWN_CHARACTERS = 48
@@ -66,13 +67,24 @@
 class _Demo:
     """State of one demo."""
 
-    __slots__ = ("addresses", "cached", "keys", "pool", "prompt", "totals")
+    __slots__ = (
+        "addresses",
+        "cached",
+        "deadline",
+        "keys",
+        "pool",
+        "prompt",
+        "totals",
+    )
 
-    def __init__(self, *, fleet: fleets.Fleet, keys: fleets.Keys) -> None:
+    def __init__(
+        self, *, fleet: fleets.Fleet, keys: fleets.Keys, deadline: float
+    ) -> None:
         callers = fleets.list_caller_addresses(fleet)
         addresses.check_loopback(callers, "$.daemons")
         self.addresses = itertools.cycle(callers)
         self.cached = 0
+        self.deadline = deadline
         self.keys = keys
         self.pool = clients.Pool()
         self.prompt = 0
@@ -99,9 +111,14 @@
     """
     fleet = fleets.read_fleet(folder)
     recording = recordings.read_recording(folder / "chats.json")
-    demo = _Demo(fleet=fleet, keys=fleets.read_keys(folder))
-    deadline = time.monotonic() + ready_timeout_s
-    await _wait_ready(fleets.list_caller_addresses(fleet), deadline)
+    now = time.monotonic()
+    demo = _Demo(
+        fleet=fleet,
+        keys=fleets.read_keys(folder),
+        deadline=now + _DEMO_TIMEOUT_S,
+    )
+    callers = fleets.list_caller_addresses(fleet)
+    await _wait_ready(callers, now + ready_timeout_s)
     for number in range(_ROUNDS):
         show(f"round {number + 1}")
         for chat in recording.chats:
@@ -186,7 +203,7 @@
         demo.keys.team_keys[planned.team],
         planned,
         due=due,
-        deadline=due + _ANSWER_TIMEOUT_S,
+        deadline=min(due + _ANSWER_TIMEOUT_S, demo.deadline),
     )
     verdict = result.verdict
     demo.totals.requests += 1
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,15 +2,20 @@
 # Starts a deployment of examples/ on this machine, sends its example chats
 # and calls, prints what came of them, and stops everything it started.
 #
-# Usage: scripts/demo.sh guild|cellarwatch
+# Usage: scripts/demo.sh DEPLOYMENT [up]
 #
-# The last line on the standard output is one JSON object. The exit status is
-# 0 only if every answer was whole and the payment ran once.
+# DEPLOYMENT is a name under examples/ or the path of such a folder. With "up"
+# nothing is sent and the deployment runs until Ctrl-C, so that operators'
+# commands and load profiles can be tried on it. Else the last line on the
+# standard output is one JSON object, and the exit status is 0 only if every
+# answer was whole and the payment ran once.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 deployment=${1:-guild}
-folder=examples/$deployment
+mode=${2:-demo}
+folder=$deployment
+[[ -d $folder ]] || folder=examples/$deployment
 bin=${BIN:-.venv/bin}
 start_timeout_s=15
 stop_timeout_s=10
@@ -42,6 +47,13 @@
   return 1
 }
 
+all_alive() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill -0 "$pid" 2>/dev/null || return 1
+  done
+}
+
 show_logs() {
   local log
   for log in "$logs"/*.log; do
@@ -86,6 +98,10 @@
 deadline=$((SECONDS + start_timeout_s))
 until run mothpassctl apply "$folder/catalogue.json" --base 0 \
   >"$logs/apply.log" 2>&1; do
+  if ! all_alive; then
+    echo "a process has ended" >&2
+    exit 1
+  fi
   if ((SECONDS >= deadline)); then
     echo "the catalogue was not accepted" >&2
     exit 1
@@ -94,4 +110,8 @@
 done
 cat "$logs/apply.log"
 
+if [[ $mode == up ]]; then
+  echo "up; press Ctrl-C to stop"
+  wait
+fi
 run mothpass_load demo "$folder"
