--- a/bench/live_client.py
+++ b/bench/live_client.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import functools
 import random
 import time
 import typing
@@ -124,7 +125,7 @@
     for number in range(chosen.streams):
         host, _, port = addresses[number % len(addresses)].rpartition(":")
         await loop.create_connection(
-            lambda number=number: _Connection(number=number, load=load),
+            functools.partial(_Connection, number=number, load=load),
             host,
             int(port),
         )
--- a/mothpass/adapters/http_events.py
+++ b/mothpass/adapters/http_events.py
@@ -1,11 +1,17 @@
 """Decodes the server-sent events of targets as they arrive."""
 
+import re
+
 from mothpass.core import errors
 from mothpass.ports import targets
 
 # A longer event means that the target doesn't speak this protocol.
 EVENT_LIMIT_BYTES = 1_048_576
 
+_EVENT = re.compile(
+    rb"(event: finish\n)?id: ([!-~]+):([0-9]{1,9})\ndata: ([^\n]*)\n\n"
+)
+
 
 class EventDecoder:
     """Holds the bytes of an event that has arrived only in part."""
@@ -24,31 +30,26 @@
         """
         if self._rest:
             data = self._rest + data
-        blocks = data.split(b"\n\n")
-        self._rest = blocks.pop()
+        events = []
+        end = 0
+        while match := _EVENT.match(data, end):
+            finish, attempt, position, body = match.groups()
+            event = targets.Event(
+                attempt_id=attempt.decode("ascii"),
+                position=int(position),
+                data=body,
+                last=finish is not None,
+            )
+            events.append(event)
+            end = match.end()
+        self._rest = data[end:]
+        if self._rest:
+            self._check_rest()
+        return events
+
+    def _check_rest(self) -> None:
+        """Raises if what is left can't become an event."""
+        if b"\n\n" in self._rest:
+            raise errors.TargetAnswerLostError("not an event of an attempt")
         if len(self._rest) > EVENT_LIMIT_BYTES:
             raise errors.TargetAnswerLostError("event without an end")
-        return [_decode_event(block) for block in blocks]
-
-
-def _decode_event(block: bytes) -> targets.Event:
-    name = b""
-    identity = b""
-    data = b""
-    for line in block.split(b"\n"):
-        field, _, value = line.partition(b": ")
-        if field == b"data":
-            data = value
-        elif field == b"id":
-            identity = value
-        elif field == b"event":
-            name = value
-    attempt, separator, position = identity.rpartition(b":")
-    if not separator or not position.isdigit():
-        raise errors.TargetAnswerLostError("event without attempt and position")
-    return targets.Event(
-        attempt_id=attempt.decode("latin-1"),
-        position=int(position),
-        data=data,
-        last=name == b"finish",
-    )
--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -65,13 +65,27 @@
         gone: Whether the connection is lost.
     """
 
-    __slots__ = ("_on_gone", "body_cut", "gone")
+    __slots__ = ("_at_end", "_on_gone", "body_cut", "gone")
 
     def __init__(self) -> None:
         """Starts with a client that is there."""
         self.body_cut = False
         self.gone = False
         self._on_gone: abc.Callable[[], object] | None = None
+        self._at_end: abc.Callable[[], abc.Awaitable[None]] | None = None
+
+    def call_at_end(
+        self, callback: abc.Callable[[], abc.Awaitable[None]]
+    ) -> None:
+        """Sets what is awaited once the answer has ended in any way."""
+        self._at_end = callback
+
+    async def end(self) -> None:
+        """Awaits what was set, once."""
+        at_end = self._at_end
+        self._at_end = None
+        if at_end is not None:
+            await at_end()
 
     def call_when_gone(self, callback: abc.Callable[[], object] | None) -> None:
         """Sets what is called, once, when the connection is lost."""
--- a/mothpass/adapters/targets_http.py
+++ b/mothpass/adapters/targets_http.py
@@ -17,6 +17,12 @@
 SHORT_TIMEOUT_MS = 1000
 
 
+# Returns the error that an answer other than 200 stands for.
+_Fail = abc.Callable[
+    [http_exchanges.Exchange], abc.Awaitable[errors.MothpassError]
+]
+
+
 class _RefusalBody(msgspec.Struct):
     """Body of a 503 with which a target says that it didn't run a call."""
 
@@ -38,45 +44,19 @@
         self._pool = pool
         self._silence_ms = silence_ms
 
-    async def open_stream(
+    def open_stream(
         self, attempt: targets.Attempt
     ) -> abc.AsyncGenerator[targets.Batch, None]:
         """See ``targets.OpenStream``."""
-        request = _encode_post(attempt)
-        fresh = attempt.idempotency_key is not None
-        async with self._exchange(
-            attempt.address,
-            request,
-            silence_ms=self._silence_ms,
-            deadline=attempt.deadline,
-            fresh=fresh,
-        ) as exchange:
-            if await _wait_for_status(exchange) != 200:
-                raise await _read_failure(exchange)
-            async for batch in _read_events(exchange):
-                yield batch
+        return self._stream(attempt, _encode_post(attempt), _fail_open)
 
-    async def resume_stream(
+    def resume_stream(
         self, attempt: targets.Attempt, position: int
     ) -> abc.AsyncGenerator[targets.Batch, None]:
         """See ``targets.ResumeStream``."""
         path = f"/v1/attempts/{attempt.id}/events?from={position}"
         request = _encode_head("GET", path, attempt.address)
-        async with self._exchange(
-            attempt.address,
-            request,
-            silence_ms=self._silence_ms,
-            deadline=attempt.deadline,
-            fresh=True,
-        ) as exchange:
-            status = await _wait_for_status(exchange)
-            if status == 404:
-                boot_id = _read_header(exchange, b"x-boot-id")
-                raise errors.AttemptUnknownError(boot_id)
-            if status != 200:
-                raise errors.TargetAnswerLostError(f"resume: status {status}")
-            async for batch in _read_events(exchange):
-                yield batch
+        return self._stream(attempt, request, _fail_resume)
 
     async def call(self, attempt: targets.Attempt) -> targets.Answer:
         """See ``targets.CallTarget``."""
@@ -87,7 +67,7 @@
             fresh=attempt.idempotency_key is not None,
         ) as exchange:
             if await _wait_for_status(exchange) == 503:
-                raise await _read_failure(exchange)
+                raise await _fail_open(exchange)
             body = await _read_body(exchange)
             return targets.Answer(
                 attempt_id=_read_header(exchange, b"x-attempt-id"),
@@ -124,6 +104,34 @@
                 error
             )
 
+    async def _stream(
+        self, attempt: targets.Attempt, request: bytes, fail: _Fail
+    ) -> abc.AsyncGenerator[targets.Batch, None]:
+        """Yields the events of an answer, ending with the last one."""
+        async with self._exchange(
+            attempt.address,
+            request,
+            silence_ms=self._silence_ms,
+            deadline=attempt.deadline,
+            # A resume goes over a new connection, since those that are open
+            # may have gone silent together.
+            fresh=fail is _fail_resume,
+        ) as exchange:
+            if await _wait_for_status(exchange) != 200:
+                raise await fail(exchange)
+            decoder = http_events.EventDecoder()
+            boot_id = _read_header(exchange, b"x-boot-id")
+            while not exchange.content_ended:
+                await exchange.wait_for_change()
+                events = decoder.decode(exchange.take())
+                if events:
+                    exchange.content_ended = events[-1].last
+                    yield targets.Batch(boot_id=boot_id, events=events)
+                elif exchange.complete:
+                    raise errors.TargetAnswerLostError(
+                        "stream ended without its last event"
+                    )
+
     @contextlib.asynccontextmanager
     async def _exchange(
         self,
@@ -157,26 +165,6 @@
     return exchange.status
 
 
-async def _read_events(
-    exchange: http_exchanges.Exchange,
-) -> abc.AsyncGenerator[targets.Batch, None]:
-    """Yields the events of an answer, ending with the last one."""
-    decoder = http_events.EventDecoder()
-    boot_id = _read_header(exchange, b"x-boot-id")
-    while True:
-        await exchange.wait_for_change()
-        events = decoder.decode(exchange.take())
-        if events:
-            exchange.content_ended = events[-1].last
-            yield targets.Batch(boot_id=boot_id, events=events)
-            if exchange.content_ended:
-                return
-        elif exchange.complete:
-            raise errors.TargetAnswerLostError(
-                "stream ended without its last event"
-            )
-
-
 async def _read_body(exchange: http_exchanges.Exchange) -> bytes:
     """Reads a body whole."""
     parts = []
@@ -192,10 +180,19 @@
     return b"".join(parts)
 
 
-async def _read_failure(
+async def _fail_resume(
+    exchange: http_exchanges.Exchange,
+) -> errors.MothpassError:
+    """Returns the error that stands for a resume that wasn't answered 200."""
+    if exchange.status == 404:
+        return errors.AttemptUnknownError(_read_header(exchange, b"x-boot-id"))
+    return errors.TargetAnswerLostError(f"resume: status {exchange.status}")
+
+
+async def _fail_open(
     exchange: http_exchanges.Exchange,
 ) -> errors.MothpassError:
-    """Returns the error that an answer other than 200 stands for."""
+    """Returns the error that stands for a call that wasn't answered 200."""
     body = await _read_body(exchange)
     if exchange.status == 503:
         with contextlib.suppress(msgspec.DecodeError):
--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -1,8 +1,7 @@
-"""Runs one attempt of a call at a target and counts it."""
+"""Runs attempts of calls at targets and counts them."""
 
 import asyncio
 from collections import abc
-import contextlib
 import itertools
 import random as random_module
 
@@ -47,8 +46,40 @@
         self.sent_at: float | None = None
 
 
+class Run:
+    """One attempt that runs.
+
+    Attributes:
+        attempt: What is sent.
+        call: Call that it belongs to.
+        place: Where it goes.
+        stream: What has been received of its answer.
+        boot_id: Boot id of the target when it was sent, empty if unknown.
+        sent_at: Monotonic seconds at which it was sent.
+    """
+
+    __slots__ = ("attempt", "boot_id", "call", "place", "sent_at", "stream")
+
+    def __init__(
+        self,
+        *,
+        attempt: targets.Attempt,
+        call: calls.Call,
+        place: placement.Place,
+        boot_id: str,
+        sent_at: float,
+    ) -> None:
+        """Starts with nothing received."""
+        self.attempt = attempt
+        self.call = call
+        self.place = place
+        self.boot_id = boot_id
+        self.sent_at = sent_at
+        self.stream = streams.AnswerStream(attempt_id=attempt.id)
+
+
 class AttemptRunner:
-    """Runs attempts.
+    """Runs attempts and counts them.
 
     Attributes:
         crossed: Events and answers dropped since they belong to another
@@ -106,86 +137,102 @@
         """Returns an id that no other attempt has."""
         return f"{self._prefix}-{next(self._ids):x}"
 
-    async def stream(
-        self, call: calls.Call, place: placement.Place, trace: Trace
-    ) -> abc.AsyncGenerator[list[targets.Event], None]:
-        """Yields the events of one attempt, ending with the last one.
-
-        Raises:
-            errors.MothpassError: As ``ports.targets.OpenStream``.
-        """
-        attempt = _build_attempt(call, place, self.name_attempt())
-        stream = streams.AnswerStream(attempt_id=attempt.id)
-        boot_id = self._start_attempt(call, attempt, trace)
-        sent_at = self._ports.clock()
-        outcome = target_states.Outcome.CANCELLED
-        shown = False
-        batches = resumption.follow_attempt(self._ports, attempt, stream)
-        try:
-            async with contextlib.aclosing(batches):
-                async for events in batches:
-                    now = self._ports.clock()
-                    if not shown:
-                        shown = True
-                        self._router.record_first_token(
-                            place.target_id,
-                            first_token_ms=(now - sent_at) * 1000,
-                            now=now,
-                        )
-                    self._deaths.note_position(
-                        place.target_id, attempt.id, stream.position, now=now
-                    )
-                    if stream.whole:
-                        outcome = target_states.Outcome.ANSWERED
-                    yield events
-        except errors.MothpassError as error:
-            outcome = self._note_failure(attempt, boot_id, error)
-            raise
-        finally:
-            self.crossed += stream.crossed
-            self.repeated += stream.repeated
-            self.resumed += stream.resumes
-            self._end_attempt(call, attempt, place, outcome, stream.boot_id)
-
-    async def call(
+    def start(
         self,
         call: calls.Call,
         place: placement.Place,
         trace: Trace,
         attempt_id: str,
-    ) -> targets.Answer:
-        """Returns the whole answer of one attempt.
+    ) -> Run:
+        """Notes that an attempt is sent; ``end`` must follow.
 
         Args:
             call: The call.
             place: Where it goes.
             trace: What happens to the request.
             attempt_id: What ``name_attempt`` gave.
+        """
+        now = self._ports.clock()
+        target = self._router.targets.get(place.target_id)
+        run = Run(
+            attempt=_build_attempt(call, place, attempt_id),
+            call=call,
+            place=place,
+            boot_id="" if target is None else target.boot_id,
+            sent_at=now,
+        )
+        trace.attempts += 1
+        trace.target_id = place.target_id
+        trace.sent_at = now
+        self._deaths.start(place.target_id, call.fingerprint, run.stream)
+        return run
+
+    def follow(self, run: Run) -> abc.AsyncGenerator[list[targets.Event], None]:
+        """Returns the events of an attempt, see ``resumption``."""
+        return resumption.follow_attempt(self._ports, run.attempt, run.stream)
+
+    def note_first_token(self, run: Run) -> None:
+        """Takes in that the first events of an attempt have come."""
+        now = self._ports.clock()
+        self._router.record_first_token(
+            run.place.target_id,
+            first_token_ms=(now - run.sent_at) * 1000,
+            now=now,
+        )
+
+    async def call(
+        self,
+        call: calls.Call,
+        place: placement.Place,
+        trace: Trace,
+        attempt_id: str,
+    ) -> targets.Answer:
+        """Returns the whole answer of one attempt.
 
         Raises:
             errors.MothpassError: As ``ports.targets.CallTarget``.
         """
-        attempt = _build_attempt(call, place, attempt_id)
-        boot_id = self._start_attempt(call, attempt, trace)
-        outcome = target_states.Outcome.CANCELLED
-        answer: targets.Answer | None = None
+        run = self.start(call, place, trace, attempt_id)
+        failure: errors.MothpassError | None = None
         try:
-            answer = await self._ports.call(attempt)
-            if answer.attempt_id != attempt.id:
+            answer = await self._ports.call(run.attempt)
+            run.stream.boot_id = answer.boot_id
+            if answer.attempt_id != run.attempt.id:
                 self.crossed += 1
                 raise errors.TargetAnswerLostError("answer of another attempt")
-            outcome = target_states.Outcome.ANSWERED
+            run.stream.whole = True
             return answer
         except errors.TargetAnswerLostError as error:
-            probed = await self._probe(place.address, error)
-            outcome = self._note_failure(attempt, boot_id, probed)
+            failure = await self._probe(place.address, error)
             raise
         except errors.MothpassError as error:
-            outcome = self._note_failure(attempt, boot_id, error)
+            failure = error
             raise
         finally:
-            answered_by = None if answer is None else answer.boot_id
-            self._end_attempt(call, attempt, place, outcome, answered_by)
+            self.end(run, failure)
+
+    def end(self, run: Run, failure: errors.MothpassError | None) -> None:
+        """Counts an attempt out, and stops what may still run of it.
+
+        Args:
+            run: The attempt.
+            failure: What ended it, None for a whole answer or for one that
+                nobody wants any more.
+        """
+        outcome = self._find_outcome(run, failure)
+        now = self._ports.clock()
+        self._deaths.end(run.place.target_id, run.stream, now=now)
+        self.crossed += run.stream.crossed
+        self.repeated += run.stream.repeated
+        self.resumed += run.stream.resumes
+        self._placement.finish(run.place, outcome, boot_id=run.stream.boot_id)
+        if run.call.repeatable and outcome in (
+            target_states.Outcome.CANCELLED,
+            target_states.Outcome.LOST,
+        ):
+            task = asyncio.ensure_future(self._ports.cancel(run.attempt))
+            self._cancels.add(task)
+            task.add_done_callback(self._cancels.discard)
 
     async def _probe(
         self, address: str, lost: errors.MothpassError
@@ -199,64 +246,33 @@
             return lost
         return lost
 
-    def _start_attempt(
-        self, call: calls.Call, attempt: targets.Attempt, trace: Trace
-    ) -> str:
-        """Notes that an attempt is sent; returns its target's boot id."""
-        trace.attempts += 1
-        trace.target_id = attempt.target_id
-        trace.sent_at = self._ports.clock()
-        self._deaths.start(attempt.target_id, attempt.id, call.fingerprint)
-        target = self._router.targets.get(attempt.target_id)
-        return "" if target is None else target.boot_id
-
-    def _note_failure(
-        self,
-        attempt: targets.Attempt,
-        boot_id: str,
-        error: errors.MothpassError,
+    def _find_outcome(
+        self, run: Run, failure: errors.MothpassError | None
     ) -> target_states.Outcome:
         """Returns the outcome; notes where the target has died."""
-        if isinstance(error, errors.TargetRefusedError):
+        if run.stream.whole:
+            return target_states.Outcome.ANSWERED
+        if failure is None:
+            return target_states.Outcome.CANCELLED
+        if isinstance(failure, errors.TargetRefusedError):
             return target_states.Outcome.REFUSED
-        died = isinstance(error, errors.TargetDiedError)
-        if isinstance(error, errors.AttemptUnknownError):
-            died = boot_id not in ("", error.boot_id)
-        if died:
+        if isinstance(failure, errors.TargetUnreachableError):
+            return target_states.Outcome.UNREACHABLE
+        if _shows_death(run, failure):
             self._deaths.record(
-                attempt.target_id,
-                attempt.id,
-                boot_id or attempt.target_id,
+                run.place.target_id,
+                run.stream,
+                run.boot_id or run.place.target_id,
                 now=self._ports.clock(),
             )
-        if isinstance(error, errors.TargetUnreachableError):
-            return target_states.Outcome.UNREACHABLE
         return target_states.Outcome.LOST
 
-    def _end_attempt(
-        self,
-        call: calls.Call,
-        attempt: targets.Attempt,
-        place: placement.Place,
-        outcome: target_states.Outcome,
-        boot_id: str | None,
-    ) -> None:
-        """Counts an attempt out, and stops what may still run of it."""
-        answered = outcome is target_states.Outcome.ANSWERED
-        self._deaths.end(
-            attempt.target_id,
-            attempt.id,
-            whole=answered,
-            now=self._ports.clock(),
-        )
-        self._placement.finish(place, outcome, boot_id=boot_id)
-        if call.repeatable and outcome in (
-            target_states.Outcome.CANCELLED,
-            target_states.Outcome.LOST,
-        ):
-            task = asyncio.ensure_future(self._ports.cancel(attempt))
-            self._cancels.add(task)
-            task.add_done_callback(self._cancels.discard)
+
+def _shows_death(run: Run, failure: errors.MothpassError) -> bool:
+    """Tells whether a failure shows that the target died with the attempt."""
+    if isinstance(failure, errors.AttemptUnknownError):
+        return run.boot_id not in ("", failure.boot_id)
+    return isinstance(failure, errors.TargetDiedError)
 
 
 def _build_attempt(
--- a/mothpass/daemon/caller_messages.py
+++ b/mothpass/daemon/caller_messages.py
@@ -39,7 +39,7 @@
                 parts.append(part)
     except (TimeoutError, exceptions.MessageAborted):
         raise _refuse_cut_body() from None
-    if _find_caller(request).body_cut:
+    if find_caller(request).body_cut:
         raise _refuse_cut_body()
     return b"".join(parts)
 
@@ -56,7 +56,8 @@
     return respond_refusal(refusal, read_headers(request).request_id)
 
 
-def _find_caller(request: blacksheep.Request) -> http_listener.Caller:
+def find_caller(request: blacksheep.Request) -> http_listener.Caller:
+    """Returns the client of a request."""
     scope = typing.cast(dict[str, typing.Any], request.scope)
     return typing.cast(http_listener.Caller, scope[http_listener.CALLER])
 
--- a/mothpass/daemon/callers.py
+++ b/mothpass/daemon/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import abc
-import contextlib
 import logging
 import typing
 
@@ -54,9 +53,25 @@
 class _Record:
     """One request on its way to its end."""
 
-    __slots__ = ("call", "first_at", "request_id", "started_at", "trace")
+    __slots__ = (
+        "call",
+        "caller",
+        "code",
+        "first_at",
+        "request_id",
+        "started_at",
+        "trace",
+    )
 
-    def __init__(self, *, request_id: str, started_at: float) -> None:
+    def __init__(
+        self,
+        *,
+        caller: http_listener.Caller,
+        request_id: str,
+        started_at: float,
+    ) -> None:
+        self.caller = caller
+        self.code = results.Code.CALLER_GONE
         self.request_id = request_id
         self.started_at = started_at
         self.call: calls.Call | None = None
@@ -191,7 +206,9 @@
         """Answers a request, whatever happens to it."""
         headers = caller_messages.read_headers(request)
         record = _Record(
-            request_id=headers.request_id, started_at=self._clock()
+            caller=caller_messages.find_caller(request),
+            request_id=headers.request_id,
+            started_at=self._clock(),
         )
         try:
             call = await self._read_call(request, headers, read_call)
@@ -238,62 +255,62 @@
     async def _answer_chat(
         self, record: _Record, call: calls.Call
     ) -> blacksheep.Response:
-        batches = self._dispatcher.stream(call, record.trace)
+        # The first events come before the status, so that a request that
+        # fails before them gets an error answer of its own.
+        answering = await self._dispatcher.start_stream(call, record.trace)
+        record.first_at = self._clock()
         if call.stream:
-            # The first events come before the status, so that a request that
-            # fails before them gets an error answer of its own.
-            first = await anext(batches)
-            record.first_at = self._clock()
-            content = contents.StreamedContent(
-                answers.EVENTS_TYPE, self._show_events(record, first, batches)
+            record.caller.call_at_end(
+                lambda: self._end_stream(record, answering)
             )
-            response = blacksheep.Response(200, content=content)
-            response.add_header(b"X-Request-Id", record.request_id.encode())
-            response.add_header(b"Cache-Control", b"no-store")
-            return response
-        events: list[targets.Event] = []
-        async with contextlib.aclosing(batches):
-            async for batch in batches:
-                if not events:
-                    record.first_at = self._clock()
+            return _respond_events(self._show_events(record, answering), record)
+        try:
+            events = list(answering.first)
+            async for batch in answering.batches:
                 events.extend(batch)
+        except errors.RefusalError:
+            raise
+        except errors.MothpassError as error:
+            refusal = answering.fail(error, self._clock())
+            raise errors.RefusalError(refusal) from error
+        finally:
+            await answering.close()
         body = answers.encode_whole(events)
         self._end(record, results.Code.OK)
         return caller_messages.respond(200, body, record.request_id)
 
     def _show_events(
-        self,
-        record: _Record,
-        first: list[targets.Event],
-        batches: abc.AsyncGenerator[list[targets.Event], None],
+        self, record: _Record, answering: dispatch.Answering
     ) -> abc.Callable[[], abc.AsyncIterator[bytes]]:
         """Returns what yields a streamed answer, to its end or its error."""
 
         async def show() -> abc.AsyncIterator[bytes]:
-            code = results.Code.CALLER_GONE
             try:
-                yield answers.encode_events(first)
-                async for events in batches:
+                yield answers.encode_events(answering.first)
+                async for events in answering.batches:
                     yield answers.encode_events(events)
-                code = results.Code.OK
-            except errors.RefusalError as error:
-                code = error.refusal.code
-                yield answers.encode_refusal_event(
-                    error.refusal, record.request_id
-                )
+                record.code = results.Code.OK
+            except errors.MothpassError as error:
+                refusal = answering.fail(error, self._clock())
+                record.code = refusal.code
+                yield answers.encode_refusal_event(refusal, record.request_id)
             except Exception:
                 _log.exception(
                     "stream failed", extra={"request_id": record.request_id}
                 )
                 refusal = _refuse_internal(record)
-                code = refusal.code
+                record.code = refusal.code
                 yield answers.encode_refusal_event(refusal, record.request_id)
-            finally:
-                self._end(record, code)
-                await batches.aclose()
 
         return show
 
+    async def _end_stream(
+        self, record: _Record, answering: dispatch.Answering
+    ) -> None:
+        """Ends a streamed answer, however far it has got."""
+        self._end(record, record.code)
+        await answering.close()
+
     async def _answer_service(
         self, record: _Record, call: calls.Call
     ) -> blacksheep.Response:
@@ -370,6 +387,7 @@
                 raise
         finally:
             caller.call_when_gone(None)
+            await caller.end()
 
     return run
 
@@ -378,6 +396,17 @@
     return caller_messages.respond(200, b'{"state":"running"}')
 
 
+def _respond_events(
+    show: abc.Callable[[], abc.AsyncIterator[bytes]], record: _Record
+) -> blacksheep.Response:
+    """Returns an answer whose body is a stream of events."""
+    content = contents.StreamedContent(answers.EVENTS_TYPE, show)
+    response = blacksheep.Response(200, content=content)
+    response.add_header(b"X-Request-Id", record.request_id.encode())
+    response.add_header(b"Cache-Control", b"no-store")
+    return response
+
+
 def _measure_ms(record: _Record, moment: float | None) -> float | None:
     """Returns the time from the start of a request to a moment."""
     if moment is None:
--- a/mothpass/daemon/deaths.py
+++ b/mothpass/daemon/deaths.py
@@ -1,5 +1,6 @@
 """Keeps what runs at each target, to know what a target died with."""
 
+from mothpass.core import streams
 from mothpass.core import suspects
 
 _PAST_ALL = 1 << 62
@@ -8,11 +9,13 @@
 class _Run:
     """One attempt that runs at a target."""
 
-    __slots__ = ("fingerprint", "position")
+    __slots__ = ("fingerprint", "stream")
 
-    def __init__(self, *, fingerprint: int) -> None:
+    def __init__(
+        self, *, fingerprint: int, stream: streams.AnswerStream
+    ) -> None:
         self.fingerprint = fingerprint
-        self.position = 0
+        self.stream = stream
 
 
 class Deaths:
@@ -29,52 +32,51 @@
         self._suspects = suspects
         self._runs: dict[str, dict[str, _Run]] = {}
 
-    def start(self, target_id: str, attempt_id: str, fingerprint: int) -> None:
+    def start(
+        self, target_id: str, fingerprint: int, stream: streams.AnswerStream
+    ) -> None:
         """Notes an attempt that is about to be sent."""
         runs = self._runs.setdefault(target_id, {})
-        runs[attempt_id] = _Run(fingerprint=fingerprint)
-
-    def note_position(
-        self, target_id: str, attempt_id: str, position: int, *, now: float
-    ) -> None:
-        """Notes how many events an attempt has brought."""
-        run = self._runs.get(target_id, {}).get(attempt_id)
-        if run is not None:
-            run.position = position
-            if len(self._suspects):
-                self._suspects.record_progress(
-                    run.fingerprint, position, now=now
-                )
+        runs[stream.attempt_id] = _Run(fingerprint=fingerprint, stream=stream)
 
     def end(
-        self, target_id: str, attempt_id: str, *, whole: bool, now: float
+        self, target_id: str, stream: streams.AnswerStream, *, now: float
     ) -> None:
-        """Notes that an attempt has ended, with a whole answer or not."""
-        if whole:
-            self.note_position(target_id, attempt_id, _PAST_ALL, now=now)
-        runs = self._runs.get(target_id)
-        if runs is not None:
-            runs.pop(attempt_id, None)
-            if not runs:
-                del self._runs[target_id]
+        """Notes that an attempt has ended; it may clear a suspicion."""
+        runs = self._runs.get(target_id, {})
+        run = runs.pop(stream.attempt_id, None)
+        if run is None:
+            return
+        if not runs:
+            del self._runs[target_id]
+        if len(self._suspects):
+            position = _PAST_ALL if stream.whole else stream.position
+            self._suspects.record_progress(run.fingerprint, position, now=now)
 
     def record(
-        self, target_id: str, attempt_id: str, boot_id: str, *, now: float
+        self,
+        target_id: str,
+        stream: streams.AnswerStream,
+        boot_id: str,
+        *,
+        now: float,
     ) -> None:
         """Takes in that a target died with an attempt in flight.
 
         Args:
             target_id: The target.
-            attempt_id: Attempt that found out.
+            stream: Answer of the attempt that found out.
             boot_id: Boot id of the target at the time.
             now: Monotonic seconds.
         """
         runs = self._runs.get(target_id, {})
-        if attempt_id not in runs:
+        if stream.attempt_id not in runs:
             return
         del self._runs[target_id]
         running = [
-            suspects.Running(fingerprint=run.fingerprint, position=run.position)
+            suspects.Running(
+                fingerprint=run.fingerprint, position=run.stream.position
+            )
             for run in runs.values()
         ]
         self._suspects.record_death(boot_id, running, now=now)
--- a/mothpass/daemon/dispatch.py
+++ b/mothpass/daemon/dispatch.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import random as random_module
+import typing
 
 import msgspec
 from returns import result
@@ -30,6 +31,73 @@
 ]
 
 
+Batches: typing.TypeAlias = abc.AsyncGenerator[list[targets.Event], None]
+
+
+class Answering:
+    """A model's answer that has begun.
+
+    Attributes:
+        batches: Yields the events after the first ones; raises
+            errors.MothpassError if the rest can't be had.
+        first: The first events.
+    """
+
+    __slots__ = (
+        "_admission",
+        "_budget",
+        "_failure",
+        "_run",
+        "_runner",
+        "batches",
+        "first",
+    )
+
+    def __init__(
+        self,
+        *,
+        run: attempts.Run,
+        runner: attempts.AttemptRunner,
+        batches: Batches,
+        first: list[targets.Event],
+        admission: contextlib.ExitStack,
+        budget: retries.RetryBudget,
+    ) -> None:
+        """Takes over an attempt; ``close`` must follow."""
+        self._run: attempts.Run | None = run
+        self._runner = runner
+        self._admission = admission
+        self._budget = budget
+        self._failure: errors.MothpassError | None = None
+        self.batches = batches
+        self.first = first
+
+    def fail(self, error: errors.MothpassError, now: float) -> errors.Refusal:
+        """Notes what ended the answer and returns what the caller is told."""
+        self._failure = error
+        code = results.Code.ANSWER_INCOMPLETE
+        if self._run is not None and now >= self._run.call.deadline:
+            code = results.Code.DEADLINE_EXCEEDED
+        return errors.Refusal(
+            code=code,
+            ran=results.Ran.UNKNOWN,
+            message=f"the rest of the answer can't be had: {error}",
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    async def close(self) -> None:
+        """Counts the call out, whether its answer is whole or not."""
+        run = self._run
+        if run is None:
+            return
+        self._run = None
+        if run.stream.whole:
+            self._budget.record_success()
+        self._runner.end(run, self._failure)
+        self._admission.close()
+        await self.batches.aclose()
+
+
 class Parts(msgspec.Struct, frozen=True, kw_only=True):
     """State that the dispatcher shares with the rest of the daemon.
 
@@ -73,34 +141,32 @@
         self._budgets: dict[str, retries.RetryBudget] = {}
         self.retried = 0
 
-    async def stream(
+    async def start_stream(
         self, call: calls.Call, trace: attempts.Trace
-    ) -> abc.AsyncGenerator[list[targets.Event], None]:
-        """Yields the events of a model's answer, ending with the last one.
+    ) -> Answering:
+        """Waits for the first events of a model's answer.
+
+        Only until then may another target be tried: answers of models differ
+        from one run to the next, so that a caller who has seen a part can't be
+        given the rest of another.
 
         Raises:
-            errors.RefusalError: If the answer can't be had, or not whole.
+            errors.RefusalError: If there is no answer.
         """
-        with self._admit(call):
-            excluded: frozenset[str] = frozenset()
-            while True:
-                place = await self._place(call, trace, excluded)
-                shown = False
-                batches = self._parts.runner.stream(call, place, trace)
-                try:
-                    async with contextlib.aclosing(batches):
-                        async for events in batches:
-                            shown = True
-                            yield events
-                    self._find_budget(call).record_success()
-                    return
-                except errors.RefusalError:
-                    raise
-                except errors.MothpassError as error:
-                    if shown:
-                        raise self._refuse_cut(call, error) from error
-                    await self._prepare_retry(call, trace, error)
-                    excluded |= {place.target_id}
+        admission = self._admit(call)
+        try:
+            run, batches, first = await self._find_answer(call, trace)
+        except BaseException:
+            admission.close()
+            raise
+        return Answering(
+            run=run,
+            runner=self._parts.runner,
+            batches=batches,
+            first=first,
+            admission=admission,
+            budget=self._find_budget(call),
+        )
 
     async def call_service(
         self, call: calls.Call, trace: attempts.Trace
@@ -115,9 +181,8 @@
                 return await self._call_repeatable(call, trace)
             return await self._call_claimed(call, trace)
 
-    @contextlib.contextmanager
-    def _admit(self, call: calls.Call) -> abc.Iterator[None]:
-        """Counts a call against the limits while it runs."""
+    def _admit(self, call: calls.Call) -> contextlib.ExitStack:
+        """Counts a call against the limits, until the stack is closed."""
         now = self._parts.clock()
         with contextlib.ExitStack() as stack:
             for limiter, name in (
@@ -128,7 +193,30 @@
                 if refusal is not None:
                     raise errors.RefusalError(refusal)
                 stack.callback(limiter.finish, name)
-            yield
+            return stack.pop_all()
+
+    async def _find_answer(
+        self, call: calls.Call, trace: attempts.Trace
+    ) -> tuple[attempts.Run, Batches, list[targets.Event]]:
+        """Tries targets until one begins to answer."""
+        runner = self._parts.runner
+        excluded: frozenset[str] = frozenset()
+        while True:
+            place = await self._place(call, trace, excluded)
+            run = runner.start(call, place, trace, runner.name_attempt())
+            batches = runner.follow(run)
+            try:
+                first = await anext(batches)
+            except errors.MothpassError as error:
+                runner.end(run, error)
+                await self._prepare_retry(call, trace, error)
+                excluded |= {place.target_id}
+            except BaseException:
+                runner.end(run, None)
+                raise
+            else:
+                runner.note_first_token(run)
+                return run, batches, first
 
     async def _call_repeatable(
         self, call: calls.Call, trace: attempts.Trace
@@ -275,23 +363,6 @@
             budget = self._budgets[call.name] = retries.RetryBudget()
         return budget
 
-    def _refuse_cut(
-        self, call: calls.Call, error: errors.MothpassError
-    ) -> errors.RefusalError:
-        """Returns the error for an answer of which a part was shown."""
-        late = self._parts.clock() >= call.deadline
-        code = results.Code.ANSWER_INCOMPLETE
-        if late:
-            code = results.Code.DEADLINE_EXCEEDED
-        return errors.RefusalError(
-            errors.Refusal(
-                code=code,
-                ran=results.Ran.UNKNOWN,
-                message=f"the rest of the answer can't be had: {error}",
-                retry_after_ms=RETRY_AFTER_MS,
-            )
-        )
-
 
 def _tell_whether_ran(trace: attempts.Trace) -> results.Ran:
     return results.Ran.UNKNOWN if trace.may_have_run else results.Ran.NO
--- a/mothpass/daemon/platform.py
+++ b/mothpass/daemon/platform.py
@@ -67,10 +67,10 @@
             monotonic=time.monotonic,
         )
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Closes the connections."""
         for exchange in self._exchanges:
-            await exchange.close()
+            exchange.close()
 
 
 def _build_exchange(
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import logging
 import random as random_module
 import signal
@@ -165,6 +166,9 @@
         await self._control.control.start()
         for work in (self._prune_connections(), self._prune_claims()):
             self._tasks.append(asyncio.ensure_future(work))
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(50_000, 20, 100)
         _log.info("daemon started")
 
     async def stop(self) -> None:
@@ -384,7 +388,7 @@
         for listener in self._listeners:
             listener.abort()
         self._pool.close()
-        await self._platform.close()
+        self._platform.close()
 
 
 async def run_daemon(settings: settings_module.Settings) -> None:
