Stop the demo's programs themselves, not subshells around them

Cause: after a demo that exited 0, all 19 programs were still running: the id kept for each was that of the subshell that a function in the background runs in, so the signal ended the subshell and the program lived on. Ruled out: killing process groups, which would need job control in a script. Change: programs start as plain commands; 'up' ends with 1 when one ends. Conclusion: tests hold that every started process is gone after success, failure, SIGTERM and a program that dies.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -32,10 +32,12 @@
 }
 
 # Starts a program in the background; its output goes to a log of its name.
+# It is a plain command, since the id of a function in the background is that
+# of a subshell, and stopping this would leave the program running.
 start() {
-  local name=$1
-  shift
-  run "$@" >"$logs/$name.log" 2>&1 &
+  local name=$1 program=$2
+  shift 2
+  "$bin/python" -m "mothpass.programs.$program" "$@" >"$logs/$name.log" 2>&1 &
   pids+=($!)
 }
 
@@ -73,6 +75,7 @@
     while any_alive && ((SECONDS < deadline)); do
       sleep 0.1
     done
+    # One that outlives its time to stop is killed.
     kill -KILL "${pids[@]}" 2>/dev/null || true
     wait "${pids[@]}" 2>/dev/null || true
   fi
@@ -112,6 +115,9 @@
 
 if [[ $mode == up ]]; then
   echo "up; press Ctrl-C to stop"
-  wait
+  # Returns when the first process ends, which none should.
+  wait -n "${pids[@]}" || true
+  echo "a process has ended" >&2
+  exit 1
 fi
 run mothpass_load demo "$folder"
--- /dev/null
+++ b/tests/test_demo_script.py
@@ -0,0 +1,123 @@
+"""Tests that the demo's script stops all that it started, however it ends."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import tempfile
+import time
+import unittest
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_SCRIPT = _ROOT / "scripts" / "demo.sh"
+_LINE = '{"requests":1}'
+# Takes the place of the interpreter: notes its process id, then acts as the
+# program would that it is asked to run.
+_FAKE = """#!/usr/bin/env bash
+program=$2
+echo "$program $$" >>"{notes}"
+case $program in
+  *mothpassctl) echo accepted ;;
+  *mothpass_load) echo '{line}'; exit {load_status} ;;
+  *{dying}) exit 1 ;;
+  *) exec sleep 60 ;;
+esac
+"""
+
+
+class DemoScriptTest(unittest.TestCase):
+    """Runs the script with a fake interpreter."""
+
+    def setUp(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.folder = pathlib.Path(folder)
+        self.notes = self.folder / "notes"
+
+    def start(
+        self, *arguments: str, load_status: int = 0, dying: str = "none"
+    ) -> subprocess.Popen[str]:
+        fake = self.folder / "python"
+        fake.write_text(
+            _FAKE.format(
+                notes=self.notes,
+                line=_LINE,
+                load_status=load_status,
+                dying=dying,
+            )
+        )
+        fake.chmod(0o755)
+        environment = {**os.environ, "BIN": str(self.folder)}
+        return subprocess.Popen(
+            ["bash", str(_SCRIPT), *arguments],
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+
+    def list_started(self) -> dict[int, str]:
+        """Returns process ids and programs of all that ran in background."""
+        found = {}
+        for line in self.notes.read_text().splitlines():
+            program, process_id = line.split()
+            if program.endswith(("mothpassd", "mothpass_standin")):
+                found[int(process_id)] = program
+        return found
+
+    def check_all_stopped(self) -> None:
+        started = self.list_started()
+        programs = list(started.values())
+        self.assertEqual(programs.count("mothpass.programs.mothpassd"), 8)
+        self.assertEqual(len(programs), 8 + 5 + 3 + 3)
+        for process_id in started:
+            with self.assertRaises(ProcessLookupError, msg=str(process_id)):
+                os.kill(process_id, 0)
+
+    def test_all_is_stopped_after_success(self) -> None:
+        process = self.start("guild")
+        output, _ = process.communicate()
+        self.assertEqual(process.returncode, 0)
+        self.assertEqual(json.loads(output.splitlines()[-1]), {"requests": 1})
+        self.check_all_stopped()
+
+    def test_all_is_stopped_after_failure_and_logs_are_shown(self) -> None:
+        process = self.start("guild", load_status=1)
+        _, shown = process.communicate()
+        self.assertEqual(process.returncode, 1)
+        self.assertIn("== guild-daemon-7.log, last lines", shown)
+        self.check_all_stopped()
+
+    def test_all_is_stopped_when_it_is_told_to_stop(self) -> None:
+        process = self.start("guild", "up")
+        assert process.stdout is not None
+        while "up;" not in process.stdout.readline():
+            pass
+        process.send_signal(signal.SIGTERM)
+        process.communicate()
+        self.assertEqual(process.returncode, 128 + signal.SIGTERM)
+        self.check_all_stopped()
+
+    def test_program_that_ends_early_is_a_failure(self) -> None:
+        process = self.start("guild", "up", dying="mothpassd")
+        # The catalogue is applied only once, so the end of a daemon may show
+        # in the first look or while the deployment is up.
+        deadline = time.monotonic() + 20
+        while process.poll() is None and time.monotonic() < deadline:
+            time.sleep(0.05)
+        process.send_signal(signal.SIGTERM)
+        _, shown = process.communicate()
+        self.assertEqual(process.returncode, 1)
+        self.assertIn("a process has ended", shown)
+        self.check_all_stopped()
+
+    def test_unknown_deployment_starts_nothing(self) -> None:
+        process = self.start("nowhere")
+        _, shown = process.communicate()
+        self.assertEqual(process.returncode, 2)
+        self.assertIn("no deployment named nowhere", shown)
+        self.assertFalse(self.notes.exists())
+
+
+if __name__ == "__main__":
+    unittest.main()
