Let generated chats rest between requests, and count moments past the bound

Cause: first live runs: a chat's next request went out before the answer to the one before had ended, which no caller does and which no cache can serve; the ratio of highest to mean load says little at two or three calls an engine. Change: pause_ms (another chat is opened when all rest, so the schedule still never waits); the summary counts the moments at which an engine had more than max(1, ceil(multiple x mean)); history shows the time of a change.

--- a/mothpass/control/changes.py
+++ b/mothpass/control/changes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import datetime
 import pathlib
 import time
 import urllib.parse
@@ -158,10 +159,18 @@
 async def show_history(config: configs.Config, limit: int) -> outcomes.Outcome:
     """Shows the newest changes, newest first."""
     found = await operators.read_history(config, limit)
-    lines = [f"{x.version:>6}  {x.at}  {x.author}  {x.summary}" for x in found]
+    lines = [
+        f"{x.version:>6}  {_format_time(x.at_ms)}  {x.author}  {x.summary}"
+        for x in found
+    ]
     return outcomes.Outcome(lines=lines or ["no changes yet"], data=found)
 
 
+def _format_time(at_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(at_ms / _MS_PER_S, datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%SZ")
+
+
 def _read_catalogue(path: str) -> catalogue.Catalogue:
     return catalogue.decode_catalogue(pathlib.Path(path).read_bytes())
 
--- a/mothpass/control/operators.py
+++ b/mothpass/control/operators.py
@@ -90,13 +90,14 @@
     Attributes:
         version: Version that it made.
         author: Who made it.
-        at: When it was accepted, as the daemon says it.
+        at_ms: When it was accepted, milliseconds since the epoch; ``at`` in
+            JSON.
         summary: What it changed.
     """
 
     version: int
     author: str = ""
-    at: str | int | float = ""
+    at_ms: int = msgspec.field(name="at", default=0)
     summary: str = ""
 
 
--- a/mothpass/load/comparison.py
+++ b/mothpass/load/comparison.py
@@ -78,6 +78,8 @@
     if summary.cache_reuse is not None:
         yield "cache_reuse", summary.cache_reuse
     yield from _list_spread("skew", summary.skew)
+    yield "loads_over_bound", summary.loads_over_bound
+    yield "loads_read", summary.loads_read
     yield from _list_spread("control_bytes_per_s", summary.control_bytes_per_s)
     for label, groups in (
         ("teams", summary.teams),
--- a/mothpass/load/profiles.py
+++ b/mothpass/load/profiles.py
@@ -30,8 +30,10 @@
         service_class: Label for the histograms; ``class`` in JSON.
         model: Model that is called.
         requests_per_s: Requests a second, on average.
-        chats: Chats that are open at once.
+        chats: Chats that are open at the start.
         turns: Requests of a chat before another takes its place.
+        pause_ms: Least time between two requests of a chat; when all chats
+            rest, another one is opened.
         opening_words: Words of a chat's first message.
         turn_words: Words of each further message.
         max_tokens: Tokens of each answer.
@@ -44,6 +46,7 @@
     requests_per_s: Rate
     chats: catalogue.Count = 10
     turns: catalogue.Count = 8
+    pause_ms: Offset = 3000
     opening_words: catalogue.Count = 300
     turn_words: catalogue.Count = 30
     max_tokens: typing.Annotated[int, msgspec.Meta(ge=2, le=100_000)] = 32
@@ -80,11 +83,13 @@
         file: A file of chats, relative to the profile.
         service_class: Label for the histograms; ``class`` in JSON.
         requests_per_s: Requests a second, on average.
+        pause_ms: Least time between two requests of a chat.
     """
 
     file: str
     service_class: catalogue.Name = msgspec.field(name="class")
     requests_per_s: Rate
+    pause_ms: Offset = 3000
 
 
 class Surge(
@@ -135,12 +140,15 @@
     Attributes:
         every_ms: Time between two reads.
         engines: Addresses whose load reports are read, for the skew.
+        skew_multiple: Multiple of the mean load that no engine may exceed,
+            as the catalogue has it.
         operators: Operators' addresses whose status pages are read, for the
             control traffic; actions go to these as well.
     """
 
     every_ms: catalogue.Milliseconds = 500
     engines: list[settings.Address] = []
+    skew_multiple: typing.Annotated[float, msgspec.Meta(ge=1.0, le=10.0)] = 1.25
     operators: list[settings.Address] = []
 
 
--- a/mothpass/load/report.py
+++ b/mothpass/load/report.py
@@ -80,6 +80,10 @@
         ("cache reuse", lambda x: _show(x.cache_reuse)),
         ("skew p95", lambda x: _show(x.skew.p95 or None)),
         ("skew highest", lambda x: _show(x.skew.highest or None)),
+        (
+            "moments over the bound on skew",
+            lambda x: f"{x.loads_over_bound} of {x.loads_read}",
+        ),
         (
             "control bytes/s p95",
             lambda x: _show(x.control_bytes_per_s.p95),
--- a/mothpass/load/samples.py
+++ b/mothpass/load/samples.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import enum
+import math
 import pathlib
 import typing
 
@@ -77,10 +78,12 @@
         at_ms: When, from the start of the run.
         in_flight: Requests running or waiting, by engine; those that don't
             answer are missing.
+        skew_multiple: Multiple of the mean that no engine may exceed.
     """
 
     at_ms: float
     in_flight: dict[str, int]
+    skew_multiple: float = 1.25
 
 
 class Control(
@@ -182,6 +185,9 @@
             None without any.
         skew: Highest load of an engine over the mean, at each moment with a
             mean of at least one; count, p50, p95, p99 and highest.
+        loads_over_bound: Moments at which an engine had more than the larger
+            of one and the multiple of the mean, rounded up.
+        loads_read: Moments at which the engines were read.
         control_bytes_per_s: The same of the daemons' control traffic.
         teams: Histograms by team.
         classes: Histograms by class.
@@ -192,6 +198,8 @@
     codes: dict[str, int] = {}
     cache_reuse: float | None = None
     skew: Spread = Spread()
+    loads_over_bound: int = 0
+    loads_read: int = 0
     control_bytes_per_s: Spread = Spread()
     teams: dict[str, Group] = {}
     classes: dict[str, Group] = {}
@@ -220,6 +228,8 @@
         "_codes",
         "_control",
         "_fates",
+        "_loads_over_bound",
+        "_loads_read",
         "_prompt",
         "_requests",
         "_skew",
@@ -234,6 +244,8 @@
         self._prompt = 0
         self._cached = 0
         self._skew: list[float] = []
+        self._loads_over_bound = 0
+        self._loads_read = 0
         self._control: list[float] = []
         self._teams: dict[str, _Timings] = {}
         self._classes: dict[str, _Timings] = {}
@@ -245,9 +257,7 @@
         elif isinstance(line, Control):
             self._control.append(line.bytes_per_s)
         elif isinstance(line, EngineLoad):
-            skew = compute_skew(line)
-            if skew is not None:
-                self._skew.append(skew)
+            self._add_load(line)
 
     def summarize(self) -> Summary:
         """Returns the summary of all lines taken in."""
@@ -258,11 +268,20 @@
             codes=dict(sorted(self._codes.items())),
             cache_reuse=reuse,
             skew=_spread_values(self._skew),
+            loads_over_bound=self._loads_over_bound,
+            loads_read=self._loads_read,
             control_bytes_per_s=_spread_values(self._control),
             teams=_spread_groups(self._teams),
             classes=_spread_groups(self._classes),
         )
 
+    def _add_load(self, line: EngineLoad) -> None:
+        self._loads_read += 1
+        self._loads_over_bound += is_over_bound(line)
+        skew = compute_skew(line)
+        if skew is not None:
+            self._skew.append(skew)
+
     def _add_sample(self, sample: Sample) -> None:
         self._requests += 1
         self._fates[sample.fate] = self._fates.get(sample.fate, 0) + 1
@@ -285,6 +304,15 @@
     return max(loads) * len(loads) / sum(loads)
 
 
+def is_over_bound(line: EngineLoad) -> bool:
+    """Tells whether an engine had more than the bound on skew allows."""
+    loads = list(line.in_flight.values())
+    if not loads:
+        return False
+    mean = sum(loads) / len(loads)
+    return max(loads) > max(1, math.ceil(line.skew_multiple * mean))
+
+
 def encode_line(line: Line) -> bytes:
     """Encodes a line as JSON with its line end."""
     return msgspec.json.encode(line) + b"\n"
--- a/mothpass/load/traffic.py
+++ b/mothpass/load/traffic.py
@@ -67,7 +67,7 @@
 class _Conversation:
     """A chat that grows by a turn with each request."""
 
-    __slots__ = ("chat_id", "max_tokens", "turns", "used")
+    __slots__ = ("chat_id", "max_tokens", "rested_at_ms", "turns", "used")
 
     def __init__(
         self, *, chat_id: str, turns: list[str], max_tokens: int
@@ -75,9 +75,50 @@
         self.chat_id = chat_id
         self.turns = turns
         self.max_tokens = max_tokens
+        self.rested_at_ms = 0.0
         self.used = 0
 
 
+class _OpenChats:
+    """Chats of one kind that may go on.
+
+    A chat rests after each request, since nobody answers before having read
+    the answer. When all rest, another is opened: the schedule never waits.
+    """
+
+    __slots__ = ("_chats", "_open_chat", "_pause_ms")
+
+    def __init__(
+        self,
+        *,
+        count: int,
+        pause_ms: float,
+        open_chat: abc.Callable[[], _Conversation],
+    ) -> None:
+        self._open_chat = open_chat
+        self._pause_ms = pause_ms
+        self._chats = [open_chat() for _ in range(count)]
+
+    def pick(self, at_ms: float, source: random.Random) -> _Conversation:
+        """Returns a rested chat and lets it rest from now on."""
+        rested = [x for x in self._chats if x.rested_at_ms <= at_ms]
+        if rested:
+            chat = source.choice(rested)
+        else:
+            chat = self._open_chat()
+            self._chats.append(chat)
+        chat.rested_at_ms = at_ms + self._pause_ms
+        if chat.used + 1 == len(chat.turns):
+            self._replace(chat, at_ms)
+        return chat
+
+    def _replace(self, chat: _Conversation, at_ms: float) -> None:
+        """Opens a new chat in place of one that takes its last turn."""
+        follower = self._open_chat()
+        follower.rested_at_ms = at_ms + self._pause_ms
+        self._chats[self._chats.index(chat)] = follower
+
+
 def plan_requests(
     profile: profiles.Profile, recording: recordings.Recording | None
 ) -> abc.Iterator[Planned]:
@@ -137,14 +178,13 @@
             max_tokens=chats.max_tokens,
         )
 
-    open_chats = [open_chat() for _ in range(chats.chats)]
+    open_chats = _OpenChats(
+        count=chats.chats, pause_ms=chats.pause_ms, open_chat=open_chat
+    )
     times = _plan_times(profile, chats.team, chats.requests_per_s, source)
     for at_ms in times:
-        place = source.randrange(len(open_chats))
-        if open_chats[place].used == chats.turns:
-            open_chats[place] = open_chat()
         yield _take_turn(
-            open_chats[place],
+            open_chats.pick(at_ms, source),
             at_ms=at_ms,
             team=chats.team,
             service_class=chats.service_class,
@@ -158,26 +198,32 @@
     recording: recordings.Recording,
     source: random.Random,
 ) -> abc.Iterator[Planned]:
-    assert profile.recorded is not None
-    rounds: dict[str, int] = {}
-    open_chats: dict[str, _Conversation] = {}
-    rate = profile.recorded.requests_per_s
-    for at_ms in _plan_times(profile, "", rate, source):
+    recorded = profile.recorded
+    assert recorded is not None
+
+    def build_opener(
+        chat: recordings.Chat,
+    ) -> abc.Callable[[], _Conversation]:
+        numbers = itertools.count()
+        return lambda: _Conversation(
+            chat_id=f"{chat.chat_id}-{profile.seed}-{next(numbers)}",
+            turns=chat.turns,
+            max_tokens=chat.max_tokens,
+        )
+
+    open_chats = {
+        chat.name: _OpenChats(
+            count=1, pause_ms=recorded.pause_ms, open_chat=build_opener(chat)
+        )
+        for chat in recording.chats
+    }
+    for at_ms in _plan_times(profile, "", recorded.requests_per_s, source):
         chat = source.choice(recording.chats)
-        present = open_chats.get(chat.name)
-        if present is None or present.used == len(chat.turns):
-            rounds[chat.name] = rounds.get(chat.name, 0) + 1
-            present = _Conversation(
-                chat_id=f"{chat.chat_id}-{profile.seed}-{rounds[chat.name]}",
-                turns=chat.turns,
-                max_tokens=chat.max_tokens,
-            )
-            open_chats[chat.name] = present
         yield _take_turn(
-            present,
+            open_chats[chat.name].pick(at_ms, source),
             at_ms=at_ms,
             team=chat.team,
-            service_class=profile.recorded.service_class,
+            service_class=recorded.service_class,
             model=recording.model,
             stream=True,
         )
--- a/mothpass/load/watching.py
+++ b/mothpass/load/watching.py
@@ -39,26 +39,13 @@
     """
     while True:
         if watch.engines:
-            write(await read_loads(watch.engines, started=started))
+            write(await _read_loads(watch, started=started))
         if watch.operators:
             for line in await _read_control(watch, token, started=started):
                 write(line)
         await asyncio.sleep(watch.every_ms / _MS_PER_S)
 
 
-async def read_loads(
-    engines: list[str], *, started: float
-) -> samples.EngineLoad:
-    """Reads the load report of each engine; silent ones are left out."""
-    found = await asyncio.gather(*(_read_load(item) for item in engines))
-    in_flight = {
-        report.target_id: report.running + report.queued
-        for report in found
-        if report is not None
-    }
-    return samples.EngineLoad(at_ms=_elapsed_ms(started), in_flight=in_flight)
-
-
 async def act(
     profile: profiles.Profile, token: str, write: Write, *, started: float
 ) -> None:
@@ -112,6 +99,23 @@
     return response.status < 300
 
 
+async def _read_loads(
+    watch: profiles.Watch, *, started: float
+) -> samples.EngineLoad:
+    """Reads the load report of each engine; silent ones are left out."""
+    found = await asyncio.gather(*(_read_load(x) for x in watch.engines))
+    in_flight = {
+        report.target_id: report.running + report.queued
+        for report in found
+        if report is not None
+    }
+    return samples.EngineLoad(
+        at_ms=_elapsed_ms(started),
+        in_flight=in_flight,
+        skew_multiple=watch.skew_multiple,
+    )
+
+
 async def _read_load(address: str) -> targets.LoadReport | None:
     request = http_client.Request(method="GET", path="/v1/load")
     try:
--- a/tests/test_load_results.py
+++ b/tests/test_load_results.py
@@ -94,8 +94,19 @@
             samples.EngineLoad(at_ms=2.0, in_flight={"a": 1, "b": 0}),
             samples.EngineLoad(at_ms=3.0, in_flight={}),
         ]
-        skew = samples.summarize_file(self.write("a", loads)).skew
-        self.assertEqual((skew.count, skew.highest), (1, 1.5))
+        summary = samples.summarize_file(self.write("a", loads))
+        self.assertEqual((summary.skew.count, summary.skew.highest), (1, 1.5))
+
+    def test_bound_on_skew_is_rounded_up_and_at_least_one(self) -> None:
+        for in_flight, over in (
+            ({"a": 5, "b": 3}, False),
+            ({"a": 6, "b": 2}, True),
+            ({"a": 1, "b": 0, "c": 0}, False),
+            ({}, False),
+        ):
+            with self.subTest(in_flight=in_flight):
+                line = samples.EngineLoad(at_ms=0.0, in_flight=in_flight)
+                self.assertEqual(samples.is_over_bound(line), over)
 
     def test_summary_line_equals_what_the_lines_give(self) -> None:
         collector = samples.Collector()
--- a/tests/test_load_traffic.py
+++ b/tests/test_load_traffic.py
@@ -149,6 +149,15 @@
             self.assertTrue(later.returning)
         self.assertFalse(longest[0].returning)
 
+    def test_chat_rests_between_two_requests(self) -> None:
+        last: dict[str, float] = {}
+        for item in self.plan(calls=[]):
+            before = last.get(item.chat_id, -3000.0)
+            self.assertGreaterEqual(item.at_ms - before, 3000.0)
+            last[item.chat_id] = item.at_ms
+        # Four chats alone could not carry 20 requests a second.
+        self.assertGreater(len(last), 100)
+
     def test_calls_are_resent_with_the_same_key_and_body(self) -> None:
         calls = [item for item in self.plan() if not item.messages]
         bodies: dict[str, set[bytes]] = {}
--- a/tests/test_mothpassctl.py
+++ b/tests/test_mothpassctl.py
@@ -253,12 +253,14 @@
         self.assertEqual(self.out, "no difference\n")
 
     def test_history_as_json(self) -> None:
-        change = {"version": 3, "author": "a", "at": "t", "summary": "s"}
+        change = {"version": 3, "author": "a", "at": 1500, "summary": "s"}
         body = {"changes": [change]}
         self.daemon.answer("GET", "/v1/history?limit=2", 200, body)
         status = self.run_ctl("history --limit 2 --json")
         self.assertEqual(status, exits.Exit.DONE)
         self.assertEqual(json.loads(self.out), [change])
+        self.run_ctl("history --limit 2")
+        self.assertIn("3  1970-01-01 00:00:01Z  a  s", self.out)
 
     def test_number_that_is_none_is_bad_input(self) -> None:
         status = self.run_ctl("history --limit few")
