--- a/mothpass/core/pools.py
+++ b/mothpass/core/pools.py
@@ -7,8 +7,9 @@
 from mothpass.core import targets
 
 RATE_WINDOW_S = 5.0
-REPORT_LAG_S = 1.5
+REPORT_LAG_MOST_S = 3.0
 NOISE_FACTOR = 2.0
+WATERMARK_SHARE = 0.6
 
 
 class Pool:
@@ -79,15 +80,32 @@
         skew = max(1, math.ceil(self.skew_multiple * self._mean))
         return min(skew, self.target_in_flight)
 
-    def noise(self, daemons: int, now: float) -> float:
-        """Returns how far a target's load may stray unseen by this daemon.
+    def watermark(self) -> int:
+        """Returns the load up to which warm targets take calls.
 
-        Starts and ends of calls between two reports are counted as
-        independent of each other, as they are with very many daemons.
+        It is the bound rounded down, as the mean may fall before the call
+        has ended.
         """
-        count = max(1, len(self.members))
-        per_target = self.rate(now) * daemons / count
-        return NOISE_FACTOR * math.sqrt(2 * per_target * REPORT_LAG_S)
+        multiple = 1 + (self.skew_multiple - 1) * WATERMARK_SHARE
+        skew = max(1, math.floor(multiple * self._mean))
+        return min(skew, self.target_in_flight)
+
+    def target_rate(self, daemons: int, now: float) -> float:
+        """Returns the calls a second that one target gets of all daemons."""
+        return self.rate(now) * daemons / max(1, len(self.members))
+
+
+def estimate_noise(rate: float, age_s: float) -> float:
+    """Returns how far a target's load may stray unseen by a daemon.
+
+    Starts and ends of calls are counted as independent of each other.
+
+    Args:
+        rate: Calls a second that the target gets of all daemons.
+        age_s: Age of what is known of its load.
+    """
+    lag = min(max(age_s, 0.0), REPORT_LAG_MOST_S)
+    return NOISE_FACTOR * math.sqrt(2 * rate * lag)
 
 
 def share_room(room: int, *, daemons: int, rank: int, spread: int) -> int:
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -16,14 +16,15 @@
 from mothpass.core import errors
 from mothpass.core import gate_table
 from mothpass.core import gates
+from mothpass.core import peer_counts
 from mothpass.core import pools
 from mothpass.core import reserves
 from mothpass.core import results
 from mothpass.core import targets
 from mothpass.ports import members as members_port
 
-ASKS_PER_S_AT_GATE = 20.0
-ASK_INTERVAL_S = 0.25
+COLD_ASKS_PER_S_AT_GATE = 20.0
+COLD_ASK_INTERVAL_S = 0.25
 WAIT_S = 0.1
 RETRY_AFTER_MS = 1000
 CALL_LIMIT_MS = 600_000
@@ -99,6 +100,7 @@
         "_gates",
         "_instance_id",
         "_instances_out",
+        "_peers",
         "_pools",
         "_random",
         "_rank",
@@ -137,6 +139,7 @@
         self._instance_id = instance_id
         self._instances_out: frozenset[str] = frozenset()
         self._zones_out: frozenset[str] = frozenset()
+        self._peers = peer_counts.PeerCounts()
         self._pools: dict[str, pools.Pool] = {}
         self._random = random
         self._rank = 0
@@ -179,6 +182,7 @@
         }
         self.daemons = sorted(live | {self._instance_id})
         self._rank = self.daemons.index(self._instance_id)
+        self._peers.keep(self.daemons)
         self._gates = {
             number: tuple(
                 gate_table.rank_daemons(number, self.daemons)[
@@ -286,6 +290,37 @@
             first_token_ms, prompt_tokens=prompt_tokens, now=now
         )
 
+    def tell_counts(self, *, now: float) -> dict[str, int]:
+        """Returns this daemon's calls in flight by target, to be sent out.
+
+        Every other daemon must be sent them now: calls from here on are
+        counted as unknown to the others until the next time.
+        """
+        del now
+        counts = {x.id: x.tell_count() for x in self.targets.values()}
+        return {name: count for name, count in counts.items() if count}
+
+    def record_counts(
+        self, daemon_id: str, counts: abc.Mapping[str, int], *, now: float
+    ) -> None:
+        """Takes in the calls in flight that another daemon has told.
+
+        Args:
+            daemon_id: The other daemon.
+            counts: Its calls in flight by target, without zeros.
+            now: Monotonic seconds; the earliest moment at which it may have
+                counted.
+        """
+        self._peers.record(daemon_id, counts, now)
+        if not self._peers.is_complete(self.daemons, now):
+            return
+        known_at = self._peers.known_at()
+        for target in self.targets.values():
+            target.record_counts(
+                self._peers.total(target.id), known_at=known_at
+            )
+        self._refresh()
+
     def finish_call(
         self,
         target_id: str,
@@ -324,6 +359,19 @@
         pool = self._pools.get(name)
         return pool.bound() if pool is not None else 0
 
+    def find_bound(self, target_id: str) -> int:
+        """Returns the load that a warm target must not exceed.
+
+        Of several models the largest bound counts; 0 for a target that is
+        not known.
+        """
+        target = self.targets.get(target_id)
+        if target is None:
+            return 0
+        served = [self._pools.get(name) for name in target.instance.serves]
+        bounds = [pool.watermark() for pool in served if pool is not None]
+        return max(bounds, default=0)
+
     def rank(self, name: str, chat: int) -> list[str]:
         """Returns a chat's order of preference among what may take work."""
         pool = self._pools.get(name)
@@ -342,8 +390,8 @@
         self, pool: pools.Pool, request: RouteRequest, chat: int, now: float
     ) -> Choice:
         """Chooses by the chat's order of preference."""
-        bound = pool.bound()
-        noise = pool.noise(len(self.daemons), now)
+        bound = pool.watermark()
+        rate = pool.target_rate(len(self.daemons), now)
         usable = []
         for place, target_id in enumerate(pool.ring.rank(chat)):
             target = pool.members[target_id]
@@ -352,12 +400,35 @@
             usable.append(target)
             if target.is_cold():
                 choice = self._enter_cold(target, now) if place == 0 else None
-                if choice is not None:
-                    return choice
-            elif self._has_room(target, bound, noise):
-                return _send(target)
+            else:
+                choice = self._enter_warm(target, bound, rate, now)
+            if choice is not None:
+                return choice
         return self._choose_fallback(pool, usable, now)
 
+    def _enter_warm(
+        self, target: targets.Target, bound: int, rate: float, now: float
+    ) -> Send | None:
+        """Finds a way into a warm target, None where there is no room.
+
+        Far from the bound a call goes at once. Closer than what may stray
+        unseen, this daemon keeps to its part of the room.
+        """
+        noise = pools.estimate_noise(rate, now - target.known_at)
+        if bound - target.load >= max(1.0, noise):
+            return _send(target)
+        if target.growth < self._part(target, bound):
+            return _send(target)
+        return None
+
+    def _ask(self, target: targets.Target, count: int) -> AskPermit:
+        partition = gate_table.find_partition(target.id)
+        return AskPermit(
+            target_id=target.id,
+            boot_id=target.boot_id,
+            gates=self._gates.get(partition, ())[:count],
+        )
+
     def _choose_fallback(
         self, pool: pools.Pool, usable: list[targets.Target], now: float
     ) -> Choice:
@@ -409,20 +480,6 @@
             if item.id not in request.excluded and _is_open(item, now)
         ]
 
-    def _has_room(
-        self, target: targets.Target, bound: int, noise: float
-    ) -> bool:
-        """Tells whether a target has room below the bound for this daemon.
-
-        With very many daemons a part of the room is less than one call, but
-        what they do unseen evens out. A first call is then let through
-        where the room is larger than what may stray unseen.
-        """
-        part = self._part(target, bound)
-        if target.growth < part:
-            return True
-        return target.growth < 1 and bound - target.reported > max(0.0, noise)
-
     def _part(self, target: targets.Target, limit: int) -> int:
         """Returns this daemon's part of the room below a limit."""
         reported = target.reported
@@ -446,12 +503,10 @@
             return _send(target, permit)
         if now < target.ask_after or not target.boot_id:
             return None
+        if target.is_suspected():
+            return None
         target.ask_after = now + self._ask_interval()
-        return AskPermit(
-            target_id=target.id,
-            boot_id=target.boot_id,
-            gates=self._gates.get(gate_table.find_partition(target.id), ()),
-        )
+        return self._ask(target, gate_table.GATES_ASKED)
 
     def _ask_interval(self) -> float:
         """Returns a time between asks that many daemons do not keep step in.
@@ -459,8 +514,8 @@
         It grows with the count of daemons, so that what one gate is asked
         does not.
         """
-        fair = len(self.daemons) / ASKS_PER_S_AT_GATE
-        return max(ASK_INTERVAL_S, fair) * self._random.uniform(0.75, 1.25)
+        fair = len(self.daemons) / COLD_ASKS_PER_S_AT_GATE
+        return max(COLD_ASK_INTERVAL_S, fair) * self._random.uniform(0.75, 1.25)
 
     def _check_permit(
         self, target: targets.Target, permit: gates.Permit, now: float
@@ -469,6 +524,8 @@
             return False
         if permit.source is gates.Source.RESERVE:
             return self._reserves.start(permit)
+        # A gate that has let one call through may let more through.
+        target.ask_after = now
         return True
 
     def _give_back(self, permit: gates.Permit | None) -> None:
@@ -480,9 +537,7 @@
         record = target.record
         if record is None or record.queued:
             return True
-        served = [self._pools.get(name) for name in target.instance.serves]
-        bounds = [pool.bound() for pool in served if pool is not None]
-        return target.load > max(bounds, default=0)
+        return target.load > self.find_bound(target.id)
 
     def _set_instance(self, instance: members_port.Instance) -> None:
         known = self.targets.get(instance.id)
--- a/mothpass/core/targets.py
+++ b/mothpass/core/targets.py
@@ -6,11 +6,11 @@
 import msgspec
 
 from mothpass.core import catalogue
+from mothpass.core import counts
 from mothpass.core import preference
 from mothpass.ports import members
 from mothpass.ports import targets
 
-OWN_HISTORY_S = 10.0
 BACK_OFF_S = 0.5
 BACK_OFF_LIMIT_S = 8.0
 FIRST_TOKEN_SAMPLES = 32
@@ -78,8 +78,10 @@
         instance: Its entry in the membership list.
         record: The newest load report, None before the first.
         own: This daemon's calls in flight there.
-        others: Calls of other daemons there, by the newest report.
-        own_at_report: This daemon's calls at the moment of that report.
+        others: Calls of other daemons there, by their counts or by the
+            newest report.
+        own_told: This daemon's calls there, as far as others know of them.
+        known_at: Monotonic seconds of the moment that ``others`` describes.
         cold_start: What it bears while cold, None where it serves no model.
         closed_until: Monotonic seconds before which it is left alone after
             a failure.
@@ -100,9 +102,10 @@
         "closed_until",
         "cold_start",
         "instance",
+        "known_at",
         "others",
         "own",
-        "own_at_report",
+        "own_told",
         "record",
         "spread",
     )
@@ -113,15 +116,14 @@
         self.record: LoadRecord | None = None
         self.own = 0
         self.others = 0
-        self.own_at_report = 0
+        self.own_told = 0
+        self.known_at = float("-inf")
         self.cold_start: catalogue.ColdStart | None = None
         self.alone = False
         self.spread = preference.hash_name(instance.id)
         self.closed_until = float("-inf")
         self.ask_after = float("-inf")
-        self._own_history: collections.deque[tuple[float, int]] = (
-            collections.deque()
-        )
+        self._own_history = counts.History()
         self._failures = 0
         self._boot_unknown_since: float | None = None
         self._first_token_costs: collections.deque[float] = collections.deque(
@@ -144,18 +146,18 @@
 
     @property
     def reported(self) -> int:
-        """Calls in flight at the moment of the newest report."""
-        return self.others + self.own_at_report
+        """Calls in flight that all daemons know of."""
+        return self.others + self.own_told
 
     @property
     def load(self) -> int:
-        """Calls in flight: the report, corrected by this daemon's own."""
+        """Calls in flight: what others have, and this daemon's own."""
         return self.others + self.own
 
     @property
     def growth(self) -> int:
-        """Change of this daemon's own calls since the newest report."""
-        return self.own - self.own_at_report
+        """Change of this daemon's calls that others do not know of."""
+        return self.own - self.own_told
 
     def is_leaving(self) -> bool:
         """Tells whether it takes no new work, by list or by report."""
@@ -176,6 +178,10 @@
             return True
         if self.record.phase is targets.Phase.COLD:
             return True
+        return self.is_suspected()
+
+    def is_suspected(self) -> bool:
+        """Tells whether it is cold by its answers, and not by its report."""
         return self._suspected_since is not None
 
     def record_load(self, record: LoadRecord) -> bool:
@@ -197,20 +203,37 @@
             self._suspected_since = None
             self._slow_answers = 0
         self.record = record
-        self.own_at_report = self._find_own(record.measured_at)
-        self.others = max(0, record.in_flight - self.own_at_report)
+        if record.measured_at >= self.known_at:
+            self.known_at = record.measured_at
+            self.own_told = self._own_history.find(record.measured_at)
+            self.others = max(0, record.in_flight - self.own_told)
         return True
 
+    def record_counts(self, others: int, *, known_at: float) -> None:
+        """Takes in what the other daemons say of their own calls.
+
+        Args:
+            others: Calls of all other daemons.
+            known_at: Monotonic seconds of the oldest of what they said.
+        """
+        self.others = others
+        self.known_at = known_at
+
+    def tell_count(self) -> int:
+        """Returns this daemon's calls, as the other daemons are told now."""
+        self.own_told = self.own
+        return self.own
+
     def start_call(self, now: float) -> None:
         """Counts one more call of this daemon."""
         self.own += 1
-        self._log_own(now)
+        self._own_history.record(self.own, now)
 
     def finish_call(self, outcome: Outcome, now: float) -> None:
         """Counts one call less, and backs off after a failure."""
         self.own = max(0, self.own - 1)
         self.alone = False
-        self._log_own(now)
+        self._own_history.record(self.own, now)
         if outcome is Outcome.ANSWERED:
             self._failures = 0
             return
@@ -255,18 +278,6 @@
         self._slow_answers = 0
         self._suspected_since = None
         self._failures = 0
+        self.known_at = float("-inf")
         self.closed_until = float("-inf")
         self.ask_after = float("-inf")
-
-    def _log_own(self, now: float) -> None:
-        history = self._own_history
-        history.append((now, self.own))
-        while len(history) > 1 and history[1][0] < now - OWN_HISTORY_S:
-            history.popleft()
-
-    def _find_own(self, moment: float) -> int:
-        """Returns this daemon's calls in flight at an earlier moment."""
-        for when, own in reversed(self._own_history):
-            if when <= moment:
-                return own
-        return 0
