Hold the bound on skew by counts that daemons tell each other

Cause: engines' load reports lag a second. With 8 daemons and 5 engines the calls that a daemon can't see are as many as the room below 1.25 x the mean. Change: each daemon tells the others its calls in flight four times a second, and at once (at most four times a second more) when it starts a call within 4 of the bound; each keeps to its part of the room until it has told the others. The control loop must carry the counts.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -22,6 +22,10 @@
     return sorted(found, key=lambda item: item.id)
 
 
+def _read_report(target: targets.Target) -> int:
+    return target.record.in_flight if target.record is not None else 0
+
+
 def _send(target: targets.Target | None, now: float) -> routing.Choice:
     if target is None:
         return routing.Wait(until=now + routing.WAIT_S)
@@ -65,7 +69,7 @@
 ) -> routing.Choice:
     """Chooses the least load of the newest reports, as they are."""
     found = _list_open(router, request, now)
-    return _send(min(found, key=lambda x: x.reported, default=None), now)
+    return _send(min(found, key=_read_report, default=None), now)
 
 
 def choose_hash(
@@ -109,3 +113,16 @@
         return _send(best, now)
 
     return choose
+
+
+def make_least(known: abc.Mapping[str, engines.Engine]) -> fleet.Choose:
+    """Returns a choice of the least load as it is now, caches aside."""
+
+    def choose(
+        router: routing.Router, request: routing.RouteRequest, now: float
+    ) -> routing.Choice:
+        found = [x for x in _list_open(router, request, now) if known[x.id].up]
+        best = min(found, key=lambda x: known[x.id].in_flight, default=None)
+        return _send(best, now)
+
+    return choose
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -208,6 +208,9 @@
         self.loop.call_every(REPORT_INTERVAL_S, until, self._send_reports)
         self.loop.call_every(TICK_S, until, self._tick_leases)
         for daemon in self.daemons:
+            daemon.router.tell_now = lambda daemon=daemon: self._send_counts(
+                daemon
+            )
             # Daemons keep no step with each other.
             self.loop.call_later(
                 self.rng.uniform(0.0, TICK_S),
--- a/mothpass/core/pools.py
+++ b/mothpass/core/pools.py
@@ -8,8 +8,8 @@
 
 RATE_WINDOW_S = 5.0
 REPORT_LAG_MOST_S = 3.0
-NOISE_FACTOR = 2.0
-WATERMARK_SHARE = 0.6
+NOISE_FACTOR = 1.5
+WATERMARK_SHARE = 0.9
 
 
 class Pool:
@@ -20,7 +20,8 @@
         members: Targets that may take new work, cold ones included.
         ring: The same on a ring.
         target_in_flight: Calls in flight that one warm target bears.
-        skew_multiple: Bound on the load, as a multiple of the mean.
+        skew_multiple: Bound on the load, as a multiple of the mean;
+            None for a plain service, which has none.
     """
 
     __slots__ = (
@@ -35,7 +36,7 @@
     )
 
     def __init__(
-        self, *, name: str, target_in_flight: int, skew_multiple: float
+        self, *, name: str, target_in_flight: int, skew_multiple: float | None
     ) -> None:
         """Starts without a target."""
         self.name = name
@@ -77,15 +78,19 @@
         up, and never more than what a warm target bears. The mean is taken
         over the warm targets that may take work.
         """
+        if self.skew_multiple is None:
+            return self.target_in_flight
         skew = max(1, math.ceil(self.skew_multiple * self._mean))
         return min(skew, self.target_in_flight)
 
     def watermark(self) -> int:
         """Returns the load up to which warm targets take calls.
 
-        It is the bound rounded down, as the mean may fall before the call
-        has ended.
+        It lies below the bound, as the mean may fall before a call has
+        ended and as some calls are always unseen.
         """
+        if self.skew_multiple is None:
+            return self.target_in_flight
         multiple = 1 + (self.skew_multiple - 1) * WATERMARK_SHARE
         skew = max(1, math.floor(multiple * self._mean))
         return min(skew, self.target_in_flight)
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from mothpass.core import buckets
 from mothpass.core import catalogue as catalogue_module
 from mothpass.core import cold
 from mothpass.core import errors
@@ -25,6 +26,9 @@
 
 COLD_ASKS_PER_S_AT_GATE = 20.0
 COLD_ASK_INTERVAL_S = 0.25
+TELLS_PER_S = 4.0
+TELLS_BURST = 8.0
+TIGHT_ROOM = 4
 WAIT_S = 0.1
 RETRY_AFTER_MS = 1000
 CALL_LIMIT_MS = 600_000
@@ -93,6 +97,8 @@
     Attributes:
         targets: What is known of each target, by id.
         daemons: Ids of the live daemons of the region, sorted.
+        tell_now: Called when the other daemons should be told this one's
+            counts before the next tick, as a target is close to its bound.
     """
 
     __slots__ = (
@@ -105,9 +111,11 @@
         "_random",
         "_rank",
         "_reserves",
+        "_tells",
         "_zones_out",
         "daemons",
         "targets",
+        "tell_now",
     )
 
     def __init__(
@@ -134,6 +142,10 @@
         del availability_zone
         self.targets: dict[str, targets.Target] = {}
         self.daemons: list[str] = [instance_id]
+        self.tell_now: abc.Callable[[], None] | None = None
+        self._tells = buckets.TokenBucket(
+            rate=TELLS_PER_S, burst=TELLS_BURST, now=started_at
+        )
         self._catalogue: catalogue_module.Catalogue | None = None
         self._gates: dict[int, tuple[str, ...]] = {}
         self._instance_id = instance_id
@@ -262,6 +274,10 @@
             pool = self._pools.get(name)
             if pool is not None:
                 pool.record_start(now)
+        if target.cold_start is not None:
+            room = self.find_bound(target_id) - target.load
+            if room <= TIGHT_ROOM:
+                self._tell_now(now)
         return True
 
     def record_first_token(
@@ -386,6 +402,11 @@
             return False
         return instance.availability_zone not in self._zones_out
 
+    def _tell_now(self, now: float) -> None:
+        """Has the counts sent at once, as far as the budget goes."""
+        if self.tell_now is not None and self._tells.try_take(now):
+            self.tell_now()
+
     def _choose_preferred(
         self, pool: pools.Pool, request: RouteRequest, chat: int, now: float
     ) -> Choice:
@@ -411,15 +432,15 @@
     ) -> Send | None:
         """Finds a way into a warm target, None where there is no room.
 
-        Far from the bound a call goes at once. Closer than what may stray
-        unseen, this daemon keeps to its part of the room.
+        This daemon keeps to its part of the room until it has told the
+        others. With very many daemons that is less than one call: then a
+        call may go while the room is larger than what may stray unseen.
         """
+        part = self._part(target, bound)
         noise = pools.estimate_noise(rate, now - target.known_at)
         if bound - target.load >= max(1.0, noise):
-            return _send(target)
-        if target.growth < self._part(target, bound):
-            return _send(target)
-        return None
+            part = max(1, part)
+        return _send(target) if target.growth < part else None
 
     def _ask(self, target: targets.Target, count: int) -> AskPermit:
         partition = gate_table.find_partition(target.id)
@@ -565,7 +586,7 @@
                 old, model.name, model.target_in_flight, model.skew_multiple
             )
         for service in self._catalogue.services:
-            self._add_pool(old, service.name, service.target_in_flight, 1.0)
+            self._add_pool(old, service.name, service.target_in_flight, None)
         members: dict[str, list[targets.Target]] = {}
         for target in self.targets.values():
             if self.may_take_work(target):
@@ -579,7 +600,7 @@
         old: dict[str, pools.Pool],
         name: str,
         target_in_flight: int,
-        skew_multiple: float,
+        skew_multiple: float | None,
     ) -> None:
         pool = old.get(name)
         if pool is None:
