Carry counts of calls in flight between daemons of a small fleet

Cause: the bound on skew rests on counts that daemons tell each other; the exchange carried only the engines' lagging reports. Change: a report of one or two bytes a target in each batch, its list of targets named once; batches also between ticks when a target is near its bound; unchanged load reports and addresses are not sent again; tick 250 ms. Ruled out: target ids in each report, some 15 bytes each in place of one.

--- a/mothpass/adapters/peer_messages.py
+++ b/mothpass/adapters/peer_messages.py
@@ -1,6 +1,7 @@
 """Converts messages between daemons from and to their protobuf form."""
 
 from mothpass.adapters import peers_pb2
+from mothpass.core import count_reports
 from mothpass.core import digests
 from mothpass.core import gates
 from mothpass.core import suspects
@@ -18,6 +19,8 @@
         rosters_wanted=batch.rosters_wanted,
         suspicions=[_encode_suspect(item) for item in batch.suspicions],
         changes=batch.changes,
+        counts=_encode_counts(batch.counts),
+        names_wanted=batch.names_wanted,
     )
 
 
@@ -32,6 +35,8 @@
         rosters_wanted=list(message.rosters_wanted),
         suspicions=[_decode_suspect(item) for item in message.suspicions],
         changes=list(message.changes),
+        counts=_decode_counts(message),
+        names_wanted=message.names_wanted,
     )
 
 
@@ -118,6 +123,32 @@
     )
 
 
+def _encode_counts(
+    report: count_reports.CountReport | None,
+) -> peers_pb2.CountReport | None:
+    if report is None:
+        return None
+    return peers_pb2.CountReport(
+        names_version=report.names_version,
+        with_names=report.names is not None,
+        names=report.names or [],
+        counts=report.counts,
+    )
+
+
+def _decode_counts(
+    message: peers_pb2.Batch,
+) -> count_reports.CountReport | None:
+    if not message.HasField("counts"):
+        return None
+    report = message.counts
+    return count_reports.CountReport(
+        names_version=report.names_version,
+        names=list(report.names) if report.with_names else None,
+        counts=report.counts,
+    )
+
+
 def _encode_digest(digest: digests.Digest) -> peers_pb2.Digest:
     return peers_pb2.Digest(
         origin=digest.origin,
--- a/mothpass/core/digests.py
+++ b/mothpass/core/digests.py
@@ -136,7 +136,13 @@
 class Board:
     """Rosters and newest digests of all origins, as one daemon knows them."""
 
-    __slots__ = ("_origins", "_own_id", "_own_keys", "_sequence")
+    __slots__ = (
+        "_origins",
+        "_own_id",
+        "_own_keys",
+        "_own_records",
+        "_sequence",
+    )
 
     def __init__(self, *, own_id: str, first_sequence: int) -> None:
         """Starts empty.
@@ -147,6 +153,7 @@
                 same id has used, as milliseconds since the epoch.
         """
         self._own_id = own_id
+        self._own_records: list[targets.LoadRecord] | None = None
         self._own_keys: list[tuple[str, str]] = []
         self._sequence = first_sequence
         self._origins: dict[str, _Origin] = {}
@@ -154,6 +161,9 @@
     def set_own(self, records: list[targets.LoadRecord], *, now: float) -> None:
         """Takes what this daemon itself read since the last tick."""
         ordered = sorted(records, key=lambda item: item.target_id)
+        if ordered == self._own_records:
+            return
+        self._own_records = ordered
         keys = [(item.target_id, item.boot_id) for item in ordered]
         origin = self._origins.setdefault(self._own_id, _Origin())
         if origin.roster is None or keys != self._own_keys:
--- a/mothpass/daemon/control_parts.py
+++ b/mothpass/daemon/control_parts.py
@@ -9,6 +9,7 @@
 from mothpass.adapters import peer_links
 from mothpass.adapters import peer_transport
 from mothpass.core import catalogue
+from mothpass.core import count_reports
 from mothpass.core import digests
 from mothpass.core import gate_table
 from mothpass.core import routing
@@ -107,18 +108,19 @@
         find_start=needs.find_start,
         call_limit_ms=routing.CALL_LIMIT_MS,
     )
+    started_ms = int(time.time() * 1000)
     exchanged = exchange.Exchange(
         own_id=own_id,
         operators_address=chosen.operators.address,
-        board=digests.Board(
-            own_id=own_id, first_sequence=int(time.time() * 1000)
-        ),
+        board=digests.Board(own_id=own_id, first_sequence=started_ms),
+        count_sender=count_reports.CountSender(first_version=started_ms),
         router=needs.router,
         suspects=needs.suspects,
         catalogues=needs.catalogues,
         find_link=links.get,
         monotonic=time.monotonic,
     )
+    needs.router.tell_now = exchanged.send_batches
     feed = GateFeed(gates=gates, router=needs.router)
 
     def take_members(listing: members.Members) -> None:
--- a/mothpass/daemon/exchange.py
+++ b/mothpass/daemon/exchange.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from mothpass.core import count_reports
 from mothpass.core import digests
 from mothpass.core import grid
 from mothpass.core import revisions
@@ -55,8 +56,10 @@
     """What was sent to a neighbour and what it has told."""
 
     __slots__ = (
+        "address_sent",
         "failures",
         "link",
+        "names_sent",
         "rosters_sent",
         "rosters_wanted",
         "sent_at",
@@ -66,6 +69,8 @@
     def __init__(self, *, link: Link) -> None:
         self.link = link
         self.failures = link.failures
+        self.address_sent = False
+        self.names_sent = 0
         self.rosters_sent: dict[str, int] = {}
         self.rosters_wanted: set[str] = set()
         self.sent_at = float("-inf")
@@ -75,6 +80,8 @@
         """Sends all anew, after a batch may have been lost."""
         self.sent_at = float("-inf")
         self.rosters_sent = {}
+        self.address_sent = False
+        self.names_sent = 0
         self.failures = self.link.failures
 
 
@@ -104,6 +111,8 @@
     __slots__ = (
         "_board",
         "_catalogues",
+        "_count_receiver",
+        "_count_sender",
         "_daemons",
         "_monotonic",
         "_neighbours",
@@ -123,6 +132,7 @@
         own_id: str,
         operators_address: str,
         board: digests.Board,
+        count_sender: count_reports.CountSender,
         router: routing.Router,
         suspects: suspects.Suspects,
         catalogues: catalogues.Catalogues,
@@ -135,6 +145,7 @@
             own_id: Id of this daemon.
             operators_address: Its listener for operators.
             board: Digests known so far.
+            count_sender: List of targets that counts refer to.
             router: Takes in the loads of targets.
             suspects: Suspects known so far.
             catalogues: The catalogue on this daemon.
@@ -144,6 +155,8 @@
         self.own_id = own_id
         self._operators_address = operators_address
         self._board = board
+        self._count_sender = count_sender
+        self._count_receiver = count_reports.CountReceiver()
         self._router = router
         self._suspects = suspects
         self._catalogues = catalogues
@@ -167,6 +180,7 @@
         }
         for gone in self._peers.keys() - self._daemons.keys():
             del self._peers[gone]
+        self._count_receiver.keep(self._daemons)
 
     def list_peers(self) -> list[Peer]:
         """Returns the other daemons heard of, sorted by id."""
@@ -179,9 +193,13 @@
     def accept_batch(self, batch: peers.Batch) -> None:
         """Takes in the batch of a peer."""
         now = self._monotonic()
+        known = self._peers.get(batch.sender)
+        address = batch.operators_address
+        if not address and known is not None:
+            address = known.operators_address
         self._peers[batch.sender] = Peer(
             id=batch.sender,
-            operators_address=batch.operators_address,
+            operators_address=address,
             catalogue_version=batch.catalogue_version,
             heard_at=now,
         )
@@ -189,7 +207,10 @@
         if neighbour is not None:
             neighbour.rosters_wanted.update(batch.rosters_wanted)
             neighbour.version = batch.catalogue_version
+            if batch.names_wanted:
+                neighbour.names_sent = 0
         self._accept_loads(batch, now)
+        self._accept_counts(batch, now)
         self._suspects.merge(batch.suspicions, now=now)
         self._accept_catalogue(batch)
 
@@ -204,11 +225,21 @@
         self._board.set_own(own_records, now=now)
         self._board.forget(now=now)
         self._arrange_neighbours()
+        self.send_batches()
+
+    def send_batches(self) -> None:
+        """Sends what is new now, between two ticks as well."""
+        now = self._monotonic()
+        counts = None
+        if not self._plan.column:
+            self._count_sender.set_names(self._router.targets)
+            counts = self._router.tell_counts(now=now)
         for peer_id, neighbour in self._neighbours.items():
             if neighbour.link.failures != neighbour.failures:
                 neighbour.forget_sent()
             if neighbour.link.is_ready:
-                neighbour.link.send_batch(self._build(peer_id, neighbour, now))
+                batch = self._build(peer_id, neighbour, counts, now)
+                neighbour.link.send_batch(batch)
                 neighbour.sent_at = now
 
     def _accept_loads(self, batch: peers.Batch, now: float) -> None:
@@ -220,6 +251,13 @@
         if records:
             self._router.record_loads(records, now=now)
 
+    def _accept_counts(self, batch: peers.Batch, now: float) -> None:
+        if batch.counts is None:
+            return
+        counts = self._count_receiver.read_report(batch.sender, batch.counts)
+        if counts is not None:
+            self._router.record_counts(batch.sender, counts, now=now)
+
     def _accept_catalogue(self, batch: peers.Batch) -> None:
         self._catalogues.note_peer(batch.sender, batch.catalogue_version)
         if not batch.changes:
@@ -259,7 +297,11 @@
         return _Neighbour(link=link)
 
     def _build(
-        self, peer_id: str, neighbour: _Neighbour, now: float
+        self,
+        peer_id: str,
+        neighbour: _Neighbour,
+        counts: dict[str, int] | None,
+        now: float,
     ) -> peers.Batch:
         is_relayed = peer_id in self._plan.column
         origins = self._plan.origins if is_relayed else {self.own_id}
@@ -268,7 +310,7 @@
         )
         return peers.Batch(
             sender=self.own_id,
-            operators_address=self._operators_address,
+            operators_address=self._choose_address(neighbour),
             catalogue_version=self._catalogues.version,
             loads=found,
             rosters=self._choose_rosters(neighbour, origins),
@@ -277,14 +319,35 @@
                 changed_since=neighbour.sent_at, now=now
             ),
             changes=self._choose_changes(neighbour),
+            counts=self._report_counts(neighbour, counts),
+            names_wanted=self._count_receiver.is_lacking(peer_id),
         )
 
+    def _choose_address(self, neighbour: _Neighbour) -> str:
+        """Returns the operators' address where the neighbour lacks it."""
+        if neighbour.address_sent:
+            return ""
+        neighbour.address_sent = True
+        return self._operators_address
+
+    def _report_counts(
+        self, neighbour: _Neighbour, counts: dict[str, int] | None
+    ) -> count_reports.CountReport | None:
+        """Returns the report, with the names where the neighbour lacks them."""
+        if counts is None:
+            return None
+        version = self._count_sender.version
+        with_names = neighbour.names_sent != version
+        neighbour.names_sent = version
+        return self._count_sender.make_report(counts, with_names=with_names)
+
     def _choose_rosters(
         self, neighbour: _Neighbour, origins: abc.Iterable[str]
     ) -> list[digests.Roster]:
         """Returns rosters that the neighbour lacks, and all now and then."""
         if self._ticks % ROSTERS_EVERY_TICKS == 0:
             neighbour.rosters_sent = {}
+            neighbour.address_sent = False
         for origin in neighbour.rosters_wanted:
             neighbour.rosters_sent.pop(origin, None)
         wanted = {*origins, *neighbour.rosters_wanted}
--- a/mothpass/daemon/settings.py
+++ b/mothpass/daemon/settings.py
@@ -95,7 +95,7 @@
 
     address: Address
     key: Secret
-    tick_ms: typing.Annotated[int, msgspec.Meta(ge=50, le=5000)] = 500
+    tick_ms: typing.Annotated[int, msgspec.Meta(ge=50, le=5000)] = 250
 
 
 class Platform(
--- a/mothpass/ports/peers.py
+++ b/mothpass/ports/peers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mothpass.core import count_reports
 from mothpass.core import digests
 from mothpass.core import gates
 from mothpass.core import suspects
@@ -14,13 +15,16 @@
 
     Attributes:
         sender: Id of the daemon that sends it.
-        operators_address: Its listener for operators.
+        operators_address: Its listener for operators, "" where it was told
+            before.
         catalogue_version: Version that it has in force.
         loads: Digests of loads, its own and relayed ones.
         rosters: Names that digests refer to.
         rosters_wanted: Origins whose roster it lacks.
         suspicions: Records of suspects that changed.
         changes: Catalogue changes in order of version, each as JSON.
+        counts: Its calls in flight, None in a fleet that is a grid.
+        names_wanted: Whether it lacks the receiver's list of targets.
     """
 
     sender: str
@@ -31,6 +35,8 @@
     rosters_wanted: list[str]
     suspicions: list[suspects.Record]
     changes: list[bytes]
+    counts: count_reports.CountReport | None = None
+    names_wanted: bool = False
 
 
 class Changes(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mothpass.core import count_reports
 from mothpass.core import digests
 from mothpass.core import suspects
 from mothpass.daemon import exchange
@@ -61,6 +62,7 @@
             own_id=f"d{number}",
             operators_address=f"127.0.0.1:{9000 + number}",
             board=digests.Board(own_id=f"d{number}", first_sequence=1),
+            count_sender=count_reports.CountSender(first_version=1),
             router=self.router,
             suspects=self.suspects,
             catalogues=self.node.catalogues,
@@ -203,6 +205,24 @@
         versions = {item.node.catalogues.version for item in fleet.daemons}
         self.assertEqual(versions, {1})
 
+    def test_counts_reach_every_daemon_of_a_mesh(self) -> None:
+        fleet = Fleet(8)
+        fleet.run_ticks(2)
+        router = fleet.daemons[7].router
+        router.targets["e0"].start_call(fleet.now)
+        fleet.run_ticks(2)
+        for daemon in fleet.daemons[:7]:
+            self.assertEqual(daemon.router.targets["e0"].others, 1)
+
+    def test_a_daemon_that_lost_the_names_gets_them_again(self) -> None:
+        fleet = Fleet(8)
+        fleet.run_ticks(2)
+        fleet.daemons[1] = Daemon(1, fleet)
+        fleet.daemons[1].exchange.set_members(fleet.listing)
+        fleet.daemons[0].router.targets["e0"].start_call(fleet.now)
+        fleet.run_ticks(3)
+        self.assertEqual(fleet.daemons[1].router.targets["e0"].others, 1)
+
     def test_a_batch_that_is_not_readable_changes_nothing(self) -> None:
         fleet = Fleet(2)
         batch = peers.Batch(
