Measure the cost of control live, with its slopes

Cause: no figure stood for the control budget of 4 KB/s and 1.1% of a core. Change: python -m bench.live control starts fleets of 4 to 36 daemons without callers and reads processor time and bytes from the kernel.

--- a/bench/live.py
+++ b/bench/live.py
@@ -9,10 +9,12 @@
 
 import msgspec
 
+from bench import live_control
 from bench import live_data_path
 
 MEASURES: dict[str, abc.Callable[[], abc.Iterable[typing.Any]]] = {
     "data-path": live_data_path.measure,
+    "control": live_control.measure,
 }
 
 
--- a/bench/live_data_path.py
+++ b/bench/live_data_path.py
@@ -25,7 +25,7 @@
 STREAMS = 560
 TOKENS_PER_S = 13_100
 ENGINES = 2
-FIRST_TOKEN_BOUND_MS = 10.0
+FIRST_TOKEN_BOUND_MS = 5.0
 CORE_BOUND = 1.0
 _KEY = "live-measure-team-key"
 _TOKEN = "live-measure-operator-token"
--- /dev/null
+++ b/bench/live_fleet.py
@@ -0,0 +1,218 @@
+"""A fleet of daemons as processes, before targets that only report loads."""
+
+import contextlib
+import functools
+import json
+import pathlib
+import subprocess
+import sys
+import time
+import typing
+
+from mothpass.core import catalogue
+from tests import http_calls
+from tests import processes
+
+MODEL = "live"
+KEY = "live-measure-team-key"
+TOKEN = "live-measure-operator-token"
+ZONE = "zone-a"
+_REGION = "region-a"
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_SETTLE_S = 4.0
+_CALLERS_PORT = 18001
+_OPERATORS_PORT = 18002
+_PEERS_PORT = 18003
+
+
+class Fleet:
+    """Daemons, the platform and the targets, until the stack is closed.
+
+    Attributes:
+        daemons: The daemons.
+        operators: Their listeners for operators.
+        control_ports: Ports of the platform and of listeners for peers.
+    """
+
+    __slots__ = (
+        "_members",
+        "_objects",
+        "_running",
+        "_tables",
+        "control_ports",
+        "daemons",
+        "operators",
+    )
+
+    def __init__(
+        self,
+        *,
+        stack: contextlib.ExitStack,
+        daemons: int,
+        targets: list[str],
+        teams: int = 10,
+    ) -> None:
+        """Starts all and waits until every daemon is ready.
+
+        Args:
+            stack: Ends the processes.
+            daemons: Count of daemons.
+            targets: Addresses of the targets; ids are ``target-<number>``.
+            teams: Count of teams of the catalogue.
+        """
+        self._running = processes.Processes()
+        stack.callback(self._running.close)
+        self._tables = self._running.start_standin("table")
+        self._objects = self._running.start_standin("objects")
+        self._members = self._running.start_standin(
+            "members", lag_ms=0, instances=_list_instances(targets)
+        )
+        self.control_ports = {
+            _PEERS_PORT,
+            *(
+                _read_port(item.address)
+                for item in (self._tables, self._objects, self._members)
+            ),
+        }
+        self.daemons: list[processes.Process] = []
+        self.operators: list[str] = []
+        for number in range(daemons):
+            self._start_daemon(number, daemons)
+        entries = build_catalogue(teams)
+        processes.wait_until(
+            lambda: put_catalogue(self.operators[0], 0, entries),
+            self.daemons[0],
+        )
+        for daemon in self.daemons:
+            processes.wait_until(
+                functools.partial(processes.is_ready, daemon), daemon
+            )
+        time.sleep(_SETTLE_S)
+
+    def read_status(self, number: int) -> dict[str, typing.Any]:
+        """Returns the status page of a daemon."""
+        answer = http_calls.call(
+            self.operators[number], "GET", "/v1/status", headers=_HEADERS
+        )
+        return typing.cast(dict[str, typing.Any], answer.decode())
+
+    def _start_daemon(self, number: int, slots: int) -> None:
+        # Below the ports that the kernel gives to outgoing connections.
+        host = f"127.0.2.{number + 1}"
+        peers = f"{host}:{_PEERS_PORT}"
+        operators = f"{host}:{_OPERATORS_PORT}"
+        self.operators.append(operators)
+        daemon = self._running.launch_daemon(
+            {
+                "instance": {
+                    "id": f"daemon-{number}",
+                    "region": _REGION,
+                    "availability_zone": ZONE,
+                    "slot": number,
+                    "slots": slots,
+                },
+                "callers": {"address": f"{host}:{_CALLERS_PORT}"},
+                "operators": {
+                    "address": operators,
+                    "token_sha256": [catalogue.hash_key(TOKEN)],
+                },
+                "peers": {"address": peers, "key": "live-measure-peer-key"},
+                "platform": {
+                    "tables_url": self._tables.url,
+                    "objects_url": self._objects.url,
+                    "members_url": self._members.url,
+                },
+                "telemetry": {"log_level": "error"},
+            }
+        )
+        self.daemons.append(daemon)
+
+
+_HEADERS = {"Authorization": f"Bearer {TOKEN}"}
+
+
+def start_targets(stack: contextlib.ExitStack, count: int) -> list[str]:
+    """Starts a process that reports the loads of so many targets."""
+    popen = subprocess.Popen(
+        [sys.executable, "-m", "bench.live_loads", "--count", str(count)],
+        cwd=_ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    stack.callback(popen.wait)
+    stack.callback(popen.kill)
+    assert popen.stdout is not None
+    return [str(item) for item in json.loads(popen.stdout.readline())]
+
+
+def build_catalogue(teams: int) -> dict[str, typing.Any]:
+    """Returns a catalogue of one model and so many teams."""
+    limits = {"in_flight": 100_000, "requests_per_s": 100_000, "queued": 10_000}
+    entry = {"owner": "measure", "class": "chat", "limits": limits}
+    model = entry | {
+        "name": MODEL,
+        "target_in_flight": 10_000,
+        "skew_multiple": 1.25,
+        "cold_start": {
+            "in_flight": 4,
+            "answers_per_step": 1,
+            "warm_in_flight": 16,
+        },
+    }
+    return {
+        "classes": [{"name": "chat", "priority": 1, "deadline_ms": 60_000}],
+        "models": [model],
+        "services": [],
+        "teams": [
+            entry
+            | {
+                "name": f"team-{number}",
+                "key_sha256": [
+                    catalogue.hash_key(KEY if number == 0 else f"key-{number}")
+                ],
+                "uses": [MODEL],
+            }
+            for number in range(teams)
+        ],
+        "availability_zones": [{"name": ZONE, "region": _REGION}],
+    }
+
+
+def put_catalogue(
+    operators: str, base_version: int, entries: dict[str, typing.Any]
+) -> bool:
+    """Sends a catalogue; returns whether it was accepted."""
+    body = {
+        "base_version": base_version,
+        "author": "measure",
+        "catalogue": entries,
+    }
+    try:
+        answer = http_calls.call(
+            operators,
+            "PUT",
+            "/v1/catalogue",
+            json.dumps(body).encode(),
+            _HEADERS,
+        )
+    except OSError:
+        return False
+    return answer.status == http_calls.OK
+
+
+def _list_instances(addresses: list[str]) -> list[dict[str, typing.Any]]:
+    return [
+        {
+            "id": f"target-{number}",
+            "role": "engine",
+            "state": "live",
+            "address": address,
+            "availability_zone": ZONE,
+            "serves": [MODEL],
+        }
+        for number, address in enumerate(addresses)
+    ]
+
+
+def _read_port(address: str) -> int:
+    return int(address.rpartition(":")[2])
--- /dev/null
+++ b/bench/live_usage.py
@@ -0,0 +1,76 @@
+"""Reads what a process has used so far, from the kernel."""
+
+import os
+import pathlib
+import re
+import shutil
+import subprocess
+
+import msgspec
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_PORTS = re.compile(r":(\d+)\s+\S*?:(\d+)\s")
+_SENT = re.compile(r"bytes_sent:(\d+)")
+_RECEIVED = re.compile(r"bytes_received:(\d+)")
+
+
+class Usage(msgspec.Struct, frozen=True, kw_only=True):
+    """What a process has used so far.
+
+    Attributes:
+        processor_s: Processor time in seconds.
+        memory_bytes: Resident memory now.
+        sent_bytes: Bytes sent over the TCP connections open now, without the
+            headers of TCP; 0 where the machine has no ``ss``.
+        received_bytes: The same for bytes received.
+    """
+
+    processor_s: float
+    memory_bytes: int
+    sent_bytes: int
+    received_bytes: int
+
+
+def read_usage(pid: int) -> Usage:
+    """Returns what a process has used so far."""
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="utf-8")
+    fields = stat.rpartition(")")[2].split()
+    sent, received = read_bytes(pid)
+    return Usage(
+        processor_s=(int(fields[11]) + int(fields[12])) / _TICKS_PER_S,
+        memory_bytes=int(fields[21]) * _PAGE_BYTES,
+        sent_bytes=sent,
+        received_bytes=received,
+    )
+
+
+def read_bytes(pid: int, ports: set[int] | None = None) -> tuple[int, int]:
+    """Returns the bytes sent and received over open TCP connections.
+
+    Args:
+        pid: The process.
+        ports: Only connections with one of these at either end; None for all.
+    """
+    if shutil.which("ss") is None:
+        return 0, 0
+    output = subprocess.run(
+        ["ss", "-H", "-O", "-tinp"], capture_output=True, text=True, check=True
+    ).stdout
+    sent = received = 0
+    for line in output.splitlines():
+        if f"pid={pid}," not in line:
+            continue
+        found = _PORTS.search(line)
+        if found is None:
+            continue
+        if ports is not None and not {int(x) for x in found.groups()} & ports:
+            continue
+        sent += _read_counter(_SENT, line)
+        received += _read_counter(_RECEIVED, line)
+    return sent, received
+
+
+def _read_counter(pattern: re.Pattern[str], line: str) -> int:
+    found = pattern.search(line)
+    return 0 if found is None else int(found.group(1))
