Prove calls that run at most once by a model, and mend what it found

The model (spec/claims.py) calls the functions of core/claims.py; minicheck explores all states of three scopes.

Causes that it found, each mended: - Two abandoned claims could overwrite each other's ended row without end (the search did not end at 600,000 states). An abandoned claim now writes only while the row has the version that the claim expects. - An attempt paused past the row's time said "not run" of a key that another had claimed anew. It now says "unknown". - A stale read of an old released row, or a second pruner, could hit a new claim that has the same version, and the call could run twice. Old rows are no longer taken or ended; rows are deleted under a lease of their part only, after a second read.

Ruled out: a tombstone before each deletion (one more write a row), a row a time period (two writes a claim, or storage for a month).

--- a/mothpass/core/claim_refusals.py
+++ b/mothpass/core/claim_refusals.py
@@ -81,6 +81,18 @@
     )
 
 
+def refuse_old_key() -> errors.Refusal:
+    """Returns the answer to a key whose row is about to be pruned."""
+    return errors.Refusal(
+        code=results.Code.OUTCOME_UNKNOWN,
+        ran=results.Ran.UNKNOWN,
+        message=(
+            "the time for which this idempotency key is kept is over; "
+            "this attempt was not sent; use a new key"
+        ),
+    )
+
+
 def refuse_result_unread() -> errors.Refusal:
     """Returns the answer where the call has run and its body can't be read."""
     return errors.Refusal(
--- a/mothpass/core/claims.py
+++ b/mothpass/core/claims.py
@@ -23,7 +23,8 @@
 
 TABLE = "claims"
 RESULT_ROW_LIMIT_BYTES = 16_384
-# Wall clocks of two daemons may differ by this much.
+# What wall clocks of two daemons differ by, and how late a write of the one
+# takes effect in the store, stay below this together.
 CLOCK_SKEW_MS = 60_000
 
 
@@ -160,8 +161,8 @@
         call: The call.
         found: The row as the store has it, None for no row. An attempt may
             assume None at first; the store refuses the write if it is wrong.
-        wall_ms: Wall time; it only chooses the words of a refusal that says
-            ``unknown`` in either case.
+        wall_ms: Wall time, milliseconds since the epoch, right before the
+            step is carried out.
 
     Returns:
         The step. A row with this attempt's own token is the proof that a
@@ -177,8 +178,12 @@
             step: Step = Known(claim=claim)
         case State.UNKNOWN:
             step = claim_refusals.refuse_unknown()
-        case State.NOT_RUN:
+        case State.NOT_RUN if may_end(claim, wall_ms=wall_ms):
             step = Take(write=_write(call, found.version, claim_row(call)))
+        case State.NOT_RUN:
+            # The row may be gone when the write arrives, and another one may
+            # have its version by then.
+            step = claim_refusals.refuse_old_key()
         case State.CLAIMED:
             step = _examine_claimed(call, found, wall_ms)
     return step
@@ -222,6 +227,26 @@
     return now < call.deadline
 
 
+def conclude_not_run(
+    refusal: errors.Refusal, claim: Claim, *, wall_ms: int
+) -> errors.Refusal:
+    """Returns what an attempt that held the row and sent nothing may say.
+
+    Args:
+        refusal: Why it was not sent; it says "not run".
+        claim: The row as this attempt claimed it.
+        wall_ms: Wall time now.
+
+    Returns:
+        The refusal as it is, since no attempt ran before the row was claimed
+        and none can run beside it. After a pause so long that the row may
+        have been pruned the refusal says "unknown".
+    """
+    if may_end(claim, wall_ms=wall_ms):
+        return refusal
+    return claim_refusals.doubt_refusal(refusal)
+
+
 def end_not_run(claim: Claim) -> Claim:
     """Returns the row after an attempt of which no byte left."""
     return msgspec.structs.replace(claim, state=State.NOT_RUN)
@@ -263,30 +288,52 @@
 
 
 def plan_end(found: Stored | None, end: Claim) -> tables.Write | None:
-    """Decides the write that ends an attempt's row.
+    """Decides the write that ends the row of an attempt that held it.
 
     Args:
-        found: The row as known or read.
+        found: The row as confirmed or read.
         end: The row as it should become, with the attempt's token.
 
     Returns:
         The write; None where there is nothing to write, since the row has
-        ended or isn't the attempt's. Where a claim was never confirmed and
-        the row is as before it, the row gets a new version: the claim may be
-        on its way still and must not find the version that it expects.
+        ended or isn't the attempt's.
     """
-    key = name_row(end.team, end.service, end.idempotency_key)
-    if found is None:
-        if end.state is not State.NOT_RUN:
-            return None
-        return _write_at(key, 0, end)
-    own = found.claim.token == end.token
-    if own and found.claim.state is State.CLAIMED:
-        return _write_at(key, found.version, end)
-    both_not_run = found.claim.state is end.state is State.NOT_RUN
-    if both_not_run and not own:
-        return _write_at(key, found.version, end)
-    return None
+    if found is None or found.claim.token != end.token:
+        return None
+    if found.claim.state is not State.CLAIMED:
+        return None
+    return _write_at(_name_claim(end), found.version, end)
+
+
+def plan_abandon(
+    found: Stored | None, end: Claim, *, expected_version: int
+) -> tables.Write | None:
+    """Decides the write after a claim that was sent and never confirmed.
+
+    The claim may be on its way still. If the row has the version that it
+    expects, the row gets a new one, so that it has no effect any more.
+
+    Args:
+        found: The row as read.
+        end: The row in state NOT_RUN, with the attempt's token.
+        expected_version: Version that the newest claim expects.
+
+    Returns:
+        The write; None where there is nothing to write.
+    """
+    version = found.version if found else 0
+    if version == expected_version:
+        return _write_at(_name_claim(end), version, end)
+    return plan_end(found, end)
+
+
+def may_end(end: Claim, *, wall_ms: int) -> bool:
+    """Tells whether a daemon may still write the end of its row.
+
+    Once the row may have been pruned, a new row could have the version that
+    the write expects.
+    """
+    return wall_ms <= end.kept_until_ms
 
 
 def may_prune(claim: Claim, *, wall_ms: int) -> bool:
@@ -315,6 +362,10 @@
     )
 
 
+def _name_claim(claim: Claim) -> str:
+    return name_row(claim.team, claim.service, claim.idempotency_key)
+
+
 def _write(call: Call, expected_version: int, claim: Claim) -> tables.Write:
     key = name_row(call.team, call.service, call.idempotency_key)
     return _write_at(key, expected_version, claim)
--- a/mothpass/core/pruning.py
+++ b/mothpass/core/pruning.py
@@ -1,11 +1,61 @@
-"""Walks the claims table in parts to find rows whose time is over."""
+"""Walks the claims table in parts to find rows whose time is over.
+
+A deleted row's key may be claimed anew, and the new row goes through the same
+versions. So a delete must not arrive late, and no two daemons may delete at
+once: a part of the table is deleted from under a lease only.
+"""
 
 from collections import abc
 
+import msgspec
+
+from mothpass.core import claims
+from mothpass.ports import tables
+
+LEASE_TABLE = "claims_pruning"
+LEASE_MS = 30_000
+PART_DIGITS = 2
 SCAN_LIMIT_ROWS = 100
 _HEX = "0123456789abcdef"
 
 
+class PruneLease(msgspec.Struct, frozen=True, kw_only=True):
+    """Row by which one daemon at a time deletes from a part.
+
+    Attributes:
+        until_ms: Wall time, milliseconds since the epoch, after which its
+            holder deletes nothing.
+    """
+
+    until_ms: int
+
+
+def plan_lease(
+    part: str, found: tables.Row | None, *, wall_ms: int
+) -> tables.Write | None:
+    """Decides the write that takes the lease of a part.
+
+    Args:
+        part: First digits of the keys in the part.
+        found: The lease's row as read.
+        wall_ms: Wall time now.
+
+    Returns:
+        The write; None while another holder's deletes may still arrive.
+    """
+    if found is not None:
+        lease = msgspec.json.decode(found.value, type=PruneLease)
+        if wall_ms <= lease.until_ms + claims.CLOCK_SKEW_MS:
+            return None
+    lease = PruneLease(until_ms=wall_ms + LEASE_MS)
+    return tables.Write(
+        table=LEASE_TABLE,
+        key=part,
+        expected_version=found.version if found else 0,
+        value=msgspec.Raw(msgspec.json.encode(lease)),
+    )
+
+
 class PruneWalk:
     """Which prefix of the row keys to read next.
 
--- a/mothpass/daemon/claim_ends.py
+++ b/mothpass/daemon/claim_ends.py
@@ -73,15 +73,16 @@
             )
         self._start(self._end_row(key, stored, end))
 
-    def abandon(self, claim: claims.Claim) -> None:
+    def abandon(self, claim: claims.Claim, expected_version: int) -> None:
         """Starts to end a row whose claim was sent and never confirmed.
 
         Args:
             claim: The row as the attempt would have written it. The attempt
                 sends nothing any more.
+            expected_version: Version that its newest write expects.
         """
-        key = claims.name_row(claim.team, claim.service, claim.idempotency_key)
-        self._start(self._end_unconfirmed(key, claims.end_not_run(claim)))
+        end = claims.end_not_run(claim)
+        self._start(self._end_unconfirmed(end, expected_version))
 
     async def drain(self) -> None:
         """Waits until the store has confirmed each end."""
@@ -97,44 +98,58 @@
         self, key: str, stored: claims.Stored, end: claims.Claim
     ) -> None:
         """Ends a confirmed row; then the store can answer for it."""
-        try:
-            await self._write_until_confirmed(key, stored, end)
-        finally:
-            held = self._unsettled.get(key)
-            if held is not None and held.claim is end:
-                del self._unsettled[key]
-
-    async def _end_unconfirmed(self, key: str, end: claims.Claim) -> None:
-        """Ends a row that may be there; it is read first."""
-        found: claims.Stored | None = None
+        found: claims.Stored | None = stored
+
+        async def plan() -> tables.Write | None:
+            return claims.plan_end(found, await self._move_body(end))
+
         pause_s = PAUSE_FIRST_S
         while not self._is_over(end):
             try:
+                if await self._try_write(plan):
+                    break
                 found = await self._read(key)
-                break
-            except errors.StoreUnavailableError:
+            except (
+                errors.StoreUnavailableError,
+                errors.StoreUnconfirmedError,
+            ):
                 pause_s = await self._pause(pause_s)
-        await self._write_until_confirmed(key, found, end)
+        held = self._unsettled.get(key)
+        if held is not None and held.claim is end:
+            del self._unsettled[key]
 
-    async def _write_until_confirmed(
-        self, key: str, found: claims.Stored | None, end: claims.Claim
+    async def _end_unconfirmed(
+        self, end: claims.Claim, expected_version: int
     ) -> None:
+        """Ends a row that may be there, or puts an ended one in its place."""
+        key = claims.name_row(end.team, end.service, end.idempotency_key)
+
+        async def plan() -> tables.Write | None:
+            found = await self._read(key)
+            return claims.plan_abandon(
+                found, end, expected_version=expected_version
+            )
+
         pause_s = PAUSE_FIRST_S
         while not self._is_over(end):
             try:
-                write = claims.plan_end(found, await self._move_body(end))
-                if write is None:
+                if await self._try_write(plan):
                     return
-                outcome = await self._store.transact([write], priority=_CLAIM)
-                if isinstance(outcome, tables.Committed):
-                    return
-                found = await self._read(key)
             except (
                 errors.StoreUnavailableError,
                 errors.StoreUnconfirmedError,
             ):
                 pause_s = await self._pause(pause_s)
-        _logger.error("end of a call was not stored in its time: %s", key)
+
+    async def _try_write(
+        self, plan: abc.Callable[[], abc.Awaitable[tables.Write | None]]
+    ) -> bool:
+        """Writes what is planned once; returns whether nothing is left."""
+        write = await plan()
+        if write is None:
+            return True
+        outcome = await self._store.transact([write], priority=_CLAIM)
+        return isinstance(outcome, tables.Committed)
 
     async def _move_body(self, end: claims.Claim) -> claims.Claim:
         """Puts a body that is too large for a row into the object store."""
@@ -160,5 +175,5 @@
         return min(PAUSE_MOST_S, pause_s * 2)
 
     def _is_over(self, end: claims.Claim) -> bool:
-        """Tells whether the row's time is over, so that none asks for it."""
-        return self._wall() * 1000 > end.kept_until_ms
+        """Tells whether the row's time is over, so that it is left alone."""
+        return not claims.may_end(end, wall_ms=int(self._wall() * 1000))
--- a/mothpass/daemon/claim_pruning.py
+++ b/mothpass/daemon/claim_pruning.py
@@ -68,11 +68,10 @@
         self._next_at = self._monotonic() + IDLE_S
         prefix = self._walk.next_prefix()
         try:
-            rows = await self._store.scan_rows(
-                claims.TABLE, prefix, pruning.SCAN_LIMIT_ROWS, priority=_POLL
-            )
+            rows = await self._scan(prefix)
             self._walk.record(prefix, len(rows))
-            if await self._delete(rows):
+            old = self._plan_deletes(rows)
+            if old and await self._delete_part(prefix, old[0].key):
                 self._next_at = self._monotonic() + BUSY_S
         except (
             errors.StoreUnavailableError,
@@ -80,21 +79,50 @@
         ) as error:
             _logger.info("pruning put off: %s", error)
 
-    async def _delete(self, rows: list[tables.Row]) -> bool:
-        """Deletes what is over, as far as the budget goes."""
-        wall_ms = int(self._wall() * 1000)
-        writes: list[tables.Write] = []
-        for row in rows:
-            stored = claims.decode_row(row)
-            if stored and claims.may_prune(stored.claim, wall_ms=wall_ms):
-                writes.append(claims.plan_prune(row))
+    async def _delete_part(self, prefix: str, key: str) -> bool:
+        """Deletes from the part of a key, if its lease can be had.
+
+        What is deleted is read anew under the lease, since another holder may
+        have deleted it meanwhile and it may have been claimed again.
+        """
+        part = key[: pruning.PART_DIGITS]
+        held_until = self._monotonic() + pruning.LEASE_MS / 1000
+        if not await self._take_lease(part):
+            return False
+        rows = await self._scan(prefix if prefix.startswith(part) else part)
         allowed = self._store.budget.count_available(
             budget.Kind.WRITE, _POLL, now=self._monotonic()
         )
-        writes = writes[:allowed]
-        if not writes:
+        writes = self._plan_deletes(rows)[:allowed]
+        if not writes or self._monotonic() >= held_until:
             return False
+        # It is sent once: after a lost answer the rows are found again.
         outcome = await self._store.transact(writes, priority=_POLL)
         if isinstance(outcome, tables.Committed):
             self.deleted += len(writes)
         return True
+
+    async def _take_lease(self, part: str) -> bool:
+        found = await self._store.read_row(
+            pruning.LEASE_TABLE, part, priority=_POLL
+        )
+        wall_ms = int(self._wall() * 1000)
+        write = pruning.plan_lease(part, found, wall_ms=wall_ms)
+        if write is None:
+            return False
+        outcome = await self._store.transact([write], priority=_POLL)
+        return isinstance(outcome, tables.Committed)
+
+    async def _scan(self, prefix: str) -> list[tables.Row]:
+        return await self._store.scan_rows(
+            claims.TABLE, prefix, pruning.SCAN_LIMIT_ROWS, priority=_POLL
+        )
+
+    def _plan_deletes(self, rows: list[tables.Row]) -> list[tables.Write]:
+        wall_ms = int(self._wall() * 1000)
+        writes: list[tables.Write] = []
+        for row in rows:
+            stored = claims.decode_row(row)
+            if stored and claims.may_prune(stored.claim, wall_ms=wall_ms):
+                writes.append(claims.plan_prune(row))
+        return writes
--- a/mothpass/daemon/claims.py
+++ b/mothpass/daemon/claims.py
@@ -60,11 +60,19 @@
 
 
 class _Progress:
-    """What an attempt has met on its way to the row."""
+    """What an attempt has met on its way to the row.
 
-    __slots__ = ("failures", "lost", "pause_s")
+    Attributes:
+        expected_version: Version that its newest claim expects.
+        failures: Calls that the store did not take.
+        lost: Whether a claim was sent whose answer was lost.
+        pause_s: Time to wait before the row is read again.
+    """
+
+    __slots__ = ("expected_version", "failures", "lost", "pause_s")
 
     def __init__(self) -> None:
+        self.expected_version = 0
         self.failures = 0
         self.lost = False
         self.pause_s = WAIT_FIRST_S
@@ -203,6 +211,7 @@
     ) -> claims.Send | None:
         """Sends the write that claims the row, once."""
         outcome: tables.Committed | tables.Conflict | None = None
+        progress.expected_version = take.write.expected_version
         try:
             outcome = await self._store.transact([take.write], priority=_CLAIM)
         except errors.StoreUnconfirmedError:
@@ -236,7 +245,8 @@
             await self._sleep(pause * self._random.uniform(0.5, 1.0))
             return None
         if progress.lost:
-            self.ends.abandon(claims.claim_row(call))
+            claim = claims.claim_row(call)
+            self.ends.abandon(claim, progress.expected_version)
         wait_ms = claim_refusals.RETRY_AFTER_MS
         if isinstance(error, errors.StoreBudgetError):
             wait_ms = max(wait_ms, int(error.wait_s * 1000))
@@ -250,7 +260,8 @@
     ) -> errors.Refusal:
         """Answers an attempt whose deadline came before it had the row."""
         if progress.lost:
-            self.ends.abandon(claims.claim_row(call))
+            claim = claims.claim_row(call)
+            self.ends.abandon(claim, progress.expected_version)
         if isinstance(step, claims.Wait):
             return claim_refusals.refuse_in_progress()
         return claim_refusals.refuse_without_store(
@@ -266,20 +277,25 @@
     ) -> Outcome:
         """Sends a call whose row is confirmed, and ends the row."""
         claim = stored.claim
-        if not claims.may_send(call, now=self._monotonic()):
-            self.ends.begin(stored, claims.end_not_run(claim))
-            return _fail_not_run(
+        if claims.may_send(call, now=self._monotonic()):
+            outcome = await self._send(attempt, run)
+        else:
+            outcome = _fail_not_run(
                 results.Code.DEADLINE_EXCEEDED, "the deadline is over"
             )
-        outcome = await self._send(attempt, run)
         if isinstance(outcome, result.Success):
             end = claims.end_result(claim, outcome.unwrap(), body_object="")
-        elif outcome.failure().ran is results.Ran.NO:
-            end = claims.end_not_run(claim)
-        else:
-            end = claims.end_unknown(claim)
-        self.ends.begin(stored, end)
-        return outcome
+            self.ends.begin(stored, end)
+            return outcome
+        refusal = outcome.failure()
+        if refusal.ran is not results.Ran.NO:
+            self.ends.begin(stored, claims.end_unknown(claim))
+            return outcome
+        self.ends.begin(stored, claims.end_not_run(claim))
+        wall_ms = int(self._wall() * 1000)
+        return result.Failure(
+            claims.conclude_not_run(refusal, claim, wall_ms=wall_ms)
+        )
 
     async def _send(self, attempt: targets.Attempt, run: Run) -> Outcome:
         """Sends the attempt and tells what is known of it after that."""
--- /dev/null
+++ b/mothpass/programs/mothpass_spec.py
@@ -0,0 +1,117 @@
+"""The program mothpass-spec: checks the specifications of the protocols."""
+
+import importlib
+import sys
+
+import cleo.application
+import cleo.commands.command
+import cleo.helpers
+from cleo.io.inputs import argv_input
+import msgspec
+
+from spec import results
+
+MODELS = ("claims",)
+
+
+class CheckCommand(cleo.commands.command.Command):
+    """Checks the models that are named, or all."""
+
+    name = "check"
+    description = "Checks models and their mutants; prints a JSON line each."
+    arguments = [
+        cleo.helpers.argument(
+            "names",
+            f"Models to check, of {', '.join(MODELS)}; all by default.",
+            optional=True,
+            multiple=True,
+        )
+    ]
+    options = [
+        cleo.helpers.option(
+            "traces", None, "Print the steps by which mutants are refuted."
+        )
+    ]
+
+    def handle(self) -> int:
+        """Runs the checks.
+
+        Returns:
+            0 if every model holds in all its states and every mutant is
+            refuted, 1 if not, 2 for a name that is no model.
+        """
+        names = self.argument("names") or list(MODELS)
+        unknown = [name for name in names if name not in MODELS]
+        if unknown:
+            self.line_error(f"no model named {', '.join(unknown)}")
+            return 2
+        checked: list[results.SpecResult] = []
+        for name in names:
+            module = importlib.import_module(f"spec.{name}")
+            for item in module.run():
+                checked.append(item)
+                self._print(item)
+        return 0 if all(map(results.is_passed, checked)) else 1
+
+    def _print(self, item: results.SpecResult) -> None:
+        self.line(msgspec.json.encode(_summarize(item)).decode())
+        if not self.option("traces"):
+            return
+        for mutant in item.mutants:
+            self.line(f"  without: {mutant.name}")
+            for step in mutant.trace:
+                self.line(f"    {step}")
+
+
+class MutantSummary(msgspec.Struct, frozen=True, kw_only=True):
+    """A mutant as printed; ``steps`` is the length of its counterexample."""
+
+    without: str
+    refuted: bool
+    breaks: str
+    steps: int
+
+
+class Summary(msgspec.Struct, frozen=True, kw_only=True):
+    """A model as printed."""
+
+    model: str
+    passed: bool
+    states: int
+    exhaustive: bool
+    holds: bool
+    trace: list[str]
+    mutants: list[MutantSummary]
+
+
+def _summarize(item: results.SpecResult) -> Summary:
+    return Summary(
+        model=item.name,
+        passed=results.is_passed(item),
+        states=item.states,
+        exhaustive=item.exhaustive,
+        holds=item.holds,
+        trace=item.trace,
+        mutants=[
+            MutantSummary(
+                without=mutant.name,
+                refuted=mutant.refuted,
+                breaks=mutant.invariant,
+                steps=len(mutant.trace),
+            )
+            for mutant in item.mutants
+        ],
+    )
+
+
+def main() -> int:
+    """Runs the program with the arguments of the command line."""
+    application = cleo.application.Application("mothpass-spec")
+    command = CheckCommand()
+    application.add(command)
+    arguments = [sys.argv[0], CheckCommand.name, *sys.argv[1:]]
+    return int(application.run(argv_input.ArgvInput(arguments)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
