Send no attempt past its deadline

Cause: a daemon that is paused while it connects would send a claimed call after its row's time is over; the model of claims has this guard ("nothing is sent past the deadline"), the HTTP client had not.

Change: the client looks at the deadline after it has a connection, right before it writes. What remains is a pause between the check and the write.

Before: test_attempt_past_its_deadline_sends_no_byte fails. After: passes.

--- a/mothpass/adapters/targets_http.py
+++ b/mothpass/adapters/targets_http.py
@@ -134,8 +134,15 @@
         silence_ms: int | None = None,
         fresh: bool = False,
     ) -> abc.AsyncIterator[http_exchanges.Exchange]:
-        """Sends a request; gives the connection back at the end."""
+        """Sends a request; gives the connection back at the end.
+
+        Nothing is sent past the deadline: a daemon that was paused while it
+        connected must not send a call whose claim has run out meanwhile.
+        """
         connection = await self._pool.take(address, fresh=fresh)
+        if asyncio.get_running_loop().time() >= deadline:
+            self._pool.give_back(address, connection)
+            raise errors.TargetUnreachableError("past the deadline, not sent")
         exchange = connection.send(
             request, silence_ms=silence_ms, deadline=deadline
         )
