Prove that the catalogue never goes back, and measure its cost

A start without the store needs more than half of a small view, or eight peers of a large one: in a fleet of 200 a daemon hears only of its neighbours, so that half of the view could never be reached.

--- /dev/null
+++ b/bench/store_costs.py
@@ -0,0 +1,278 @@
+"""Measures what claims and catalogue changes cost: store calls, time, bytes.
+
+``python -m bench.store_costs`` prints a JSON line a measure. The platform is
+a fake in memory, so that times are those of the daemon's own code.
+"""
+
+import asyncio
+import random
+import sys
+import time
+import tracemalloc
+
+import msgspec
+
+from mothpass.core import budget
+from mothpass.core import catalogue
+from mothpass.core import edits
+from mothpass.core import revisions
+from mothpass.daemon import catalogue_log
+from mothpass.daemon import catalogues
+from mothpass.daemon import claims
+from mothpass.daemon import proposals
+from mothpass.daemon import stores
+from mothpass.ports import targets
+from tests import fakes_platform
+
+TEAMS = 12_000
+CHANGES = 200
+CALLS = 2_000
+NO_LIMIT_PER_S = 1e9
+
+_LIMITS = catalogue.Limits(in_flight=100, requests_per_s=100, queued=100)
+
+
+class Measure(msgspec.Struct, frozen=True, kw_only=True):
+    """One figure."""
+
+    measure: str
+    value: float
+    unit: str
+
+
+class Node:
+    """The parts of one daemon that use the store, over fakes."""
+
+    __slots__ = ("catalogues", "claims", "proposals", "tables")
+
+    def __init__(self, *, name: str, tables: fakes_platform.MemoryTables):
+        """Builds the parts."""
+        objects = fakes_platform.MemoryObjects()
+        source = random.Random(name)
+        store = stores.Store(
+            read_row=tables.read_row,
+            scan_rows=tables.scan_rows,
+            transact=tables.transact,
+            get_object=objects.get_object,
+            put_object=objects.put_object,
+            store_budget=budget.StoreBudget(
+                reads_per_s=NO_LIMIT_PER_S,
+                writes_per_s=NO_LIMIT_PER_S,
+                daemons=1,
+                now=time.monotonic(),
+            ),
+            monotonic=time.monotonic,
+        )
+        log = catalogue_log.CatalogueLog(
+            store=store, sleep=asyncio.sleep, priority=budget.Priority.CLAIM
+        )
+        self.tables = tables
+        self.catalogues = catalogues.Catalogues(
+            log=log,
+            monotonic=time.monotonic,
+            random=source,
+            on_change=_ignore,
+        )
+        self.proposals = proposals.Proposals(
+            daemon_id=name,
+            present=self.catalogues,
+            log=log,
+            wall=time.time,
+            sleep=asyncio.sleep,
+            random=source,
+        )
+        self.claims = claims.Claims(
+            store=store,
+            monotonic=time.monotonic,
+            wall=time.time,
+            sleep=asyncio.sleep,
+            random=source,
+        )
+
+
+def _ignore(_revision: revisions.Revision) -> None:
+    """Takes a new revision and does nothing with it."""
+
+
+def _build_catalogue(teams: int) -> catalogue.Catalogue:
+    return catalogue.Catalogue(
+        classes=[
+            catalogue.ServiceClass(name="quick", priority=1, deadline_ms=5000)
+        ],
+        models=[],
+        services=[],
+        teams=[_build_team(number) for number in range(teams)],
+        availability_zones=[],
+    )
+
+
+def _build_team(number: int, weight: int = 1) -> catalogue.Team:
+    return catalogue.Team(
+        name=f"team-{number:05d}",
+        owner=f"owner of team {number}",
+        service_class="quick",
+        limits=_LIMITS,
+        weight=weight,
+        key_sha256=[f"{number:064x}"],
+        uses=[],
+    )
+
+
+def _build_changes(
+    base: revisions.Revision, count: int
+) -> list[revisions.Change]:
+    """Builds changes of one team each that follow a revision."""
+    changes: list[revisions.Change] = []
+    for number in range(count):
+        entry = msgspec.json.encode(_build_team(number, weight=2))
+        edit = edits.Edit(
+            section="teams",
+            name=f"team-{number:05d}",
+            entry=msgspec.Raw(entry),
+        )
+        change = revisions.build_change(
+            base,
+            [edit],
+            change_id=f"daemon-name-{number}",
+            author="operator@example",
+            at_ms=1_700_000_000_000,
+        )
+        changes.append(change)
+        base = revisions.follow_change(base, change)
+    return changes
+
+
+async def measure_catalogue() -> list[Measure]:
+    """Measures a catalogue of the size that decides."""
+    tables = fakes_platform.MemoryTables()
+    node = Node(name="d1", tables=tables)
+    tracemalloc.start()
+    full = _build_catalogue(TEAMS)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started = time.process_time()
+    await node.proposals.propose(0, full, author="bench")
+    proposed_s = time.process_time() - started
+    data = catalogue.encode_catalogue(full)
+    started = time.process_time()
+    catalogue.decode_catalogue(data)
+    checked_s = time.process_time() - started
+    before = (tables.transactions, tables.reads)
+    await node.proposals.change_instance("e1", out=True, author="bench")
+    writes = tables.transactions - before[0]
+    reads = tables.reads - before[1]
+    base = node.catalogues.newest
+    changes = _build_changes(base, CHANGES)
+    started = time.process_time()
+    node.catalogues.offer(changes)
+    followed_s = (time.process_time() - started) / CHANGES
+    sizes = [len(msgspec.json.encode(change)) for change in changes]
+    return [
+        Measure(measure="catalogue_memory", value=held / 1e6, unit="MB"),
+        Measure(
+            measure="catalogue_json",
+            value=len(data) / 1e6,
+            unit="MB",
+        ),
+        Measure(measure="whole_catalogue_proposed", value=proposed_s, unit="s"),
+        Measure(measure="change_followed", value=followed_s * 1e3, unit="ms"),
+        Measure(measure="change_bytes", value=sum(sizes) / CHANGES, unit="B"),
+        Measure(measure="change_transactions", value=writes, unit="calls"),
+        Measure(measure="change_reads", value=reads, unit="calls"),
+    ]
+
+
+async def measure_polls() -> list[Measure]:
+    """Measures a poll that finds nothing new."""
+    tables = fakes_platform.MemoryTables()
+    node = Node(name="d1", tables=tables)
+    await node.proposals.propose(0, _build_catalogue(10), author="bench")
+    before = tables.reads
+    await node.catalogues.poll()
+    return [
+        Measure(measure="poll_reads", value=tables.reads - before, unit="calls")
+    ]
+
+
+async def measure_claims() -> list[Measure]:
+    """Measures calls that run at most once, new ones and asked again."""
+    tables = fakes_platform.MemoryTables()
+    node = Node(name="d1", tables=tables)
+    started = time.process_time()
+    for number in range(CALLS):
+        await _call(node, number)
+    await node.claims.drain()
+    new_s = (time.process_time() - started) / CALLS
+    writes, reads = tables.transactions, tables.reads
+    for number in range(CALLS):
+        await _call(node, number)
+    rows = tables.list_rows("claims")
+    size = sum(len(bytes(row.value)) for row in rows) / len(rows)
+    return [
+        Measure(measure="claim_time", value=new_s * 1e6, unit="us"),
+        Measure(measure="claim_row_writes", value=writes / CALLS, unit="calls"),
+        Measure(measure="claim_reads", value=reads / CALLS, unit="calls"),
+        Measure(
+            measure="repeated_claim_writes",
+            value=(tables.transactions - writes) / CALLS,
+            unit="calls",
+        ),
+        Measure(
+            measure="repeated_claim_reads",
+            value=(tables.reads - reads) / CALLS,
+            unit="calls",
+        ),
+        Measure(measure="claim_row_bytes", value=size, unit="B"),
+    ]
+
+
+async def _call(node: Node, number: int) -> None:
+    body = b'{"amount": 30, "chair": "victoria-12", "day": "2026-12-03"}'
+    deadline = time.monotonic() + 5.0
+    attempt = targets.Attempt(
+        id=f"d1-{number}-{random.getrandbits(32)}",
+        target_id="s1",
+        address="127.0.0.1:1",
+        path="/v1/call/payment",
+        body=body,
+        priority=0,
+        idempotency_key=f"key-{number}",
+        deadline=deadline,
+    )
+    request = claims.Request(
+        team="north",
+        service="payment",
+        idempotency_key=f"key-{number}",
+        body=body,
+        deadline=deadline,
+        kept_ms=86_400_000,
+    )
+    await node.claims.run_once(request, attempt, _answer)
+
+
+async def _answer(attempt: targets.Attempt) -> targets.Answer:
+    return targets.Answer(
+        attempt_id=attempt.id,
+        status=200,
+        body=b'{"receipt": "0123456789abcdef"}',
+        boot_id="b1",
+    )
+
+
+async def _measure_all() -> list[Measure]:
+    return [
+        *await measure_catalogue(),
+        *await measure_polls(),
+        *await measure_claims(),
+    ]
+
+
+def main() -> int:
+    """Prints all measures."""
+    for item in asyncio.run(_measure_all()):
+        print(msgspec.json.encode(item).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/mothpass/daemon/catalogues.py
+++ b/mothpass/daemon/catalogues.py
@@ -4,6 +4,8 @@
 import logging
 import random as random_module
 
+import msgspec
+
 from mothpass.core import errors
 from mothpass.core import history
 from mothpass.core import revisions
@@ -162,7 +164,11 @@
             data: What the peer's ``snapshot`` gave.
         """
         before = self.version
-        self._history.adopt(revisions.decode_snapshot(data))
+        try:
+            self._history.adopt(revisions.decode_snapshot(data))
+        except msgspec.DecodeError as error:
+            self.mismatches += 1
+            _logger.error("snapshot from a peer dropped: %s", error)
         self._settle(before)
 
     def take_accepted(self, change: revisions.Change) -> None:
@@ -202,6 +208,7 @@
         except (
             errors.StoreUnavailableError,
             errors.ChangeMismatchError,
+            msgspec.DecodeError,
         ) as error:
             self._failed_polls += 1
             _logger.warning("poll of the catalogue failed: %s", error)
--- a/mothpass/programs/mothpass_spec.py
+++ b/mothpass/programs/mothpass_spec.py
@@ -11,7 +11,7 @@
 
 from spec import results
 
-MODELS = ("claims",)
+MODELS = ("claims", "catalogue")
 
 
 class CheckCommand(cleo.commands.command.Command):
--- /dev/null
+++ b/spec/catalogue_model.py
@@ -0,0 +1,372 @@
+"""State and steps of the model of the catalogue."""
+
+from collections import abc
+import dataclasses
+import functools
+import typing
+
+from mothpass.core import edits
+from mothpass.core import history
+from mothpass.core import revisions
+from mothpass.ports import tables
+
+DAEMONS = ("a", "b", "c", "d")
+# Who asks which daemon for which change, once each.
+OPERATORS = {"x": "a", "y": "b"}
+START = ("first",)
+
+Log = tuple[str, ...]
+
+
+class Scope(typing.NamedTuple):
+    """How far the model goes.
+
+    Attributes:
+        daemons: Daemons that there are.
+        operators: Operators who ask for a change.
+        restarts: Restarts of any daemon.
+        late: Whether writes may take effect late.
+    """
+
+    daemons: int
+    operators: int
+    restarts: int
+    late: bool
+
+
+class Known(typing.NamedTuple):
+    """What one daemon knows.
+
+    Attributes:
+        log: Ids of the changes that it holds.
+        certain: Whether it may serve them.
+        heard: Versions that peers told it while it was not certain.
+        floor: Version that was in force on enough other daemons when it
+            started; it must not serve an older one.
+    """
+
+    log: Log
+    certain: bool
+    heard: tuple[tuple[str, int], ...]
+    floor: int
+
+
+class Proposal(typing.NamedTuple):
+    """A change that is not decided yet.
+
+    Attributes:
+        base: Log that it builds on.
+        lost: Whether the answer to a write was lost.
+        read: Whether the row is to be read.
+    """
+
+    base: Log
+    lost: bool
+    read: bool
+
+
+class World(typing.NamedTuple):
+    """A state of the model.
+
+    Attributes:
+        store: Ids of the accepted changes.
+        late: Operator and base of a write on its way.
+        known: What each daemon knows, in the order of DAEMONS.
+        proposals: Undecided changes, in the order of OPERATORS.
+        asked: Operators who have asked.
+        refused: Operators who were told that another change came first.
+        restarts: Restarts that may still come.
+        may_be_late: Whether writes may take effect late.
+        went_back: Whether a daemon served an older version than before, or
+            than its floor after a restart.
+    """
+
+    store: Log
+    late: tuple[str, Log] | None
+    known: tuple[Known, ...]
+    proposals: tuple[Proposal | None, ...]
+    asked: tuple[str, ...]
+    refused: tuple[str, ...]
+    restarts: int
+    may_be_late: bool
+    went_back: bool
+
+
+Moves = abc.Iterator[tuple[str, World]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rules:
+    """The parts of the core that the model uses; mutants replace one."""
+
+    build_history: type[history.History] = history.History
+    judge_write: abc.Callable[..., revisions.Verdict] = revisions.judge_write
+    uncertain_tell: bool = False
+
+
+def build_initial(scope: Scope) -> World:
+    """Returns the state in which the first version is in force everywhere."""
+    known = Known(log=START, certain=True, heard=(), floor=0)
+    return World(
+        store=START,
+        late=None,
+        known=(known,) * scope.daemons,
+        proposals=(None,) * scope.operators,
+        asked=(),
+        refused=(),
+        restarts=scope.restarts,
+        may_be_late=scope.late,
+        went_back=False,
+    )
+
+
+@functools.cache
+def build_revision(log: Log) -> revisions.Revision:
+    """Returns the revision after the changes of a log."""
+    if not log:
+        return revisions.EMPTY
+    base = build_revision(log[:-1])
+    return revisions.follow_change(base, build_change(log[:-1], log[-1]))
+
+
+@functools.cache
+def build_change(base: Log, change_id: str) -> revisions.Change:
+    """Returns the change by which an operator follows a log."""
+    edit = edits.Edit(
+        section="instances_out", name=change_id, entry=edits.PRESENT
+    )
+    return revisions.build_change(
+        build_revision(base), [edit], change_id=change_id, author="", at_ms=0
+    )
+
+
+def _list_changes(log: Log) -> list[revisions.Change]:
+    return [
+        build_change(log[:index], change_id)
+        for index, change_id in enumerate(log)
+    ]
+
+
+def _restore(
+    rules: Rules, names: tuple[str, ...], name: str, known: Known
+) -> history.History:
+    """Builds the core's state of a daemon."""
+    restored = rules.build_history()
+    restored.set_view(peer for peer in names if peer != name)
+    restored.follow(_list_changes(known.log))
+    if known.certain:
+        restored.note_head(_build_head(known.log))
+    for peer, version in known.heard:
+        restored.note_peer(peer, version)
+    return restored
+
+
+def _build_head(log: Log) -> revisions.Head:
+    return revisions.Head(version=len(log), digest=build_revision(log).digest)
+
+
+@functools.lru_cache(maxsize=100_000)
+def _learn_log(
+    rules: Rules, names: tuple[str, ...], name: str, known: Known, log: Log
+) -> Known:
+    """Returns what a daemon knows after it read a log from the store."""
+    state = _restore(rules, names, name, known)
+    state.follow(_list_changes(log))
+    state.note_head(_build_head(log))
+    longer = log if len(log) > len(known.log) else known.log
+    return _capture(state, known, longer, known.heard)
+
+
+@functools.lru_cache(maxsize=100_000)
+def _hear(
+    rules: Rules,
+    names: tuple[str, ...],
+    name: str,
+    known: Known,
+    peer: str,
+    told: Known,
+) -> Known:
+    """Returns what a daemon knows after a batch of a peer."""
+    state = _restore(rules, names, name, known)
+    version = len(told.log) if told.certain or rules.uncertain_tell else 0
+    if version == 0:
+        return known
+    state.note_peer(peer, version)
+    state.adopt(build_revision(told.log))
+    heard = tuple(sorted({**dict(known.heard), peer: version}.items()))
+    log = told.log if state.revision.version == len(told.log) else known.log
+    return _capture(state, known, log, heard)
+
+
+def _capture(
+    state: history.History,
+    known: Known,
+    log: Log,
+    heard: tuple[tuple[str, int], ...],
+) -> Known:
+    certain = state.is_certain()
+    return Known(
+        log=log,
+        certain=certain,
+        heard=() if certain else heard,
+        floor=known.floor,
+    )
+
+
+def list_moves(rules: Rules, world: World) -> list[tuple[str, World]]:
+    """Returns all steps that are possible in a state."""
+    moves: list[tuple[str, World]] = []
+    for index in range(len(world.known)):
+        moves.extend(_move_daemon(rules, world, index))
+    for place in range(len(world.proposals)):
+        moves.extend(_move_operator(rules, world, place))
+    if world.late is not None:
+        operator, base = world.late
+        store = _apply(world.store, base, operator)
+        moves.append(
+            ("late write arrives", world._replace(store=store, late=None))
+        )
+    return moves
+
+
+def _move_daemon(rules: Rules, world: World, index: int) -> Moves:
+    names = DAEMONS[: len(world.known)]
+    name = names[index]
+    known = world.known[index]
+    polled = _learn_log(rules, names, name, known, world.store)
+    yield f"{name}: polls", _put_known(world, index, polled)
+    for other, peer in enumerate(names):
+        if other != index:
+            told = world.known[other]
+            after = _hear(rules, names, name, known, peer, told)
+            yield f"{peer}: tells {name}", _put_known(world, index, after)
+    if world.restarts > 0:
+        yield f"{name}: restarts", _restart(world, index)
+
+
+def _put_known(world: World, index: int, known: Known) -> World:
+    """Replaces what a daemon knows, and notes a step back."""
+    before = world.known[index]
+    back = known.certain and len(known.log) < known.floor
+    back = back or (before.certain and len(known.log) < len(before.log))
+    return world._replace(
+        known=(*world.known[:index], known, *world.known[index + 1 :]),
+        went_back=world.went_back or back,
+    )
+
+
+def _restart(world: World, index: int) -> World:
+    """Returns the state after a daemon has lost all that it knew."""
+    others = [
+        len(known.log) if known.certain else 0
+        for place, known in enumerate(world.known)
+        if place != index
+    ]
+    needed = history.count_needed_peers(len(others))
+    others.sort(reverse=True)
+    floor = others[needed - 1]
+    fresh = Known(log=(), certain=False, heard=(), floor=floor)
+    known = (*world.known[:index], fresh, *world.known[index + 1 :])
+    proposals = tuple(
+        None if daemon == DAEMONS[index] else proposal
+        for daemon, proposal in zip(
+            OPERATORS.values(), world.proposals, strict=False
+        )
+    )
+    return world._replace(
+        known=known, proposals=proposals, restarts=world.restarts - 1
+    )
+
+
+def _move_operator(rules: Rules, world: World, place: int) -> Moves:
+    operator = list(OPERATORS)[place]
+    index = DAEMONS.index(OPERATORS[operator])
+    proposal = world.proposals[place]
+    known = world.known[index]
+    if proposal is None:
+        if operator not in world.asked and known.certain:
+            asked = world._replace(asked=(*world.asked, operator))
+            start = Proposal(base=known.log, lost=False, read=False)
+            label = f"{operator}: asks {DAEMONS[index]}"
+            yield label, _put_proposal(asked, place, start)
+        return
+    if proposal.read:
+        version = len(proposal.base)
+        found = None
+        if len(world.store) > version:
+            found = build_change(world.store[:version], world.store[version])
+        verdict = revisions.judge_row(found, operator)
+        after = _decide(rules, world, place, operator, verdict)
+        yield f"{operator}: reads the row, {verdict.value}", after
+        return
+    for label, after, outcome in _list_effects(world, operator, proposal):
+        verdict = rules.judge_write(outcome, lost_before=proposal.lost)
+        if verdict is revisions.Verdict.UNKNOWN:
+            read = isinstance(outcome, tables.Conflict)
+            lost = proposal.lost or outcome is None
+            moved = Proposal(base=proposal.base, lost=lost, read=read)
+            yield f"{operator}: {label}", _put_proposal(after, place, moved)
+        else:
+            decided = _decide(rules, after, place, operator, verdict)
+            yield f"{operator}: {label}, {verdict.value}", decided
+    yield f"{operator}: gives up", _put_proposal(world, place, None)
+
+
+def _decide(
+    rules: Rules,
+    world: World,
+    place: int,
+    operator: str,
+    verdict: revisions.Verdict,
+) -> World:
+    """Carries out what has been learnt of a proposal."""
+    proposal = world.proposals[place]
+    assert proposal is not None
+    if verdict is revisions.Verdict.UNKNOWN:
+        again = proposal._replace(read=False)
+        return _put_proposal(world, place, again)
+    done = _put_proposal(world, place, None)
+    if verdict is revisions.Verdict.REFUSED:
+        return done._replace(refused=(*done.refused, operator))
+    name = OPERATORS[operator]
+    index = DAEMONS.index(name)
+    log = (*proposal.base, operator)
+    names = DAEMONS[: len(done.known)]
+    after = _learn_log(rules, names, name, done.known[index], log)
+    return _put_known(done, index, after)
+
+
+def _list_effects(
+    world: World, operator: str, proposal: Proposal
+) -> abc.Iterator[tuple[str, World, tables.Committed | tables.Conflict | None]]:
+    """Yields what may become of a write: state and answer, None for lost."""
+    store = _apply(world.store, proposal.base, operator)
+    if store != world.store:
+        after = world._replace(store=store)
+        yield "is accepted", after, tables.Committed()
+        yield "is accepted, answer lost", after, None
+    else:
+        conflict = tables.Conflict(
+            table=revisions.TABLE,
+            key=revisions.HEAD_KEY,
+            version=len(world.store),
+        )
+        yield "meets a conflict", world, conflict
+    yield "write lost", world, None
+    if world.may_be_late and world.late is None:
+        late = (operator, proposal.base)
+        yield "write late", world._replace(late=late), None
+
+
+def _apply(store: Log, base: Log, operator: str) -> Log:
+    """Applies a change's transaction as the table service does."""
+    writes = revisions.build_writes(build_change(base, operator))
+    if writes[0].expected_version != len(store):
+        return store
+    return (*store, operator)
+
+
+def _put_proposal(world: World, place: int, proposal: Proposal | None) -> World:
+    proposals = list(world.proposals)
+    proposals[place] = proposal
+    return world._replace(proposals=tuple(proposals))
--- /dev/null
+++ b/tests/test_catalogues.py
@@ -0,0 +1,304 @@
+"""Tests of the catalogue on several daemons under failures."""
+
+import asyncio
+import unittest
+
+import msgspec
+from returns import result
+
+from mothpass.core import budget
+from mothpass.core import edits
+from mothpass.core import history
+from mothpass.core import results
+from mothpass.core import revisions
+from mothpass.daemon import catalogues
+from mothpass.daemon import proposals
+from mothpass.ports import tables
+from tests import catalogue_parts
+from tests import fakes_platform
+
+_LIMIT_BYTES = 100_000
+
+
+class CataloguesTest(unittest.IsolatedAsyncioTestCase):
+    """Three daemons over one store; the first catalogue is accepted."""
+
+    async def asyncSetUp(self) -> None:
+        self.tables = fakes_platform.MemoryTables()
+        self.objects = fakes_platform.MemoryObjects()
+        self.a, self.b, self.c = (self.start(name) for name in "abc")
+        await self.a.proposals.propose(
+            0, catalogue_parts.decode_sample(), author="ann"
+        )
+        for node in (self.b, self.c):
+            await node.catalogues.poll()
+
+    def start(self, name: str) -> catalogue_parts.Node:
+        """Starts a daemon that sees the two others of a, b and c."""
+        node = catalogue_parts.build_node(name, self.tables, self.objects)
+        node.catalogues.set_peers([peer for peer in "abc" if peer != name])
+        return node
+
+    async def take_out(
+        self, node: catalogue_parts.Node, instance: str
+    ) -> proposals.Outcome:
+        return await node.proposals.change_instance(
+            instance, out=True, author="ann"
+        )
+
+    def tell(
+        self, sender: catalogue_parts.Node, receiver: catalogue_parts.Node
+    ) -> None:
+        """Plays one batch from a peer."""
+        name = sender.name
+        receiver.catalogues.note_peer(name, sender.catalogues.version)
+        held = receiver.catalogues.newest.version
+        changes = sender.catalogues.changes_since(held, _LIMIT_BYTES)
+        receiver.catalogues.offer(changes)
+
+    def check_rejected(
+        self, outcome: proposals.Outcome, code: results.Code
+    ) -> proposals.Rejection:
+        self.assertIsInstance(outcome, result.Failure)
+        rejection = outcome.failure()
+        self.assertEqual(rejection.refusal.code, code)
+        return rejection
+
+    async def test_change_reaches_a_daemon_cut_from_the_store(self) -> None:
+        await self.take_out(self.a, "e1")
+        self.tables.faults.down = True
+        self.tell(self.a, self.b)
+        self.assertEqual(self.b.catalogues.version, 2)
+        self.assertEqual(
+            self.b.catalogues.newest.catalogue.instances_out, ["e1"]
+        )
+
+    async def test_change_reaches_a_daemon_cut_from_peers(self) -> None:
+        await self.take_out(self.a, "e1")
+        await self.c.catalogues.poll()
+        self.assertEqual(self.c.served, [1, 2])
+
+    async def test_lost_answer_is_sent_again_and_found_accepted(self) -> None:
+        self.tables.faults.lose_answers = 1
+        outcome = await self.take_out(self.a, "e1")
+        self.assertEqual(outcome, result.Success(2))
+        self.assertEqual(self.tables.transactions, 3)
+
+    async def test_unconfirmed_change_is_not_in_force(self) -> None:
+        self.tables.faults.drop_writes = proposals.CONFIRM_TRIES
+        outcome = await self.take_out(self.a, "e1")
+        self.check_rejected(outcome, results.Code.CHANGE_UNCONFIRMED)
+        self.assertEqual(self.a.catalogues.version, 1)
+        await self.a.catalogues.poll()
+        self.assertEqual(self.a.catalogues.version, 1)
+
+    async def test_outage_refuses_a_change_and_says_not_run(self) -> None:
+        self.tables.faults.down = True
+        outcome = await self.take_out(self.a, "e1")
+        rejection = self.check_rejected(outcome, results.Code.STORE_UNAVAILABLE)
+        self.assertIs(rejection.refusal.ran, results.Ran.NO)
+
+    async def test_operators_who_race_lose_nothing(self) -> None:
+        nodes = (self.a, self.b, self.c)
+        outcomes = await asyncio.gather(
+            *(
+                self.take_out(node, f"e{number}")
+                for number, node in enumerate(nodes)
+            )
+        )
+        versions = sorted(outcome.unwrap() for outcome in outcomes)
+        self.assertEqual(versions, [2, 3, 4])
+        await self.a.catalogues.poll()
+        self.assertEqual(
+            self.a.catalogues.newest.catalogue.instances_out,
+            ["e0", "e1", "e2"],
+        )
+
+    async def test_whole_catalogues_that_race_give_one_conflict(self) -> None:
+        outcomes = []
+        for number, node in enumerate((self.a, self.b)):
+            new = msgspec.structs.replace(
+                catalogue_parts.decode_sample(),
+                instances_out=[f"e{number}"],
+            )
+            outcomes.append(node.proposals.propose(1, new, author="ann"))
+        first, second = await asyncio.gather(*outcomes)
+        self.assertEqual(first, result.Success(2))
+        rejection = self.check_rejected(second, results.Code.VERSION_CONFLICT)
+        self.assertEqual(rejection.present_version, 2)
+
+    async def test_start_in_an_outage_waits_for_enough_peers(self) -> None:
+        await self.take_out(self.a, "e1")
+        self.tell(self.a, self.b)
+        self.tables.faults.down = True
+        fresh = self.start("d")
+        fresh.catalogues.set_peers(["a", "b", "c"])
+        self.tell(self.c, fresh)
+        self.assertEqual((fresh.catalogues.version, fresh.served), (0, []))
+        self.tell(self.b, fresh)
+        self.assertEqual((fresh.catalogues.version, fresh.served), (2, [2]))
+
+    async def test_start_without_store_and_peers_serves_nothing(self) -> None:
+        self.tables.faults.down = True
+        fresh = self.start("a")
+        self.assertFalse(await fresh.catalogues.poll())
+        self.assertEqual(fresh.catalogues.version, 0)
+        self.assertEqual(fresh.catalogues.changes_since(0, _LIMIT_BYTES), [])
+
+    async def test_two_starting_daemons_do_not_vouch_for_each_other(
+        self,
+    ) -> None:
+        await self.take_out(self.a, "e1")
+        self.tables.faults.down = True
+        first, second = self.start("a"), self.start("b")
+        for sender, receiver in (
+            (self.c, first),
+            (self.c, second),
+            (first, second),
+            (second, first),
+        ):
+            self.tell(sender, receiver)
+        self.assertEqual(first.catalogues.version, 0)
+        self.assertEqual(second.catalogues.version, 0)
+
+    async def test_change_of_another_history_is_dropped(self) -> None:
+        forged = revisions.build_change(
+            msgspec.structs.replace(self.a.catalogues.newest, digest="other"),
+            [edits.Edit(section="teams", name="north")],
+            change_id="forged",
+            author="eve",
+            at_ms=0,
+        )
+        self.b.catalogues.offer([forged])
+        self.assertEqual(self.b.catalogues.version, 1)
+        self.assertEqual(self.b.catalogues.mismatches, 1)
+
+    async def test_edits_that_do_not_match_their_digest_are_dropped(
+        self,
+    ) -> None:
+        await self.take_out(self.a, "e1")
+        (change,) = self.a.catalogues.changes_since(1, _LIMIT_BYTES)
+        forged = msgspec.structs.replace(
+            change, edits=[edits.Edit(section="teams", name="north")]
+        )
+        self.b.catalogues.offer([forged])
+        self.assertEqual(self.b.catalogues.version, 1)
+
+    async def test_gap_brings_the_next_poll_forward(self) -> None:
+        await self.take_out(self.a, "e1")
+        await self.take_out(self.a, "e2")
+        (_, last) = self.a.catalogues.changes_since(1, _LIMIT_BYTES)
+        self.assertFalse(self.b.catalogues.needs_poll(self.b.now))
+        self.b.catalogues.offer([last])
+        self.assertEqual(self.b.catalogues.version, 1)
+        soon = self.b.now + catalogues.POLL_BEHIND_S
+        self.assertTrue(self.b.catalogues.needs_poll(soon))
+
+    async def test_store_that_went_back_does_not_take_the_daemon_back(
+        self,
+    ) -> None:
+        await self.take_out(self.a, "e1")
+        self.a.catalogues.offer_snapshot(
+            revisions.encode_snapshot(self.b.catalogues.newest)
+        )
+        self.assertEqual(self.a.catalogues.version, 2)
+        for row in self.tables.list_rows(revisions.TABLE):
+            write = tables.Write(
+                table=revisions.TABLE,
+                key=row.key,
+                expected_version=row.version,
+                value=None,
+            )
+            self.tables.apply_writes([write])
+        await self.a.catalogues.poll()
+        self.assertEqual(self.a.catalogues.version, 2)
+
+    async def test_large_change_goes_through_the_object_store(self) -> None:
+        teams = [
+            msgspec.structs.replace(
+                catalogue_parts.decode_sample().teams[0],
+                name=f"team-{number}",
+                key_sha256=[f"{number:064x}"],
+            )
+            for number in range(300)
+        ]
+        new = msgspec.structs.replace(
+            catalogue_parts.decode_sample(), teams=teams
+        )
+        await self.a.proposals.propose(1, new, author="ann")
+        names = self.objects.list_names()
+        self.assertIn(revisions.name_snapshot(2), names)
+        await self.b.catalogues.poll()
+        self.assertEqual(len(self.b.catalogues.newest.catalogue.teams), 300)
+        self.tables.faults.down = True
+        self.tell(self.a, self.c)
+        self.assertEqual(self.c.catalogues.version, 1)
+        await self.c.catalogues.poll()
+        self.assertEqual(self.c.catalogues.version, 2)
+
+    async def test_late_daemon_starts_from_a_snapshot(self) -> None:
+        every = revisions.SNAPSHOT_EVERY_CHANGES
+        for number in range(every + 2):
+            self.a.now += 1.0
+            await self.take_out(self.a, f"e{number}")
+        self.tables.reads = 0
+        fresh = self.start("b")
+        await fresh.catalogues.poll()
+        self.assertEqual(fresh.catalogues.version, every + 3)
+        self.assertLess(self.tables.reads, 5)
+        past = await fresh.catalogues.read_version(every + 1)
+        assert past is not None
+        self.assertEqual(len(past.catalogue.instances_out), every)
+
+    async def test_history_past_what_is_held_is_read(self) -> None:
+        for number in range(12):
+            await self.take_out(self.a, f"e{number}")
+        fresh = self.start("b")
+        await fresh.catalogues.poll()
+        changes = await fresh.catalogues.list_history(13)
+        self.assertEqual(
+            [change.version for change in changes], list(range(13, 0, -1))
+        )
+
+    async def test_polls_give_way_to_claims_in_the_budget(self) -> None:
+        while self.a.budget.try_take(
+            budget.Kind.READ, budget.Priority.POLL, now=self.a.now
+        ):
+            pass
+        self.assertFalse(await self.a.catalogues.poll())
+        self.assertEqual(self.a.catalogues.version, 1)
+        self.assertIsInstance(await self.take_out(self.a, "e1"), result.Success)
+
+
+class HistoryTest(unittest.TestCase):
+    """Checks the bounds of what a daemon holds."""
+
+    def test_log_is_bounded_and_a_peer_too_far_behind_gets_nothing(
+        self,
+    ) -> None:
+        held = history.History()
+        for number in range(history.LOG_LIMIT_CHANGES + 5):
+            change = revisions.build_change(
+                held.revision,
+                [edits.Edit(section="instances_out", name=f"e{number}")],
+                change_id=str(number),
+                author="ann",
+                at_ms=0,
+            )
+            held.follow([change])
+        newest = held.revision
+        held.note_head(
+            revisions.Head(version=newest.version, digest=newest.digest)
+        )
+        self.assertEqual(held.list_changes(4, 10**9), [])
+        self.assertEqual(
+            len(held.list_changes(5, 10**9)), history.LOG_LIMIT_CHANGES
+        )
+
+    def test_few_peers_are_enough_in_a_large_fleet_only(self) -> None:
+        self.assertEqual(history.count_needed_peers(7), 4)
+        self.assertEqual(history.count_needed_peers(200), history.ENOUGH_PEERS)
+
+
+if __name__ == "__main__":
+    unittest.main()
