--- a/mothpass/core/catalogue.py
+++ b/mothpass/core/catalogue.py
@@ -198,13 +198,25 @@
     Raises:
         errors.DocumentError: With every fault found, each with its path.
     """
-    catalogue = documents.decode_document(data, Catalogue)
+    catalogue = _decode_structs(data)
     problems = list(check_catalogue(catalogue))
     if problems:
         raise errors.DocumentError(problems)
     return catalogue
 
 
+def _decode_structs(data: bytes) -> Catalogue:
+    """Decodes a catalogue, walking it only if it has faults.
+
+    The walk gathers all faults but takes many times as long as msgspec, and
+    blocks the loop meanwhile.
+    """
+    try:
+        return msgspec.json.decode(data, type=Catalogue)
+    except msgspec.DecodeError:
+        return documents.decode_document(data, Catalogue)
+
+
 def encode_catalogue(catalogue: Catalogue) -> bytes:
     """Encodes a catalogue as JSON; equal catalogues give equal bytes."""
     return msgspec.json.encode(catalogue, order="deterministic")
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -33,6 +33,14 @@
             ],
         )
 
+    def test_names_an_unknown_field_in_an_entry(self) -> None:
+        paths = self._read_paths(
+            b'{"classes": [{"name": "quick", "priority": 1,'
+            b' "deadline_ms": 5000, "colour": 1}], "models": [],'
+            b' "services": [], "teams": [], "availability_zones": []}'
+        )
+        self.assertEqual(paths, ["$.classes[0].colour"])
+
     def test_reports_text_that_is_not_json(self) -> None:
         self.assertEqual(self._read_paths(b"{"), ["$"])
 
