--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import logging
 import random as random_module
 import signal
@@ -98,7 +99,7 @@
         )
         self._teams = limits.Limiter(code=results.Code.TEAM_LIMIT)
         self._names = limits.Limiter(code=results.Code.OVERLOADED)
-        self._suspects = suspects.Suspects()
+        self._suspects = suspects.Suspects(own_id=settings.instance.id)
         self._pool = http_pool.Pool(
             connect_timeout_ms=settings.targets.connect_timeout_ms
         )
@@ -165,6 +166,9 @@
         await self._control.control.start()
         for work in (self._prune_connections(), self._prune_claims()):
             self._tasks.append(asyncio.ensure_future(work))
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(50_000, 20, 100)
         _log.info("daemon started")
 
     async def stop(self) -> None:
