--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -181,6 +181,7 @@
     __slots__ = (
         "_exchange",
         "_loop",
+        "_may_keep",
         "_on_end",
         "_parser",
         "_transport",
@@ -195,6 +196,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._on_end: abc.Callable[[], None] | None = None
+        self._may_keep = False
         self.idle_deadline = 0.0
         self.used = 0
 
@@ -236,8 +238,7 @@
         if exchange is None:
             return False
         exchange.close()
-        keep = exchange.complete and self._parser.should_keep_alive()
-        return keep and self.is_open()
+        return exchange.complete and self._may_keep and self.is_open()
 
     def is_open(self) -> bool:
         """Tells whether the connection is open as far as is known."""
@@ -288,6 +289,8 @@
         """Takes the end of the headers from the parser."""
         if self._exchange is not None:
             self._exchange.receive_start(self._parser.get_status_code())
+            # The parser forgets this with the end of the message.
+            self._may_keep = bool(self._parser.should_keep_alive())
 
     def on_body(self, body: bytes) -> None:
         """Takes a part of the body from the parser."""
--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -14,14 +14,14 @@
 from uvicorn import server as uvicorn_server
 from uvicorn.protocols.http import httptools_impl
 
+from mothpass.adapters import http_guard
 from mothpass.core import errors
 from mothpass.core import results
 
 HEADER_TIMEOUT_MS = 10_000
+# Time that a client may leave an answer unread while more of it waits.
+UNREAD_TIMEOUT_MS = 30_000
 KEEP_ALIVE_S = 5
-# Key of a scope under which the application finds its ``Caller``.
-CALLER = "mothpass.caller"
-
 # Encodes a refusal as the body of an answer.
 EncodeRefusal = abc.Callable[[errors.Refusal], bytes]
 
@@ -57,49 +57,6 @@
         self.closed = asyncio.Event()
 
 
-class Caller:
-    """The client of one request, as far as its connection shows.
-
-    Attributes:
-        body_cut: Whether the client ended its side within the body.
-        gone: Whether the connection is lost.
-    """
-
-    __slots__ = ("_at_end", "_on_gone", "body_cut", "gone")
-
-    def __init__(self) -> None:
-        """Starts with a client that is there."""
-        self.body_cut = False
-        self.gone = False
-        self._on_gone: abc.Callable[[], object] | None = None
-        self._at_end: abc.Callable[[], abc.Awaitable[None]] | None = None
-
-    def call_at_end(
-        self, callback: abc.Callable[[], abc.Awaitable[None]]
-    ) -> None:
-        """Sets what is awaited once the answer has ended in any way."""
-        self._at_end = callback
-
-    async def end(self) -> None:
-        """Awaits what was set, once."""
-        at_end = self._at_end
-        self._at_end = None
-        if at_end is not None:
-            await at_end()
-
-    def call_when_gone(self, callback: abc.Callable[[], object] | None) -> None:
-        """Sets what is called, once, when the connection is lost."""
-        self._on_gone = callback
-        if self.gone and callback is not None:
-            callback()
-
-    def leave(self) -> None:
-        """Notes that the connection is lost."""
-        self.gone = True
-        if self._on_gone is not None:
-            self._on_gone()
-
-
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """One client connection of a listener."""
 
@@ -117,7 +74,8 @@
         self._in_headers = True
         self._refused = False
         self._header_timer: asyncio.TimerHandle | None = None
-        self._callers: list[Caller] = []
+        self._unread_timer: asyncio.TimerHandle | None = None
+        self._callers: list[http_guard.Caller] = []
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -131,6 +89,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the requests of this connection."""
         self._stop_header_timer()
+        self._stop_unread_timer()
         super().connection_lost(exc)
         if not self.connections:
             self._bounds.closed.set()
@@ -177,10 +136,10 @@
         if size > self._bounds.header_limit_bytes:
             self._refuse_headers()
             return
-        caller = Caller()
+        caller = http_guard.Caller()
         self._callers.append(caller)
         scope = typing.cast(dict[str, object], self.scope)
-        scope[CALLER] = caller
+        scope[http_guard.CALLER] = caller
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
@@ -201,6 +160,23 @@
             self._callers.pop(0)
         super().on_response_complete()
 
+    def pause_writing(self) -> None:
+        """Gives a client that doesn't read its answer a limited time."""
+        super().pause_writing()
+        self._unread_timer = self.loop.call_later(
+            UNREAD_TIMEOUT_MS / 1000, self.transport.abort
+        )
+
+    def resume_writing(self) -> None:
+        """Goes on, since the client reads again."""
+        self._stop_unread_timer()
+        super().resume_writing()
+
+    def _stop_unread_timer(self) -> None:
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(
             HEADER_TIMEOUT_MS / 1000, self._close_slow_client
--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -133,6 +133,14 @@
         self.repeated = 0
         self.resumed = 0
 
+    def read_counters(self) -> dict[str, int]:
+        """Returns the counts by the names of their metrics."""
+        return {
+            "events.crossed": self.crossed,
+            "events.repeated": self.repeated,
+            "streams.resumed": self.resumed,
+        }
+
     def name_attempt(self) -> str:
         """Returns an id that no other attempt has."""
         return f"{self._prefix}-{next(self._ids):x}"
--- a/mothpass/daemon/caller_messages.py
+++ b/mothpass/daemon/caller_messages.py
@@ -8,7 +8,7 @@
 import blacksheep
 from blacksheep import exceptions
 
-from mothpass.adapters import http_listener
+from mothpass.adapters import http_guard
 from mothpass.core import errors
 from mothpass.core import results
 from mothpass.daemon import answers
@@ -56,10 +56,10 @@
     return respond_refusal(refusal, read_headers(request).request_id)
 
 
-def find_caller(request: blacksheep.Request) -> http_listener.Caller:
+def find_caller(request: blacksheep.Request) -> http_guard.Caller:
     """Returns the client of a request."""
     scope = typing.cast(dict[str, typing.Any], request.scope)
-    return typing.cast(http_listener.Caller, scope[http_listener.CALLER])
+    return typing.cast(http_guard.Caller, scope[http_guard.CALLER])
 
 
 def read_header(request: blacksheep.Request, name: bytes) -> str:
--- a/mothpass/daemon/callers.py
+++ b/mothpass/daemon/callers.py
@@ -3,13 +3,12 @@
 import asyncio
 from collections import abc
 import logging
-import typing
 
 import blacksheep
 from blacksheep import contents
 import msgspec
 
-from mothpass.adapters import http_listener
+from mothpass.adapters import http_guard
 from mothpass.core import catalogue
 from mothpass.core import errors
 from mothpass.core import results
@@ -66,7 +65,7 @@
     def __init__(
         self,
         *,
-        caller: http_listener.Caller,
+        caller: http_guard.Caller,
         request_id: str,
         started_at: float,
     ) -> None:
@@ -366,32 +365,6 @@
         )
 
 
-def guard_application(
-    application: blacksheep.Application,
-) -> abc.Callable[..., abc.Awaitable[None]]:
-    """Returns the ASGI application that ends when its caller leaves."""
-
-    async def run(
-        scope: dict[str, typing.Any],
-        receive: abc.Callable[[], abc.Awaitable[typing.Any]],
-        send: abc.Callable[[typing.Any], abc.Awaitable[None]],
-    ) -> None:
-        caller: http_listener.Caller = scope[http_listener.CALLER]
-        task = asyncio.current_task()
-        assert task is not None
-        caller.call_when_gone(task.cancel)
-        try:
-            await application(scope, receive, send)
-        except asyncio.CancelledError:
-            if not caller.gone:
-                raise
-        finally:
-            caller.call_when_gone(None)
-            await caller.end()
-
-    return run
-
-
 async def _show_health(_request: blacksheep.Request) -> blacksheep.Response:
     return caller_messages.respond(200, b'{"state":"running"}')
 
--- a/mothpass/daemon/dispatch.py
+++ b/mothpass/daemon/dispatch.py
@@ -210,7 +210,10 @@
             except errors.MothpassError as error:
                 runner.end(run, error)
                 await self._prepare_retry(call, trace, error)
-                excluded |= {place.target_id}
+                # A target that knows nothing of the attempt lost it with a
+                # connection that was closed meanwhile; it may be asked again.
+                if not isinstance(error, errors.AttemptUnknownError):
+                    excluded |= {place.target_id}
             except BaseException:
                 runner.end(run, None)
                 raise
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import gc
 import logging
 import random as random_module
 import signal
@@ -11,6 +10,7 @@
 
 import blacksheep
 
+from mothpass.adapters import http_guard
 from mothpass.adapters import http_listener
 from mothpass.adapters import http_pool
 from mothpass.adapters import targets_http
@@ -66,6 +66,7 @@
         "_proposals",
         "_pruner",
         "_router",
+        "_runner",
         "_settings",
         "_started_at",
         "_state",
@@ -166,9 +167,6 @@
         await self._control.control.start()
         for work in (self._prune_connections(), self._prune_claims()):
             self._tasks.append(asyncio.ensure_future(work))
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(50_000, 20, 100)
         _log.info("daemon started")
 
     async def stop(self) -> None:
@@ -205,7 +203,7 @@
     def _build_dispatcher(
         self, random: random_module.Random
     ) -> dispatch.Dispatcher:
-        runner = attempts.AttemptRunner(
+        self._runner = attempts.AttemptRunner(
             instance_id=self._settings.instance.id,
             ports=resumption.Ports(
                 open_stream=self._targets.open_stream,
@@ -222,7 +220,7 @@
         )
         parts = dispatch.Parts(
             placement=self._placement,
-            runner=runner,
+            runner=self._runner,
             teams=self._teams,
             names=self._names,
             suspects=self._suspects,
@@ -265,6 +263,8 @@
         """Looks again at what waits; a check once a tick serves all changes."""
         self._placement.wake()
         self._cost.sample(time.monotonic())
+        for name, value in self._runner.read_counters().items():
+            self._telemetry.gauge(name, value)
 
     def _build_log(
         self, priority: budget.Priority
@@ -279,7 +279,7 @@
         application = self._callers.build_application()
         await _start_application(application)
         return await http_listener.open_listener(
-            callers.guard_application(application),
+            http_guard.guard_application(application),
             chosen.address,
             http_listener.Bounds(
                 header_limit_bytes=chosen.header_limit_bytes,
@@ -303,7 +303,7 @@
         )
         await _start_application(application)
         return await http_listener.open_listener(
-            callers.guard_application(application),
+            http_guard.guard_application(application),
             chosen.address,
             http_listener.Bounds(
                 header_limit_bytes=OPERATOR_HEADER_LIMIT_BYTES,
--- a/mothpass/daemon/telemetry.py
+++ b/mothpass/daemon/telemetry.py
@@ -189,10 +189,10 @@
             },
         )
 
-    def count(self, name: str, value: int = 1) -> None:
-        """Counts something that isn't a request."""
-        if self._statsd is not None and value:
-            self._statsd.incr(name, value)
+    def gauge(self, name: str, value: int) -> None:
+        """Sends a count since the start."""
+        if self._statsd is not None:
+            self._statsd.gauge(name, value)
 
     def list_teams(self) -> list[status_page.TrafficStatus]:
         """Returns the figures of the teams, by name."""
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,344 @@
+"""Tests for mothpass.daemon.callers over a real listener."""
+
+import asyncio
+import logging
+import time
+import unittest
+
+import msgspec
+
+from mothpass.adapters import http_guard
+from mothpass.adapters import http_listener
+from mothpass.core import errors
+from mothpass.core import results
+from mothpass.daemon import answers
+from mothpass.daemon import callers
+from mothpass.daemon import telemetry
+from tests import daemon_parts
+
+_BODY_LIMIT = 2048
+_HEADER_LIMIT = 1024
+_CONNECTIONS = 4
+_CHAT = b'{"model":"advice","messages":[{"role":"user","content":"hi"}]'
+
+
+class CallersTest(unittest.IsolatedAsyncioTestCase):
+    """Base with a listener on a free port."""
+
+    async def asyncSetUp(self) -> None:
+        self.daemon = daemon_parts.Daemon()
+        self.scripted = self.daemon.scripted
+        self.state = callers.State()
+        self.state.directory = self.daemon.directory
+        self.state.ready = True
+        log = logging.getLogger("test")
+        log.disabled = True
+        self.telemetry = telemetry.Telemetry(client=None, log=log)
+        interface = callers.Callers(
+            state=self.state,
+            dispatcher=self.daemon.dispatcher,
+            telemetry=self.telemetry,
+            body_limit_bytes=_BODY_LIMIT,
+            clock=time.monotonic,
+        )
+        application = interface.build_application()
+        await application.start()  # type: ignore[no-untyped-call]
+        self.listener = await http_listener.open_listener(
+            http_guard.guard_application(application),
+            "127.0.0.1:0",
+            http_listener.Bounds(
+                header_limit_bytes=_HEADER_LIMIT,
+                connections=_CONNECTIONS,
+                encode_refusal=answers.encode_bare_refusal,
+            ),
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.listener.stop_accepting()
+        self.listener.abort()
+        await self.listener.drain(asyncio.get_running_loop().time() + 5)
+        self.assertEqual(self.daemon.count_in_flight(), 0)
+
+    async def _send(
+        self, data: bytes, *, half_close: bool = False
+    ) -> tuple[bytes, bytes]:
+        """Sends bytes and returns head and body of the one answer."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.listener.port
+        )
+        writer.write(data)
+        if half_close:
+            writer.write_eof()
+        answer = await reader.read()
+        writer.close()
+        head, _, body = answer.partition(b"\r\n\r\n")
+        return head, body
+
+    async def _post(
+        self,
+        body: bytes,
+        *,
+        path: str = "/v1/chat/completions",
+        key: str = daemon_parts.KEY,
+        headers: str = "",
+    ) -> tuple[bytes, bytes]:
+        request = (
+            f"POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            f"Authorization: Bearer {key}\r\n{headers}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return await self._send(request.encode() + body)
+
+    def _check_error(
+        self, answer: tuple[bytes, bytes], code: results.Code, ran: str = "no"
+    ) -> dict[str, object]:
+        head, body = answer
+        error: dict[str, object] = msgspec.json.decode(body)["error"]
+        status = results.http_status(code)
+        self.assertTrue(head.startswith(b"HTTP/1.1 %d " % status), head)
+        self.assertEqual(error["code"], int(code))
+        self.assertEqual(error["name"], code.name)
+        self.assertEqual(error["ran"], ran)
+        return error
+
+
+class ErrorTest(CallersTest):
+    """Checks each clear error."""
+
+    async def test_wrong_key(self) -> None:
+        answer = await self._post(_CHAT + b"}", key="wrong")
+        self._check_error(answer, results.Code.UNAUTHENTICATED)
+
+    async def test_model_that_is_not_open_to_the_team(self) -> None:
+        answer = await self._post(_CHAT + b"}", key=daemon_parts.OTHER_KEY)
+        self._check_error(answer, results.Code.FORBIDDEN)
+
+    async def test_body_that_is_not_json(self) -> None:
+        answer = await self._post(b"{")
+        self._check_error(answer, results.Code.BAD_REQUEST)
+
+    async def test_body_without_messages(self) -> None:
+        answer = await self._post(b'{"model":"advice","messages":[]}')
+        self._check_error(answer, results.Code.BAD_REQUEST)
+
+    async def test_deadline_that_is_not_a_number(self) -> None:
+        answer = await self._post(
+            _CHAT + b"}", headers="X-Deadline-Ms: soon\r\n"
+        )
+        self._check_error(answer, results.Code.BAD_REQUEST)
+
+    async def test_unknown_model(self) -> None:
+        body = _CHAT.replace(b"advice", b"nope") + b"}"
+        self._check_error(await self._post(body), results.Code.UNKNOWN_MODEL)
+
+    async def test_unknown_service(self) -> None:
+        answer = await self._post(b"{}", path="/v1/services/nope")
+        self._check_error(answer, results.Code.UNKNOWN_SERVICE)
+
+    async def test_missing_idempotency_key(self) -> None:
+        answer = await self._post(b"{}", path="/v1/services/payment")
+        self._check_error(answer, results.Code.IDEMPOTENCY_KEY_MISSING)
+
+    async def test_idempotency_key_that_is_too_long(self) -> None:
+        answer = await self._post(
+            b"{}",
+            path="/v1/services/payment",
+            headers=f"Idempotency-Key: {'k' * 129}\r\n",
+        )
+        self._check_error(answer, results.Code.BAD_REQUEST, ran="unknown")
+
+    async def test_unknown_path(self) -> None:
+        answer = await self._post(b"{}", path="/v2/else")
+        self._check_error(answer, results.Code.NOT_FOUND)
+
+    async def test_declared_body_past_the_limit(self) -> None:
+        answer = await self._post(b"x" * (_BODY_LIMIT + 1))
+        self._check_error(answer, results.Code.BODY_TOO_LARGE)
+
+    async def test_chunked_body_past_the_limit(self) -> None:
+        chunk = b"%x\r\n%b\r\n" % (_BODY_LIMIT, b"x" * _BODY_LIMIT)
+        answer = await self._send(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            b"Connection: close\r\nTransfer-Encoding: chunked\r\n"
+            b"Authorization: Bearer "
+            + daemon_parts.KEY.encode()
+            + b"\r\n\r\n"
+            + chunk
+            + chunk
+            + b"0\r\n\r\n"
+        )
+        self._check_error(answer, results.Code.BODY_TOO_LARGE)
+
+    async def test_headers_past_the_limit(self) -> None:
+        answer = await self._post(
+            b"{}", headers=f"X-Large: {'x' * _HEADER_LIMIT}\r\n"
+        )
+        self._check_error(answer, results.Code.HEADERS_TOO_LARGE, ran="unknown")
+
+    async def test_headers_that_never_end(self) -> None:
+        answer = await self._send(
+            b"GET /healthz HTTP/1.1\r\nX-Large: " + b"x" * 2 * _HEADER_LIMIT
+        )
+        self._check_error(answer, results.Code.HEADERS_TOO_LARGE, ran="unknown")
+
+    async def test_cut_body_of_each_kind(self) -> None:
+        for framing in (
+            b"Content-Length: 100\r\n\r\n{}",
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+        ):
+            answer = await self._send(
+                b"POST /v1/services/log HTTP/1.1\r\nHost: x\r\n"
+                b"Authorization: Bearer "
+                + daemon_parts.KEY.encode()
+                + b"\r\n"
+                + framing,
+                half_close=True,
+            )
+            self._check_error(answer, results.Code.BODY_INCOMPLETE)
+
+    async def test_too_many_connections(self) -> None:
+        held = [
+            await asyncio.open_connection("127.0.0.1", self.listener.port)
+            for _ in range(_CONNECTIONS)
+        ]
+        answer = await self._send(b"")
+        error = self._check_error(
+            answer, results.Code.OVERLOADED, ran="unknown"
+        )
+        self.assertEqual(error["retry_after_ms"], 1000)
+        self.assertIn(b"retry-after: 1", answer[0])
+        for _, writer in held:
+            writer.close()
+
+    async def test_no_catalogue(self) -> None:
+        self.state.directory = None
+        answer = await self._post(_CHAT + b"}")
+        self._check_error(answer, results.Code.NO_CATALOGUE)
+        self.assertIn(b"retry-after: 1", answer[0].lower())
+
+    async def test_shutdown(self) -> None:
+        self.state.taking = False
+        answer = await self._post(_CHAT + b"}")
+        self._check_error(answer, results.Code.SHUTTING_DOWN)
+
+    async def test_not_run_is_not_said_of_a_key_that_may_have_run(
+        self,
+    ) -> None:
+        self.state.taking = False
+        answer = await self._post(
+            b"{}",
+            path="/v1/services/payment",
+            headers="Idempotency-Key: k\r\n",
+        )
+        self._check_error(answer, results.Code.SHUTTING_DOWN, ran="unknown")
+
+    async def test_fault_of_the_daemon_itself(self) -> None:
+        self.scripted.streams = [[RuntimeError("bug")]]
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        answer = await self._post(_CHAT + b"}")
+        self._check_error(answer, results.Code.INTERNAL, ran="unknown")
+
+
+class AnswerTest(CallersTest):
+    """Checks answers that are given."""
+
+    async def test_readiness_follows_the_state(self) -> None:
+        request = (
+            b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )
+        head, _ = await self._send(request)
+        self.assertIn(b" 200 ", head)
+        self.state.ready = False
+        head, _ = await self._send(request)
+        self.assertIn(b" 503 ", head)
+
+    async def test_puts_a_whole_answer_together(self) -> None:
+        self.scripted.streams = [
+            [daemon_parts.make_batch(0), daemon_parts.make_batch(1, last=1)]
+        ]
+        head, body = await self._post(
+            _CHAT + b"}", headers="X-Request-Id: mine\r\n"
+        )
+        choice = msgspec.json.decode(body)["choices"][0]
+        self.assertEqual(choice["message"]["content"], "0 1 ")
+        self.assertEqual(choice["finish_reason"], "stop")
+        self.assertIn(b"x-request-id: mine", head.lower())
+
+    async def test_streams_events_and_the_mark_of_the_end(self) -> None:
+        self.scripted.streams = [
+            [daemon_parts.make_batch(0), daemon_parts.make_batch(1, last=1)]
+        ]
+        head, body = await self._post(_CHAT + b',"stream":true}')
+        self.assertIn(b"text/event-stream", head)
+        self.assertEqual(body.count(b"id: "), 2)
+        self.assertIn(b"data: [DONE]\n\n", body)
+
+    async def test_a_broken_stream_ends_in_an_error_event(self) -> None:
+        lost = errors.TargetAnswerLostError("cut")
+        self.scripted.streams = [[daemon_parts.make_batch(0), lost]]
+        _, body = await self._post(_CHAT + b',"stream":true}')
+        self.assertIn(b"event: error\n", body)
+        self.assertIn(b'"name":"ANSWER_INCOMPLETE"', body)
+        self.assertNotIn(b"[DONE]", body)
+
+    async def test_a_stream_that_fails_before_its_start_has_a_status(
+        self,
+    ) -> None:
+        unreachable = errors.TargetUnreachableError("refused")
+        self.scripted.streams = [[unreachable], [unreachable]]
+        answer = await self._post(_CHAT + b',"stream":true}')
+        self._check_error(answer, results.Code.NO_TARGET)
+
+    async def test_a_caller_that_leaves_ends_its_stream(self) -> None:
+        self.scripted.streams = [[daemon_parts.make_batch(0)]]
+        body = _CHAT + b',"stream":true}'
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.listener.port
+        )
+        writer.write(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            b"Authorization: Bearer %b\r\nContent-Length: %d\r\n\r\n%b"
+            % (daemon_parts.KEY.encode(), len(body), body)
+        )
+        await reader.readuntil(b"id: 0")
+        writer.close()
+        async with asyncio.timeout(5):
+            await self.scripted.wait_for_cancel()
+        self.assertEqual(self.daemon.count_in_flight(), 0)
+
+    async def test_counts_requests_by_team_and_class(self) -> None:
+        self.scripted.streams = [[daemon_parts.make_batch(0, last=0)]]
+        await self._post(_CHAT + b"}")
+        for shown in (
+            self.telemetry.list_teams(),
+            self.telemetry.list_classes(),
+        ):
+            self.assertEqual([x.complete for x in shown], [1])
+            self.assertEqual(shown[0].first_token.count, 1)
+            self.assertEqual(shown[0].in_flight, 0)
+
+
+class DrainTest(CallersTest):
+    """Checks the listener's part in a graceful shutdown."""
+
+    async def test_an_answer_that_runs_is_sent_whole(self) -> None:
+        self.scripted.streams = [
+            [
+                daemon_parts.make_batch(0),
+                daemon_parts.make_batch(1),
+                daemon_parts.make_batch(2, last=2),
+            ]
+        ]
+        self.scripted.pause_s = 0.02
+        posting = asyncio.ensure_future(self._post(_CHAT + b"}"))
+        await self.scripted.wait_for_open()
+        self.listener.stop_accepting()
+        deadline = asyncio.get_running_loop().time() + 5
+        self.assertEqual(await self.listener.drain(deadline), 0)
+        _, body = await posting
+        self.assertIn(b"0 1 2 ", body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,93 @@
+"""Tests for mothpass.core.streams."""
+
+import unittest
+
+from mothpass.core import streams
+from tests import daemon_parts
+
+
+class AcceptTest(unittest.TestCase):
+    """Checks which events continue an answer."""
+
+    def setUp(self) -> None:
+        self.stream = streams.AnswerStream(attempt_id="a")
+
+    def _accept(
+        self, *positions: int, last: int | None = None, attempt_id: str = "a"
+    ) -> list[int]:
+        batch = daemon_parts.make_batch(
+            *positions, last=last, attempt_id=attempt_id
+        )
+        return [event.position for event in self.stream.accept(batch)]
+
+    def test_takes_events_in_order(self) -> None:
+        self.assertEqual(self._accept(0, 1), [0, 1])
+        self.assertEqual(self._accept(2), [2])
+
+    def test_drops_and_counts_events_of_another_attempt(self) -> None:
+        self.assertEqual(self._accept(0, attempt_id="b"), [])
+        self.assertEqual(self.stream.crossed, 1)
+        self.assertEqual(self._accept(0), [0])
+
+    def test_drops_and_counts_repeated_events(self) -> None:
+        self._accept(0, 1)
+        self.assertEqual(self._accept(0, 1, 2), [2])
+        self.assertEqual(self.stream.repeated, 2)
+
+    def test_an_event_past_a_missing_one_is_a_gap(self) -> None:
+        self.assertEqual(self._accept(0, 2), [0])
+        self.assertTrue(self.stream.gap)
+        self.assertEqual(self.stream.early, 1)
+
+    def test_is_whole_only_with_the_last_event(self) -> None:
+        self._accept(0, 1)
+        self.assertFalse(self.stream.whole)
+        self._accept(2, last=2)
+        self.assertTrue(self.stream.whole)
+
+    def test_takes_nothing_after_the_last_event(self) -> None:
+        self._accept(0, last=0)
+        self.assertEqual(self._accept(1), [])
+
+    def test_a_last_event_of_another_attempt_ends_nothing(self) -> None:
+        self._accept(0, last=0, attempt_id="b")
+        self.assertFalse(self.stream.whole)
+
+
+class PlanResumeTest(unittest.TestCase):
+    """Checks when the rest of an answer is asked for."""
+
+    def setUp(self) -> None:
+        self.stream = streams.AnswerStream(attempt_id="a")
+        batch = daemon_parts.make_batch(0, 1, 4, attempt_id="a")
+        self.stream.accept(batch)
+
+    def test_resumes_at_once_from_the_first_missing_position(self) -> None:
+        plan = self.stream.plan_resume(failed=False, now=5.0)
+        self.assertEqual(plan, streams.Resume(position=2, at=5.0))
+        self.assertFalse(self.stream.gap)
+
+    def test_waits_longer_after_each_failure_and_gives_up(self) -> None:
+        plans = [
+            self.stream.plan_resume(failed=True, now=0.0) for _ in range(4)
+        ]
+        self.assertEqual(
+            plans,
+            [
+                streams.Resume(position=2, at=0.05),
+                streams.Resume(position=2, at=0.1),
+                streams.Resume(position=2, at=0.2),
+                streams.GiveUp(shown=2),
+            ],
+        )
+
+    def test_progress_clears_the_failures(self) -> None:
+        for _ in range(3):
+            self.stream.plan_resume(failed=True, now=0.0)
+        self.stream.accept(daemon_parts.make_batch(2, attempt_id="a"))
+        plan = self.stream.plan_resume(failed=True, now=0.0)
+        self.assertEqual(plan, streams.Resume(position=3, at=0.05))
+
+
+if __name__ == "__main__":
+    unittest.main()
