--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -187,6 +187,9 @@
             first_token_ms=(now - run.sent_at) * 1000,
             now=now,
         )
+        target_id = run.place.target_id
+        if self._deaths.note_progress(target_id, run.stream, now=now):
+            self._placement.end_trial(run.place)
 
     async def call(
         self,
--- a/mothpass/daemon/deaths.py
+++ b/mothpass/daemon/deaths.py
@@ -39,6 +39,17 @@
         runs = self._runs.setdefault(target_id, {})
         runs[stream.attempt_id] = _Run(fingerprint=fingerprint, stream=stream)
 
+    def note_progress(
+        self, target_id: str, stream: streams.AnswerStream, *, now: float
+    ) -> bool:
+        """Takes in that events have come; returns if this cleared a suspect."""
+        if not len(self._suspects):
+            return False
+        run = self._runs.get(target_id, {}).get(stream.attempt_id)
+        return run is not None and self._suspects.record_progress(
+            run.fingerprint, stream.position, now=now
+        )
+
     def end(
         self, target_id: str, stream: streams.AnswerStream, *, now: float
     ) -> None:
