--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,93 @@
+"""Tests for mothpass.daemon.calls."""
+
+import unittest
+
+import msgspec
+
+from mothpass.daemon import calls
+from tests import daemon_parts
+
+_NOW = 100.0
+
+
+class ReadChatTest(unittest.TestCase):
+    """Checks how a chat request becomes a call."""
+
+    def setUp(self) -> None:
+        entries = daemon_parts.build_catalogue()
+        self.directory = calls.Directory(entries=entries)
+        self.team = entries.teams[0]
+
+    def _read(
+        self,
+        *messages: tuple[str, str],
+        chat_id: str | None = None,
+        header_chat_id: str = "",
+        deadline_ms: str = "",
+        **extra: object,
+    ) -> calls.Call:
+        body = {
+            "model": "advice",
+            "messages": [{"role": x, "content": y} for x, y in messages],
+            "chat_id": chat_id,
+            **extra,
+        }
+        headers = calls.Headers(
+            request_id="r", chat_id=header_chat_id, deadline_ms=deadline_ms
+        )
+        return calls.read_chat(
+            self.directory,
+            self.team,
+            headers,
+            msgspec.json.encode(body),
+            now=_NOW,
+        )
+
+    def test_a_chat_that_returns_is_the_same_chat(self) -> None:
+        first = self._read(("system", "s"), ("user", "lease"))
+        later = self._read(
+            ("system", "s"),
+            ("user", "lease"),
+            ("assistant", "a"),
+            ("user", "more"),
+        )
+        other = self._read(("system", "s"), ("user", "other"))
+        self.assertEqual(first.chat, later.chat)
+        self.assertNotEqual(first.chat, other.chat)
+
+    def test_the_header_names_the_chat_before_the_field(self) -> None:
+        by_header = self._read(
+            ("user", "x"), chat_id="field", header_chat_id="header"
+        )
+        by_field = self._read(("user", "y"), chat_id="header")
+        self.assertEqual(by_header.chat, by_field.chat)
+
+    def test_chats_of_two_teams_are_never_the_same(self) -> None:
+        mine = self._read(("user", "x"), chat_id="c")
+        self.team = msgspec.structs.replace(self.team, name="another")
+        self.assertNotEqual(
+            mine.chat, self._read(("user", "x"), chat_id="c").chat
+        )
+
+    def test_unknown_fields_go_on_and_a_stream_is_asked_for(self) -> None:
+        call = self._read(("user", "x"), temperature=0.5, stream=False)
+        sent = msgspec.json.decode(call.body)
+        self.assertEqual(sent["temperature"], 0.5)
+        self.assertIs(sent["stream"], True)
+        self.assertFalse(call.stream)
+
+    def test_the_class_bounds_the_deadline(self) -> None:
+        self.assertEqual(self._read(("user", "x")).deadline, _NOW + 5)
+        shorter = self._read(("user", "x"), deadline_ms="300")
+        self.assertEqual(shorter.deadline, _NOW + 0.3)
+        longer = self._read(("user", "x"), deadline_ms="9" * 30)
+        self.assertEqual(longer.deadline, _NOW + 5)
+
+    def test_the_less_urgent_class_holds(self) -> None:
+        self.team = msgspec.structs.replace(self.team, service_class="slow")
+        call = self._read(("user", "x"))
+        self.assertEqual((call.service_class, call.priority), ("slow", 5))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mothpass.core import catalogue
+from mothpass.daemon import settings
 from mothpass.load import profiles
 
 _DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
@@ -30,6 +31,17 @@
     "Action": profiles.Action,
     "Watch": profiles.Watch,
 }
+_SETTINGS: dict[str, type[msgspec.Struct]] = {
+    "Settings": settings.Settings,
+    "Instance": settings.Instance,
+    "Callers": settings.Callers,
+    "Operators": settings.Operators,
+    "Peers": settings.Peers,
+    "Platform": settings.Platform,
+    "Targets": settings.Targets,
+    "Telemetry": settings.Telemetry,
+    "Shutdown": settings.Shutdown,
+}
 
 
 class Row(typing.NamedTuple):
@@ -76,7 +88,8 @@
     if kind in (int, float):
         return _show_range(meta)
     if meta.min_length is not None:
-        return f"{meta.min_length} to {meta.max_length} entries"
+        unit = "characters" if kind is str else "entries"
+        return f"{meta.min_length} to {meta.max_length} {unit}"
     return ""
 
 
@@ -103,6 +116,9 @@
     def test_catalogue(self) -> None:
         self.check_page("CATALOGUE.md", _CATALOGUE)
 
+    def test_settings(self) -> None:
+        self.check_page("SETTINGS.md", _SETTINGS)
+
     def test_profiles(self) -> None:
         self.check_page("LOAD.md", _PROFILE)
 
