Split the daemon's large modules; close idle clients; count drained claims last

Change: assembly builds the parts, records follow one request, answering holds an answer that has begun; the time for headers counts for each request; claims and permits are waited for after the listeners; while the daemon leaves, answers ask for the connection to be closed; callers that went away aren't counted as refused; a fault of the daemon says "unknown" under an idempotency key. Ruled out: nothing else.

--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -125,6 +125,8 @@
         """Starts a request."""
         super().on_message_begin()
         self._in_headers = True
+        if self._header_timer is None:
+            self._start_header_timer()
 
     def on_headers_complete(self) -> None:
         """Starts the application, unless the headers are too large."""
@@ -188,7 +190,7 @@
             self._header_timer = None
 
     def _close_slow_client(self) -> None:
-        """Closes a connection whose first headers don't come."""
+        """Closes a connection whose headers don't come."""
         self.transport.close()
 
     def _refuse_headers(self) -> None:
--- a/mothpass/daemon/callers.py
+++ b/mothpass/daemon/callers.py
@@ -6,17 +6,16 @@
 
 import blacksheep
 from blacksheep import contents
-import msgspec
 
-from mothpass.adapters import http_guard
 from mothpass.core import catalogue
 from mothpass.core import errors
 from mothpass.core import results
+from mothpass.daemon import answering
 from mothpass.daemon import answers
-from mothpass.daemon import attempts
 from mothpass.daemon import caller_messages
 from mothpass.daemon import calls
 from mothpass.daemon import dispatch
+from mothpass.daemon import records
 from mothpass.daemon import telemetry
 from mothpass.ports import clock
 from mothpass.ports import targets
@@ -28,6 +27,11 @@
     [calls.Directory, catalogue.Team, calls.Headers, bytes], calls.Call
 ]
 
+# Answers a call.
+Answer = abc.Callable[
+    [records.Record, calls.Call], abc.Awaitable[blacksheep.Response]
+]
+
 
 class State:
     """What the interface needs to know of the daemon.
@@ -49,35 +53,6 @@
         self.taking = True
 
 
-class _Record:
-    """One request on its way to its end."""
-
-    __slots__ = (
-        "call",
-        "caller",
-        "code",
-        "first_at",
-        "request_id",
-        "started_at",
-        "trace",
-    )
-
-    def __init__(
-        self,
-        *,
-        caller: http_guard.Caller,
-        request_id: str,
-        started_at: float,
-    ) -> None:
-        self.caller = caller
-        self.code = results.Code.CALLER_GONE
-        self.request_id = request_id
-        self.started_at = started_at
-        self.call: calls.Call | None = None
-        self.first_at: float | None = None
-        self.trace = attempts.Trace()
-
-
 class Callers:
     """Answers callers.
 
@@ -198,15 +173,29 @@
         self,
         request: blacksheep.Request,
         read_call: ReadCall,
-        answer: abc.Callable[
-            [_Record, calls.Call], abc.Awaitable[blacksheep.Response]
-        ],
+        answer: Answer,
     ) -> blacksheep.Response:
-        """Answers a request, whatever happens to it."""
+        """Answers a request, whatever happens to it.
+
+        While the daemon is leaving, answers ask for the connection to be
+        closed, so that no request is on its way when it closes by itself.
+        """
+        response = await self._serve_open(request, read_call, answer)
+        if self._state.leaving:
+            response.add_header(b"Connection", b"close")
+        return response
+
+    async def _serve_open(
+        self,
+        request: blacksheep.Request,
+        read_call: ReadCall,
+        answer: Answer,
+    ) -> blacksheep.Response:
+        """Answers a request or says why not."""
         headers = caller_messages.read_headers(request)
-        record = _Record(
+        record = records.Record(
             caller=caller_messages.find_caller(request),
-            request_id=headers.request_id,
+            headers=headers,
             started_at=self._clock(),
         )
         try:
@@ -215,7 +204,7 @@
             self._telemetry.start_request(call.team, call.service_class)
             return await answer(record, call)
         except errors.RefusalError as error:
-            refusal = _correct_refusal(error.refusal, headers, record)
+            refusal = record.correct(error.refusal)
             self._end(record, refusal.code)
             return caller_messages.respond_refusal(refusal, record.request_id)
         except asyncio.CancelledError:
@@ -225,7 +214,7 @@
             _log.exception(
                 "request failed", extra={"request_id": record.request_id}
             )
-            refusal = _refuse_internal(record)
+            refusal = record.refuse_internal()
             self._end(record, refusal.code)
             return caller_messages.respond_refusal(refusal, record.request_id)
 
@@ -252,66 +241,64 @@
         return read_call(directory, team, headers, body)
 
     async def _answer_chat(
-        self, record: _Record, call: calls.Call
+        self, record: records.Record, call: calls.Call
     ) -> blacksheep.Response:
         # The first events come before the status, so that a request that
         # fails before them gets an error answer of its own.
-        answering = await self._dispatcher.start_stream(call, record.trace)
+        begun = await self._dispatcher.start_stream(call, record.trace)
         record.first_at = self._clock()
         if call.stream:
-            record.caller.call_at_end(
-                lambda: self._end_stream(record, answering)
-            )
-            return _respond_events(self._show_events(record, answering), record)
+            record.caller.call_at_end(lambda: self._end_stream(record, begun))
+            return _respond_events(self._show_events(record, begun), record)
         try:
-            events = list(answering.first)
-            async for batch in answering.batches:
+            events = list(begun.first)
+            async for batch in begun.batches:
                 events.extend(batch)
         except errors.RefusalError:
             raise
         except errors.MothpassError as error:
-            refusal = answering.fail(error, self._clock())
+            refusal = begun.fail(error, self._clock())
             raise errors.RefusalError(refusal) from error
         finally:
-            await answering.close()
+            await begun.close()
         body = answers.encode_whole(events)
         self._end(record, results.Code.OK)
         return caller_messages.respond(200, body, record.request_id)
 
     def _show_events(
-        self, record: _Record, answering: dispatch.Answering
+        self, record: records.Record, begun: answering.Answering
     ) -> abc.Callable[[], abc.AsyncIterator[bytes]]:
         """Returns what yields a streamed answer, to its end or its error."""
 
         async def show() -> abc.AsyncIterator[bytes]:
             try:
-                yield answers.encode_events(answering.first)
-                async for events in answering.batches:
+                yield answers.encode_events(begun.first)
+                async for events in begun.batches:
                     yield answers.encode_events(events)
                 record.code = results.Code.OK
             except errors.MothpassError as error:
-                refusal = answering.fail(error, self._clock())
+                refusal = begun.fail(error, self._clock())
                 record.code = refusal.code
                 yield answers.encode_refusal_event(refusal, record.request_id)
             except Exception:
                 _log.exception(
                     "stream failed", extra={"request_id": record.request_id}
                 )
-                refusal = _refuse_internal(record)
+                refusal = record.refuse_internal()
                 record.code = refusal.code
                 yield answers.encode_refusal_event(refusal, record.request_id)
 
         return show
 
     async def _end_stream(
-        self, record: _Record, answering: dispatch.Answering
+        self, record: records.Record, begun: answering.Answering
     ) -> None:
         """Ends a streamed answer, however far it has got."""
         self._end(record, record.code)
-        await answering.close()
+        await begun.close()
 
     async def _answer_service(
-        self, record: _Record, call: calls.Call
+        self, record: records.Record, call: calls.Call
     ) -> blacksheep.Response:
         if call.repeatable:
             answer = await self._dispatcher.call_service(call, record.trace)
@@ -326,7 +313,7 @@
         )
 
     async def _call_to_the_end(
-        self, record: _Record, call: calls.Call
+        self, record: records.Record, call: calls.Call
     ) -> targets.Answer:
         """Runs a call that goes on although its caller leaves."""
         task = asyncio.ensure_future(
@@ -344,25 +331,9 @@
         if error is not None and not isinstance(error, errors.MothpassError):
             _log.error("call failed", exc_info=error)
 
-    def _end(self, record: _Record, code: results.Code) -> None:
+    def _end(self, record: records.Record, code: results.Code) -> None:
         """Reports the end of a request."""
-        call = record.call
-        now = self._clock()
-        sent_at = record.trace.sent_at
-        self._telemetry.end_request(
-            telemetry.Ended(
-                request_id=record.request_id,
-                team=call.team if call else "",
-                service_class=call.service_class if call else "",
-                name=call.name if call else "",
-                target=record.trace.target_id,
-                code=code,
-                attempts=record.trace.attempts,
-                first_token_ms=_measure_ms(record, record.first_at),
-                whole_ms=(now - record.started_at) * 1000,
-                added_ms=_measure_ms(record, sent_at),
-            )
-        )
+        self._telemetry.end_request(record.summarize(code, self._clock()))
 
 
 async def _show_health(_request: blacksheep.Request) -> blacksheep.Response:
@@ -370,7 +341,7 @@
 
 
 def _respond_events(
-    show: abc.Callable[[], abc.AsyncIterator[bytes]], record: _Record
+    show: abc.Callable[[], abc.AsyncIterator[bytes]], record: records.Record
 ) -> blacksheep.Response:
     """Returns an answer whose body is a stream of events."""
     content = contents.StreamedContent(answers.EVENTS_TYPE, show)
@@ -378,36 +349,3 @@
     response.add_header(b"X-Request-Id", record.request_id.encode())
     response.add_header(b"Cache-Control", b"no-store")
     return response
-
-
-def _measure_ms(record: _Record, moment: float | None) -> float | None:
-    """Returns the time from the start of a request to a moment."""
-    if moment is None:
-        return None
-    return (moment - record.started_at) * 1000
-
-
-def _correct_refusal(
-    refusal: errors.Refusal, headers: calls.Headers, record: _Record
-) -> errors.Refusal:
-    """Takes back a "not run" that can't be known.
-
-    Under an idempotency key the request may have run at an earlier ask; only
-    the claim tells.
-    """
-    call = record.call
-    repeatable = call is not None and call.repeatable
-    if repeatable or not headers.idempotency_key or record.trace.claim_known:
-        return refusal
-    if refusal.ran is not results.Ran.NO:
-        return refusal
-    return msgspec.structs.replace(refusal, ran=results.Ran.UNKNOWN)
-
-
-def _refuse_internal(record: _Record) -> errors.Refusal:
-    ran = results.Ran.UNKNOWN if record.trace.attempts else results.Ran.NO
-    return errors.Refusal(
-        code=results.Code.INTERNAL,
-        ran=ran,
-        message="the daemon failed; its log has the request id",
-    )
--- a/mothpass/daemon/dispatch.py
+++ b/mothpass/daemon/dispatch.py
@@ -4,7 +4,6 @@
 from collections import abc
 import contextlib
 import random as random_module
-import typing
 
 import msgspec
 from returns import result
@@ -14,6 +13,7 @@
 from mothpass.core import results
 from mothpass.core import retries
 from mothpass.core import suspects
+from mothpass.daemon import answering
 from mothpass.daemon import attempts
 from mothpass.daemon import calls
 from mothpass.daemon import claims
@@ -32,73 +32,6 @@
 ]
 
 
-Batches: typing.TypeAlias = abc.AsyncGenerator[list[targets.Event], None]
-
-
-class Answering:
-    """A model's answer that has begun.
-
-    Attributes:
-        batches: Yields the events after the first ones; raises
-            errors.MothpassError if the rest can't be had.
-        first: The first events.
-    """
-
-    __slots__ = (
-        "_admission",
-        "_budget",
-        "_failure",
-        "_run",
-        "_runner",
-        "batches",
-        "first",
-    )
-
-    def __init__(
-        self,
-        *,
-        run: attempts.Run,
-        runner: attempts.AttemptRunner,
-        batches: Batches,
-        first: list[targets.Event],
-        admission: contextlib.ExitStack,
-        budget: retries.RetryBudget,
-    ) -> None:
-        """Takes over an attempt; ``close`` must follow."""
-        self._run: attempts.Run | None = run
-        self._runner = runner
-        self._admission = admission
-        self._budget = budget
-        self._failure: errors.MothpassError | None = None
-        self.batches = batches
-        self.first = first
-
-    def fail(self, error: errors.MothpassError, now: float) -> errors.Refusal:
-        """Notes what ended the answer and returns what the caller is told."""
-        self._failure = error
-        code = results.Code.ANSWER_INCOMPLETE
-        if self._run is not None and now >= self._run.call.deadline:
-            code = results.Code.DEADLINE_EXCEEDED
-        return errors.Refusal(
-            code=code,
-            ran=results.Ran.UNKNOWN,
-            message=f"the rest of the answer can't be had: {error}",
-            retry_after_ms=RETRY_AFTER_MS,
-        )
-
-    async def close(self) -> None:
-        """Counts the call out, whether its answer is whole or not."""
-        run = self._run
-        if run is None:
-            return
-        self._run = None
-        if run.stream.whole:
-            self._budget.record_success()
-        self._runner.end(run, self._failure)
-        self._admission.close()
-        await self.batches.aclose()
-
-
 class Parts(msgspec.Struct, frozen=True, kw_only=True):
     """State that the dispatcher shares with the rest of the daemon.
 
@@ -144,7 +77,7 @@
 
     async def start_stream(
         self, call: calls.Call, trace: attempts.Trace
-    ) -> Answering:
+    ) -> answering.Answering:
         """Waits for the first events of a model's answer.
 
         Only until then may another target be tried: answers of models differ
@@ -160,7 +93,7 @@
         except BaseException:
             admission.close()
             raise
-        return Answering(
+        return answering.Answering(
             run=run,
             runner=self._parts.runner,
             batches=batches,
@@ -208,7 +141,7 @@
 
     async def _find_answer(
         self, call: calls.Call, trace: attempts.Trace
-    ) -> tuple[attempts.Run, Batches, list[targets.Event]]:
+    ) -> tuple[attempts.Run, answering.Batches, list[targets.Event]]:
         """Tries targets until one begins to answer."""
         runner = self._parts.runner
         excluded: frozenset[str] = frozenset()
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import logging
-import random as random_module
 import signal
 import time
 import typing
@@ -12,35 +11,15 @@
 
 from mothpass.adapters import http_guard
 from mothpass.adapters import http_listener
-from mothpass.adapters import http_pool
-from mothpass.adapters import targets_http
-from mothpass.core import budget
-from mothpass.core import catalogue
-from mothpass.core import limits
-from mothpass.core import results
 from mothpass.core import revisions
-from mothpass.core import routing
-from mothpass.core import suspects
 from mothpass.daemon import answers
-from mothpass.daemon import attempts
-from mothpass.daemon import callers
+from mothpass.daemon import assembly
 from mothpass.daemon import calls
-from mothpass.daemon import catalogue_log
-from mothpass.daemon import catalogues
-from mothpass.daemon import claim_pruning
-from mothpass.daemon import claims
 from mothpass.daemon import control_cost
-from mothpass.daemon import control_parts
-from mothpass.daemon import dispatch
 from mothpass.daemon import operators
-from mothpass.daemon import placement
-from mothpass.daemon import platform
-from mothpass.daemon import proposals
-from mothpass.daemon import resumption
 from mothpass.daemon import settings as settings_module
 from mothpass.daemon import status
 from mothpass.daemon import status_page
-from mothpass.daemon import telemetry
 from mothpass.ports import members
 
 PRUNE_MS = 1000
@@ -53,103 +32,30 @@
     """One daemon."""
 
     __slots__ = (
-        "_callers",
-        "_catalogues",
-        "_claims",
-        "_control",
         "_cost",
         "_listeners",
-        "_names",
-        "_placement",
-        "_platform",
-        "_pool",
-        "_proposals",
-        "_pruner",
-        "_router",
-        "_runner",
+        "_parts",
         "_settings",
         "_started_at",
-        "_state",
-        "_suspects",
-        "_targets",
         "_tasks",
-        "_teams",
-        "_telemetry",
     )
 
     def __init__(self, *, settings: settings_module.Settings) -> None:
         """Builds the parts; nothing is opened or started yet."""
-        random = random_module.Random()
-        instance = settings.instance
         self._settings = settings
         self._started_at = time.monotonic()
-        self._state = callers.State()
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[http_listener.Listener] = []
-        self._telemetry = telemetry.build_telemetry(settings.telemetry)
-        self._platform = platform.Platform(
-            chosen=settings.platform, region=instance.region
-        )
-        self._router = routing.Router(
-            instance_id=instance.id,
-            availability_zone=instance.availability_zone,
-            slot=instance.slot,
-            slots=instance.slots,
-            random=random,
-            started_at=self._started_at,
-        )
-        self._teams = limits.Limiter(code=results.Code.TEAM_LIMIT)
-        self._names = limits.Limiter(code=results.Code.OVERLOADED)
-        self._suspects = suspects.Suspects(own_id=settings.instance.id)
-        self._pool = http_pool.Pool(
-            connect_timeout_ms=settings.targets.connect_timeout_ms
-        )
-        self._targets = targets_http.HttpTargets(
-            pool=self._pool, silence_ms=settings.targets.silence_ms
-        )
-        self._catalogues = catalogues.Catalogues(
-            log=self._build_log(budget.Priority.POLL),
-            monotonic=time.monotonic,
-            random=random,
-            on_change=self._take_catalogue,
-        )
-        self._proposals = proposals.Proposals(
-            daemon_id=instance.id,
-            present=self._catalogues,
-            log=self._build_log(budget.Priority.CLAIM),
-            wall=time.time,
-            sleep=asyncio.sleep,
-            random=random,
-        )
-        self._claims = claims.Claims(
-            store=self._platform.store,
-            monotonic=time.monotonic,
-            wall=time.time,
-            sleep=asyncio.sleep,
-            random=random,
-        )
-        self._pruner = claim_pruning.ClaimPruner(
-            store=self._platform.store,
-            monotonic=time.monotonic,
-            wall=time.time,
-            slot=instance.slot,
-            slots=instance.slots,
-        )
-        self._control = self._build_control(random)
-        self._cost = control_cost.ControlCost(traffic=self._control.traffic)
-        self._placement = placement.Placement(
-            router=self._router,
-            names=self._names,
-            acquire=self._control.permits.acquire,
-            release=self._control.permits.release,
-            clock=time.monotonic,
+        self._parts = assembly.build_parts(
+            settings,
+            assembly.Hooks(
+                on_catalogue=self._take_catalogue,
+                on_members=self._take_members,
+                on_tick=self._run_tick,
+            ),
         )
-        self._callers = callers.Callers(
-            state=self._state,
-            dispatcher=self._build_dispatcher(random),
-            telemetry=self._telemetry,
-            body_limit_bytes=settings.callers.body_limit_bytes,
-            clock=time.monotonic,
+        self._cost = control_cost.ControlCost(
+            traffic=self._parts.control.traffic
         )
 
     async def start(self) -> None:
@@ -164,7 +70,7 @@
             await self._open_callers(chosen),
             await self._open_operators(),
         ]
-        await self._control.control.start()
+        await self._parts.control.control.start()
         for work in (self._prune_connections(), self._prune_claims()):
             self._tasks.append(asyncio.ensure_future(work))
         _log.info("daemon started")
@@ -177,11 +83,11 @@
         """
         chosen = self._settings.shutdown
         _log.info("shutdown begins")
-        self._state.ready = False
-        self._state.leaving = True
-        await self._control.control.parts.membership.announce_leaving()
+        self._parts.core.state.ready = False
+        self._parts.core.state.leaving = True
+        await self._parts.control.control.parts.membership.announce_leaving()
         await asyncio.sleep(chosen.announce_ms / 1000)
-        self._state.taking = False
+        self._parts.core.state.taking = False
         for listener in self._listeners:
             listener.stop_accepting()
         await self._drain(chosen.drain_ms)
@@ -191,92 +97,27 @@
     async def _drain(self, drain_ms: int) -> None:
         """Waits for what runs, for a time."""
         deadline = asyncio.get_running_loop().time() + drain_ms / 1000
-        left = await self._callers.drain(deadline)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(deadline):
-                await self._claims.drain()
+        left = await self._parts.callers.drain(deadline)
         for listener in self._listeners:
             left += await listener.drain(deadline)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                await self._parts.claims.drain()
+                await self._parts.control.permits.finish()
         if left:
             _log.error("drain deadline passed", extra={"detail": f"{left} cut"})
 
-    def _build_dispatcher(
-        self, random: random_module.Random
-    ) -> dispatch.Dispatcher:
-        self._runner = attempts.AttemptRunner(
-            instance_id=self._settings.instance.id,
-            ports=resumption.Ports(
-                open_stream=self._targets.open_stream,
-                resume_stream=self._targets.resume_stream,
-                call=self._targets.call,
-                cancel=self._targets.cancel,
-                read_load=self._targets.read_load,
-                clock=time.monotonic,
-            ),
-            placement=self._placement,
-            router=self._router,
-            suspects=self._suspects,
-            random=random,
-        )
-        parts = dispatch.Parts(
-            placement=self._placement,
-            runner=self._runner,
-            teams=self._teams,
-            names=self._names,
-            suspects=self._suspects,
-            random=random,
-            clock=time.monotonic,
-        )
-        return dispatch.Dispatcher(parts=parts, run_once=self._claims.run_once)
-
-    def _build_control(
-        self, random: random_module.Random
-    ) -> control_parts.Built:
-        return control_parts.build_control(
-            self._settings,
-            control_parts.Needs(
-                router=self._router,
-                suspects=self._suspects,
-                catalogues=self._catalogues,
-                platform=self._platform,
-                read_load=self._targets.read_load,
-                find_start=self._find_cold_start,
-                on_members=self._take_members,
-                on_tick=self._run_tick,
-                random=random,
-            ),
-        )
-
-    def _find_cold_start(self, target_id: str) -> catalogue.ColdStart | None:
-        """Returns what a target bears while cold; None without a model."""
-        target = self._router.targets.get(target_id)
-        directory = self._state.directory
-        if target is None or directory is None:
-            return None
-        for name in target.instance.serves:
-            model = directory.models.get(name)
-            if model is not None:
-                return model.cold_start
-        return None
-
     def _run_tick(self) -> None:
         """Looks again at what waits; a check once a tick serves all changes."""
-        self._placement.wake()
+        self._parts.placement.wake()
         self._cost.sample(time.monotonic())
-        for name, value in self._runner.read_counters().items():
-            self._telemetry.gauge(name, value)
-
-    def _build_log(
-        self, priority: budget.Priority
-    ) -> catalogue_log.CatalogueLog:
-        return catalogue_log.CatalogueLog(
-            store=self._platform.store, sleep=asyncio.sleep, priority=priority
-        )
+        for name, value in self._parts.runner.read_counters().items():
+            self._parts.telemetry.gauge(name, value)
 
     async def _open_callers(
         self, chosen: settings_module.Callers
     ) -> http_listener.Listener:
-        application = self._callers.build_application()
+        application = self._parts.callers.build_application()
         await _start_application(application)
         return await http_listener.open_listener(
             http_guard.guard_application(application),
@@ -295,8 +136,8 @@
             application,
             operators.Parts(
                 token_sha256=chosen.token_sha256,
-                catalogues=self._catalogues,
-                proposals=self._proposals,
+                catalogues=self._parts.catalogues,
+                proposals=self._parts.proposals,
                 read_status=self._read_status,
                 read_fleet=self._read_fleet,
             ),
@@ -315,13 +156,15 @@
     def _take_catalogue(self, revision: revisions.Revision) -> None:
         """Takes a version of the catalogue into force, whole."""
         entries = revision.catalogue
-        self._state.directory = calls.Directory(entries=entries)
-        self._teams.set_limits({x.name: x.limits for x in entries.teams})
+        self._parts.core.state.directory = calls.Directory(entries=entries)
+        self._parts.core.teams.set_limits(
+            {x.name: x.limits for x in entries.teams}
+        )
         by_name = {x.name: x.limits for x in entries.models}
         by_name |= {x.name: x.limits for x in entries.services}
-        self._names.set_limits(by_name)
-        self._router.set_catalogue(entries, now=time.monotonic())
-        self._placement.wake()
+        self._parts.core.names.set_limits(by_name)
+        self._parts.core.router.set_catalogue(entries, now=time.monotonic())
+        self._parts.placement.wake()
         self._check_ready()
         _log.info(
             "catalogue in force",
@@ -331,20 +174,25 @@
     def _take_members(self, listing: members.Members) -> None:
         """Takes the membership list in."""
         now = time.monotonic()
-        self._router.set_members(listing, now=now)
-        daemons = self._router.daemons
+        self._parts.core.router.set_members(listing, now=now)
+        daemons = self._parts.core.router.daemons
         own_id = self._settings.instance.id
-        self._catalogues.set_peers([x for x in daemons if x != own_id])
-        self._teams.set_daemons(len(daemons))
-        self._names.set_daemons(len(daemons))
-        self._platform.store.budget.set_daemons(len(daemons), now=now)
-        self._placement.wake()
+        self._parts.catalogues.set_peers([x for x in daemons if x != own_id])
+        self._parts.core.teams.set_daemons(len(daemons))
+        self._parts.core.names.set_daemons(len(daemons))
+        self._parts.platform.store.budget.set_daemons(len(daemons), now=now)
+        self._parts.placement.wake()
         self._check_ready()
 
     def _check_ready(self) -> None:
         """Denies readiness until a catalogue and some target are known."""
-        known = self._state.directory is not None and self._router.targets
-        self._state.ready = bool(known) and not self._state.leaving
+        known = (
+            self._parts.core.state.directory is not None
+            and self._parts.core.router.targets
+        )
+        self._parts.core.state.ready = (
+            bool(known) and not self._parts.core.state.leaving
+        )
 
     async def _read_status(self) -> status_page.StatusPage:
         return status.build_page(self._build_status_parts())
@@ -356,12 +204,12 @@
         return status.Parts(
             instance=self._settings.instance,
             operators_address=self._settings.operators.address,
-            state=self._state,
-            catalogues=self._catalogues,
-            router=self._router,
-            suspects=self._suspects,
-            telemetry=self._telemetry,
-            control=self._control.control,
+            state=self._parts.core.state,
+            catalogues=self._parts.catalogues,
+            router=self._parts.core.router,
+            suspects=self._parts.core.suspects,
+            telemetry=self._parts.telemetry,
+            control=self._parts.control.control,
             cost=self._cost,
             clock=time.monotonic,
             started_at=self._started_at,
@@ -370,16 +218,16 @@
     async def _prune_connections(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_MS / 1000)
-            self._pool.prune()
+            self._parts.pool.prune()
 
     async def _prune_claims(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_MS / 1000)
-            if self._pruner.needs_step(time.monotonic()):
-                await self._pruner.step()
+            if self._parts.pruner.needs_step(time.monotonic()):
+                await self._parts.pruner.step()
 
     async def _close(self) -> None:
-        await self._control.control.stop()
+        await self._parts.control.control.stop()
         for task in self._tasks:
             task.cancel()
         for task in self._tasks:
@@ -387,8 +235,8 @@
                 await task
         for listener in self._listeners:
             listener.abort()
-        self._pool.close()
-        self._platform.close()
+        self._parts.pool.close()
+        self._parts.platform.close()
 
 
 async def run_daemon(settings: settings_module.Settings) -> None:
--- a/mothpass/daemon/telemetry.py
+++ b/mothpass/daemon/telemetry.py
@@ -115,6 +115,8 @@
 
     def record(self, ended: Ended) -> None:
         """Counts a request that ended."""
+        if ended.code is results.Code.CALLER_GONE:
+            return
         if ended.code is not results.Code.OK:
             self.refused += 1
             return
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -4,6 +4,7 @@
 import logging
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -81,9 +82,11 @@
         path: str = "/v1/chat/completions",
         key: str = daemon_parts.KEY,
         headers: str = "",
+        connection: str = "close",
     ) -> tuple[bytes, bytes]:
         request = (
-            f"POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            f"POST {path} HTTP/1.1\r\nHost: x\r\n"
+            f"Connection: {connection}\r\n"
             f"Authorization: Bearer {key}\r\n{headers}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
@@ -319,9 +322,38 @@
             self.assertEqual(shown[0].in_flight, 0)
 
 
+class SlowClientTest(CallersTest):
+    """Checks clients that hold a connection without need."""
+
+    async def asyncSetUp(self) -> None:
+        patch = mock.patch.object(http_listener, "HEADER_TIMEOUT_MS", 30)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+
+    async def test_headers_that_do_not_come_close_the_connection(
+        self,
+    ) -> None:
+        for data in (b"", b"GET /healthz HTT"):
+            async with asyncio.timeout(5):
+                self.assertEqual(await self._send(data), (b"", b""))
+
+    async def test_later_headers_that_do_not_come_close_it_too(self) -> None:
+        data = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\nGET /hea"
+        async with asyncio.timeout(5):
+            head, _ = await self._send(data)
+        self.assertEqual(head.count(b"HTTP/1.1 200"), 1)
+
+
 class DrainTest(CallersTest):
     """Checks the listener's part in a graceful shutdown."""
 
+    async def test_answers_ask_to_close_while_the_daemon_leaves(self) -> None:
+        self.state.leaving = True
+        self.scripted.streams = [[daemon_parts.make_batch(0, last=0)]]
+        head, _ = await self._post(_CHAT + b"}", connection="keep-alive")
+        self.assertIn(b"connection: close", head.lower())
+
     async def test_an_answer_that_runs_is_sent_whole(self) -> None:
         self.scripted.streams = [
             [
