--- a/mothpass/control/changes.py
+++ b/mothpass/control/changes.py
@@ -59,7 +59,10 @@
     """
     entries = _read_catalogue(path)
     if base is None:
-        base = (await operators.read_version(config)).version
+        present = await operators.read_version(config)
+        if present.entries == entries:
+            return _tell_unchanged(present.version)
+        base = present.version
     submission = _Submission(
         base_version=base, entries=entries, author=config.author
     )
@@ -69,7 +72,10 @@
         )
     except operators.UnconfirmedError as error:
         return await _read_back(config, base, entries, str(error))
-    return _conclude(response, "accepted as version")
+    outcome = _conclude(response, "accepted as version")
+    if outcome.data == Accepted(version=base):
+        return _tell_unchanged(base)
+    return outcome
 
 
 async def take_out_or_in(
@@ -175,6 +181,11 @@
     return catalogue.decode_catalogue(pathlib.Path(path).read_bytes())
 
 
+def _tell_unchanged(version: int) -> outcomes.Outcome:
+    line = f"nothing to change: version {version} is the same"
+    return outcomes.Outcome(lines=[line], data=Accepted(version=version))
+
+
 async def _read_back(
     config: configs.Config,
     base: int,
--- a/mothpass/load/report.py
+++ b/mothpass/load/report.py
@@ -53,11 +53,11 @@
         ("Skew of load across engines", "highest / mean", _draw_skew),
         ("Control traffic of each daemon", "bytes / s", _draw_control),
         ("First token, 95th percentile", "ms", _draw_first_token),
-        ("Requests by when they were due", "requests / s", _draw_service),
+        ("Requests by when they were due", "requests / s", draw_service),
     ]
     parts = [_build_table(runs)]
     for title, unit, draw in sections:
-        image = _draw_runs(runs, title, unit, draw)
+        image = _embed(build_figure(runs, unit, draw), title)
         parts += [f"<h2>{html.escape(title)}</h2>", image]
     return parts
 
@@ -96,10 +96,16 @@
     return lambda summary: str(summary.fates.get(fate, 0))
 
 
-def _draw_runs(
-    runs: list[series.RunData], title: str, unit: str, draw: Draw
-) -> str:
-    """Draws the runs beside each other on the same scale."""
+def build_figure(
+    runs: list[series.RunData], unit: str, draw: Draw
+) -> matplotlib.figure.Figure:
+    """Draws the runs below each other on the same scale.
+
+    Args:
+        runs: The runs, at least one.
+        unit: Label of the value axis.
+        draw: Draws one run.
+    """
     figure = matplotlib.figure.Figure(
         figsize=(_INCHES[0], _INCHES[1] * len(runs)), layout="constrained"
     )
@@ -110,13 +116,14 @@
     for axes, run in zip(all_axes[:, 0], runs, strict=True):
         axes.set_title(run.label, loc="left", fontsize=9)
         axes.set_ylabel(unit)
-        axes.set_ylim(bottom=0)
         draw(axes, run)
         _draw_marks(axes, run.marks)
         if axes.get_legend_handles_labels()[0]:
             axes.legend(fontsize=7, loc="lower right")
+    # Only once all is drawn, since a fixed limit ends automatic scaling.
+    all_axes[0, 0].set_ylim(bottom=0)
     all_axes[-1, 0].set_xlabel("seconds from the start")
-    return _embed(figure, title)
+    return figure
 
 
 def _draw_marks(axes: typing.Any, marks: list[samples.Mark]) -> None:
@@ -139,7 +146,6 @@
 
 def _draw_reuse(axes: typing.Any, run: series.RunData) -> None:
     axes.plot(run.cache_reuse.seconds, run.cache_reuse.values)
-    axes.set_ylim(0, 1.05)
 
 
 def _draw_skew(axes: typing.Any, run: series.RunData) -> None:
@@ -155,7 +161,8 @@
     axes.plot(run.first_token_p95.seconds, run.first_token_p95.values)
 
 
-def _draw_service(axes: typing.Any, run: series.RunData) -> None:
+def draw_service(axes: typing.Any, run: series.RunData) -> None:
+    """Draws the requests that were due in each second, by their fate."""
     axes.plot(run.whole.seconds, run.whole.values, label="whole")
     axes.plot(run.failed.seconds, run.failed.values, label="not whole")
 
--- a/mothpass/load/watching.py
+++ b/mothpass/load/watching.py
@@ -58,11 +58,21 @@
         due = started + action.at_ms / _MS_PER_S
         await asyncio.sleep(max(0.0, due - time.monotonic()))
         done = await _do_action(profile, token, action)
-        text = f"{action.action} {action.name}"
+        text = _describe(action)
         at_ms = _elapsed_ms(started)
         write(samples.Mark(at_ms=at_ms, text=text, done=done))
 
 
+def _describe(action: profiles.Action) -> str:
+    """Returns the text of an action's mark."""
+    if action.action == "mark":
+        return action.name
+    if action.action != "faults":
+        return f"{action.action} {action.name}"
+    names = " ".join(action.faults) or "faults cleared"
+    return f"{names} {action.name}"
+
+
 async def _do_action(
     profile: profiles.Profile, token: str, action: profiles.Action
 ) -> bool:
--- a/tests/test_load_results.py
+++ b/tests/test_load_results.py
@@ -10,6 +10,7 @@
 from cleo.io.inputs import string_input
 
 from mothpass.load import comparison
+from mothpass.load import report
 from mothpass.load import samples
 from mothpass.load import series
 from mothpass.programs import mothpass_load
@@ -179,6 +180,18 @@
         self.assertEqual(run.control["d1"].values, [900.0])
         self.assertEqual([mark.at_ms for mark in run.marks], [900.0])
 
+    def test_figure_reaches_the_highest_value_of_any_run(self) -> None:
+        busy = self.write("busy", [build_sample() for _ in range(30)])
+        runs = [
+            series.read_run(self.write("quiet", [build_sample()])),
+            series.read_run(busy),
+        ]
+        figure = report.build_figure(runs, "requests", report.draw_service)
+        for axes in figure.axes:
+            low, high = axes.get_ylim()
+            self.assertEqual(low, 0)
+            self.assertGreaterEqual(high, 30)
+
     def test_page_shows_runs_side_by_side_and_the_bench(self) -> None:
         bench = self.folder / "bench"
         measure = {
--- a/tests/test_mothpassctl.py
+++ b/tests/test_mothpassctl.py
@@ -70,6 +70,7 @@
         self.daemon.answer("PUT", "/v1/catalogue", status, body)
 
     def test_sends_catalogue_on_top_of_the_version_in_force(self) -> None:
+        self.catalogue["instances_out"] = ["guild-engine-1"]
         shown = {"version": 6, "digest": "d", "catalogue": self.catalogue}
         self.daemon.answer("GET", "/v1/catalogue", 200, shown)
         self._put(200, {"version": 7})
@@ -81,6 +82,19 @@
         self.assertEqual(self.daemon.tokens[-1], f"Bearer {_TOKEN}")
         self.assertIn("accepted as version 7", self.out)
 
+    def test_same_catalogue_is_not_sent(self) -> None:
+        shown = {"version": 6, "digest": "d", "catalogue": self.catalogue}
+        self.daemon.answer("GET", "/v1/catalogue", 200, shown)
+        self.assertEqual(self.run_ctl(f"apply {_GUILD}"), exits.Exit.DONE)
+        self.assertIn("nothing to change: version 6", self.out)
+        self.assertEqual([x[0] for x in self.daemon.calls], ["GET"])
+
+    def test_same_catalogue_on_a_given_base_is_no_new_version(self) -> None:
+        self._put(200, {"version": 6})
+        status = self.run_ctl(f"apply {_GUILD} --base 6")
+        self.assertEqual(status, exits.Exit.DONE)
+        self.assertIn("nothing to change: version 6", self.out)
+
     def test_first_catalogue_has_base_zero(self) -> None:
         code = int(results.Code.NO_CATALOGUE)
         refusal = fakes_operators.refuse(code, "no")
