Hold what callers were told against the services' ledgers

Cause: a load run under faults said nothing of whether a payment ran twice or a 'not run' was true. Change: profiles mark calls that run at most once; at the end of a run the stand-in services' ledgers are read and held against each key's answers; the exit status is 1 where they differ. The demo counts its payment the same way.

--- a/mothpass/load/demonstration.py
+++ b/mothpass/load/demonstration.py
@@ -13,6 +13,7 @@
 from mothpass.core import errors
 from mothpass.load import addresses
 from mothpass.load import clients
+from mothpass.load import ledgers
 from mothpass.load import recordings
 from mothpass.load import samples
 from mothpass.load import traffic
@@ -55,15 +56,6 @@
         return self.complete == self.requests > 0 and self.payment_runs == 1
 
 
-class _Entry(msgspec.Struct, frozen=True, kw_only=True):
-    service: str
-    key: str | None = None
-
-
-class _Ledger(msgspec.Struct, frozen=True, kw_only=True):
-    entries: list[_Entry]
-
-
 class _Demo:
     """State of one demo."""
 
@@ -231,18 +223,10 @@
 
 async def _count_runs(fleet: fleets.Fleet, call: recordings.Call) -> int | None:
     """Counts in the services' ledgers how often a call ran."""
-    request = http_client.Request(method="GET", path="/v1/ledger")
-    runs = 0
-    for service in fleet.services:
-        try:
-            response = await http_client.exchange(
-                service.address, request, timeout_ms=_PROBE_TIMEOUT_MS
-            )
-            ledger: _Ledger = http_client.decode_body(response, _Ledger)
-        except errors.MothpassError:
-            return None
-        runs += sum(
-            entry.service == call.service and entry.key == call.idempotency_key
-            for entry in ledger.entries
+    try:
+        entries = await ledgers.read_entries(
+            [service.address for service in fleet.services]
         )
-    return runs
+    except errors.MothpassError:
+        return None
+    return ledgers.count_runs(entries, call.service, call.idempotency_key)
--- a/mothpass/load/profiles.py
+++ b/mothpass/load/profiles.py
@@ -65,6 +65,8 @@
         requests_per_s: Calls a second, on average.
         resent_share: Share of the calls that repeat an earlier one under the
             same key, as a caller does that lost its answer.
+        at_most_once: Whether the service's ledgers must show each key at
+            most once; needs ``watch.services``.
     """
 
     team: catalogue.Name
@@ -72,6 +74,7 @@
     service: catalogue.Name
     requests_per_s: Rate
     resent_share: typing.Annotated[float, msgspec.Meta(ge=0.0, lt=1.0)] = 0.0
+    at_most_once: bool = False
 
 
 class Recorded(
@@ -144,12 +147,15 @@
             as the catalogue has it.
         operators: Operators' addresses whose status pages are read, for the
             control traffic; actions go to these as well.
+        services: Addresses of the stand-in services whose ledgers are read
+            at the end of the run.
     """
 
     every_ms: catalogue.Milliseconds = 500
     engines: list[settings.Address] = []
     skew_multiple: typing.Annotated[float, msgspec.Meta(ge=1.0, le=10.0)] = 1.25
     operators: list[settings.Address] = []
+    services: list[settings.Address] = []
 
 
 class Profile(
@@ -203,7 +209,8 @@
     addresses.check_loopback(profile.daemons, "$.daemons")
     addresses.check_loopback(profile.watch.engines, "$.watch.engines")
     addresses.check_loopback(profile.watch.operators, "$.watch.operators")
-    _check_actions(profile)
+    addresses.check_loopback(profile.watch.services, "$.watch.services")
+    _check_watch(profile)
     if not (profile.chats or profile.calls or profile.recorded):
         problem = errors.Problem(path="$", message="nothing to send")
         raise errors.DocumentError([problem])
@@ -234,7 +241,7 @@
     return keys
 
 
-def _check_actions(profile: Profile) -> None:
+def _check_watch(profile: Profile) -> None:
     places = [x.name for x in profile.actions if x.action == "faults"]
     addresses.check_loopback(places, "$.actions")
     moves = [x for x in profile.actions if x.action.endswith(("out", "in"))]
@@ -243,3 +250,9 @@
             path="$.watch.operators", message="needed for the actions"
         )
         raise errors.DocumentError([problem])
+    audited = any(calls.at_most_once for calls in profile.calls)
+    if audited and not profile.watch.services:
+        problem = errors.Problem(
+            path="$.watch.services", message="needed for at_most_once"
+        )
+        raise errors.DocumentError([problem])
--- a/mothpass/load/report.py
+++ b/mothpass/load/report.py
@@ -84,6 +84,11 @@
             "moments over the bound on skew",
             lambda x: f"{x.loads_over_bound} of {x.loads_read}",
         ),
+        ("keys that ran twice", lambda x: _show(x.audit and x.audit.ran_twice)),
+        (
+            'keys with an untrue "not run"',
+            lambda x: _show(x.audit and x.audit.untrue_not_run),
+        ),
         (
             "control bytes/s p95",
             lambda x: _show(x.control_bytes_per_s.p95),
@@ -92,6 +97,16 @@
     return rows
 
 
+def _read_ran_twice(summary: samples.Summary) -> str:
+    audit = summary.audit
+    return "-" if audit is None else str(audit.ran_twice)
+
+
+def _read_untrue(summary: samples.Summary) -> str:
+    audit = summary.audit
+    return "-" if audit is None else str(audit.untrue_not_run)
+
+
 def _read_fate(fate: samples.Fate) -> abc.Callable[[samples.Summary], str]:
     return lambda summary: str(summary.fates.get(fate, 0))
 
--- a/mothpass/load/running.py
+++ b/mothpass/load/running.py
@@ -12,6 +12,7 @@
 from mothpass.control import fleets
 from mothpass.load import checks
 from mothpass.load import clients
+from mothpass.load import ledgers
 from mothpass.load import profiles
 from mothpass.load import recordings
 from mothpass.load import samples
@@ -24,11 +25,12 @@
 class _Output:
     """Writes lines to a file and gathers them for the summary."""
 
-    __slots__ = ("_collector", "_file")
+    __slots__ = ("_collector", "_file", "told")
 
     def __init__(self, *, file: typing.BinaryIO) -> None:
         self._file = file
         self._collector = samples.Collector()
+        self.told: list[ledgers.Told] = []
 
     def write(self, line: samples.Line) -> None:
         """Writes a line."""
@@ -84,6 +86,9 @@
 
     Returns:
         The summary, which is the last line as well.
+
+    Raises:
+        errors.MothpassError: Where the services' ledgers can't be read.
     """
     lines = _Output(file=output)
     lines.write(
@@ -95,6 +100,9 @@
         )
     )
     await _run(plan.profile, plan.keys, plan.recording, lines)
+    if lines.told:
+        entries = await ledgers.read_entries(plan.profile.watch.services)
+        lines.write(ledgers.audit_calls(lines.told, entries))
     return lines.finish()
 
 
@@ -147,6 +155,8 @@
             deadline=deadline,
         )
         lines.write(clients.build_sample(item, address, result))
+        if item.at_most_once:
+            lines.told.append(_build_told(item, result))
 
     for item in planned:
         due = started + item.at_ms / _MS_PER_S
@@ -164,6 +174,15 @@
     pool.close()
 
 
+def _build_told(item: traffic.Planned, result: clients.Result) -> ledgers.Told:
+    return ledgers.Told(
+        service=item.name,
+        key=item.idempotency_key,
+        fate=result.verdict.fate,
+        ran=result.verdict.ran,
+    )
+
+
 def _build_unsent(item: traffic.Planned) -> samples.Sample:
     verdict = checks.Verdict(
         fate=samples.Fate.NOT_SENT, detail="too many requests in flight"
--- a/mothpass/load/samples.py
+++ b/mothpass/load/samples.py
@@ -122,6 +122,31 @@
     done: bool = True
 
 
+class Audit(
+    msgspec.Struct, frozen=True, kw_only=True, tag_field="kind", tag="audit"
+):
+    """What the services' ledgers say of the calls that run at most once.
+
+    Attributes:
+        keys: Keys that were sent.
+        ran: Keys that ran.
+        ran_twice: Keys that ran more than once.
+        untrue_not_run: Keys that ran although each answer said "not run".
+        unrecorded: Keys with a whole answer that no ledger has.
+    """
+
+    keys: int = 0
+    ran: int = 0
+    ran_twice: int = 0
+    untrue_not_run: int = 0
+    unrecorded: int = 0
+
+    @property
+    def good(self) -> bool:
+        """Whether nothing ran twice and every answer was true."""
+        return not (self.ran_twice or self.untrue_not_run or self.unrecorded)
+
+
 class Run(
     msgspec.Struct, frozen=True, kw_only=True, tag_field="kind", tag="run"
 ):
@@ -189,6 +214,7 @@
             of one and the multiple of the mean, rounded up.
         loads_read: Moments at which the engines were read.
         control_bytes_per_s: The same of the daemons' control traffic.
+        audit: What the services' ledgers say; None where none was read.
         teams: Histograms by team.
         classes: Histograms by class.
     """
@@ -201,11 +227,12 @@
     loads_over_bound: int = 0
     loads_read: int = 0
     control_bytes_per_s: Spread = Spread()
+    audit: Audit | None = None
     teams: dict[str, Group] = {}
     classes: dict[str, Group] = {}
 
 
-Line = Sample | EngineLoad | Control | Mark | Run | Summary
+Line = Sample | EngineLoad | Control | Mark | Audit | Run | Summary
 
 
 class _Timings:
@@ -223,6 +250,7 @@
     """Gathers the lines of a run into a summary."""
 
     __slots__ = (
+        "_audit",
         "_cached",
         "_classes",
         "_codes",
@@ -238,6 +266,7 @@
 
     def __init__(self) -> None:
         """Starts empty."""
+        self._audit: Audit | None = None
         self._requests = 0
         self._fates: dict[str, int] = {}
         self._codes: dict[str, int] = {}
@@ -258,6 +287,8 @@
             self._control.append(line.bytes_per_s)
         elif isinstance(line, EngineLoad):
             self._add_load(line)
+        elif isinstance(line, Audit):
+            self._audit = line
 
     def summarize(self) -> Summary:
         """Returns the summary of all lines taken in."""
@@ -271,6 +302,7 @@
             loads_over_bound=self._loads_over_bound,
             loads_read=self._loads_read,
             control_bytes_per_s=_spread_values(self._control),
+            audit=self._audit,
             teams=_spread_groups(self._teams),
             classes=_spread_groups(self._classes),
         )
--- a/mothpass/load/traffic.py
+++ b/mothpass/load/traffic.py
@@ -48,6 +48,7 @@
         idempotency_key: Key of a call, empty for a chat.
         body: Body of a call.
         returning: Whether the chat or the call was sent before.
+        at_most_once: Whether the call's key may run at most once.
     """
 
     at_ms: float
@@ -62,6 +63,7 @@
     idempotency_key: str = ""
     body: bytes = b""
     returning: bool = False
+    at_most_once: bool = False
 
 
 class _Conversation:
@@ -278,6 +280,7 @@
             idempotency_key=key,
             body=body,
             returning=again,
+            at_most_once=calls.at_most_once,
         )
 
 
--- a/mothpass/programs/mothpass_load.py
+++ b/mothpass/programs/mothpass_load.py
@@ -38,11 +38,14 @@
         except (errors.DocumentError, msgspec.DecodeError, OSError) as error:
             print(str(error), file=sys.stderr)
             return EXIT_BAD_INPUT
+        except errors.MothpassError as error:
+            print(str(error), file=sys.stderr)
+            return EXIT_FAILED
 
 
 class _Run(_Command):
     name = "run"
-    description = "Runs a profile; 1 if an answer was wrong or cut."
+    description = "Runs a profile; 1 if an answer was wrong, lost or untrue."
     arguments = [helpers.argument("profile", "The profile, JSON.")]
     options = [
         helpers.option("output", "o", "File for the JSON lines.", flag=False),
@@ -58,7 +61,8 @@
         print(msgspec.json.encode(summary).decode(), flush=True)
         bad = (samples.Fate.WRONG, samples.Fate.LOST)
         failed = any(summary.fates.get(fate, 0) for fate in bad)
-        return EXIT_FAILED if failed else EXIT_DONE
+        untrue = summary.audit is not None and not summary.audit.good
+        return EXIT_FAILED if failed or untrue else EXIT_DONE
 
 
 class _Compare(_Command):
