--- a/mothpass/core/pools.py
+++ b/mothpass/core/pools.py
@@ -7,8 +7,9 @@
 from mothpass.core import targets
 
 RATE_WINDOW_S = 5.0
-REPORT_LAG_S = 1.5
-NOISE_FACTOR = 2.0
+REPORT_LAG_MOST_S = 3.0
+NOISE_FACTOR = 1.5
+WATERMARK_SHARE = 0.9
 
 
 class Pool:
@@ -19,7 +20,8 @@
         members: Targets that may take new work, cold ones included.
         ring: The same on a ring.
         target_in_flight: Calls in flight that one warm target bears.
-        skew_multiple: Bound on the load, as a multiple of the mean.
+        skew_multiple: Bound on the load, as a multiple of the mean;
+            None for a plain service, which has none.
     """
 
     __slots__ = (
@@ -34,7 +36,7 @@
     )
 
     def __init__(
-        self, *, name: str, target_in_flight: int, skew_multiple: float
+        self, *, name: str, target_in_flight: int, skew_multiple: float | None
     ) -> None:
         """Starts without a target."""
         self.name = name
@@ -76,18 +78,39 @@
         up, and never more than what a warm target bears. The mean is taken
         over the warm targets that may take work.
         """
+        if self.skew_multiple is None:
+            return self.target_in_flight
         skew = max(1, math.ceil(self.skew_multiple * self._mean))
         return min(skew, self.target_in_flight)
 
-    def noise(self, daemons: int, now: float) -> float:
-        """Returns how far a target's load may stray unseen by this daemon.
+    def watermark(self) -> int:
+        """Returns the load up to which warm targets take calls.
 
-        Starts and ends of calls between two reports are counted as
-        independent of each other, as they are with very many daemons.
+        It lies below the bound, as the mean may fall before a call has
+        ended and as some calls are always unseen.
         """
-        count = max(1, len(self.members))
-        per_target = self.rate(now) * daemons / count
-        return NOISE_FACTOR * math.sqrt(2 * per_target * REPORT_LAG_S)
+        if self.skew_multiple is None:
+            return self.target_in_flight
+        multiple = 1 + (self.skew_multiple - 1) * WATERMARK_SHARE
+        skew = max(1, math.floor(multiple * self._mean))
+        return min(skew, self.target_in_flight)
+
+    def target_rate(self, daemons: int, now: float) -> float:
+        """Returns the calls a second that one target gets of all daemons."""
+        return self.rate(now) * daemons / max(1, len(self.members))
+
+
+def estimate_noise(rate: float, age_s: float) -> float:
+    """Returns how far a target's load may stray unseen by a daemon.
+
+    Starts and ends of calls are counted as independent of each other.
+
+    Args:
+        rate: Calls a second that the target gets of all daemons.
+        age_s: Age of what is known of its load.
+    """
+    lag = min(max(age_s, 0.0), REPORT_LAG_MOST_S)
+    return NOISE_FACTOR * math.sqrt(2 * rate * lag)
 
 
 def share_room(room: int, *, daemons: int, rank: int, spread: int) -> int:
