--- a/mothpass/load/report.py
+++ b/mothpass/load/report.py
@@ -84,11 +84,8 @@
             "moments over the bound on skew",
             lambda x: f"{x.loads_over_bound} of {x.loads_read}",
         ),
-        ("keys that ran twice", lambda x: _show(x.audit and x.audit.ran_twice)),
-        (
-            'keys with an untrue "not run"',
-            lambda x: _show(x.audit and x.audit.untrue_not_run),
-        ),
+        ("keys that ran twice", _read_ran_twice),
+        ("keys with an untrue &quot;not run&quot;", _read_untrue),
         (
             "control bytes/s p95",
             lambda x: _show(x.control_bytes_per_s.p95),
