--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/python -m tests
 
 demo: install
-	bash scripts/demo.sh $(DEPLOYMENT)
+	BIN=$(BIN) bash scripts/demo.sh $(DEPLOYMENT)
 
 spec: install
 	$(BIN)/mothpass-spec
