Treat a success that can't be read as unconfirmed

Cause: read through: a 200 whose body could not be read ended a change with 'no daemon answered', although it may have been accepted. Before: the two new tests give exit code 5; after: 0 as read back, and 4.

--- a/mothpass/control/changes.py
+++ b/mothpass/control/changes.py
@@ -70,9 +70,9 @@
         response = await operators.call(
             config, "PUT", "/v1/catalogue", submission
         )
+        outcome = _conclude(response, "accepted as version")
     except operators.UnconfirmedError as error:
         return await _read_back(config, base, entries, str(error))
-    outcome = _conclude(response, "accepted as version")
     if outcome.data == Accepted(version=base):
         return _tell_unchanged(base)
     return outcome
@@ -231,7 +231,11 @@
         if problems:
             raise errors.DocumentError(problems)
     operators.check_status(response)
-    found: Accepted = http_client.decode_body(response, Accepted)
+    try:
+        found: Accepted = http_client.decode_body(response, Accepted)
+    except errors.TargetAnswerLostError as error:
+        # The status says success, but not of which version.
+        raise operators.UnconfirmedError(str(error)) from error
     return outcomes.Outcome(lines=[f"{success} {found.version}"], data=found)
 
 
--- a/tests/test_mothpassctl.py
+++ b/tests/test_mothpassctl.py
@@ -159,6 +159,14 @@
         status = self.run_ctl(f"apply {_GUILD} --base 6")
         self.assertEqual(status, exits.Exit.DONE)
 
+    def test_success_that_cannot_be_read_is_read_back(self) -> None:
+        self._put(200, {"accepted": True})
+        shown = {"version": 7, "digest": "d", "catalogue": self.catalogue}
+        self.daemon.answer("GET", "/v1/catalogue/7", 200, shown)
+        status = self.run_ctl(f"apply {_GUILD} --base 6")
+        self.assertEqual(status, exits.Exit.DONE)
+        self.assertIn("accepted as version 7, as read back", self.out)
+
     def test_wait_ends_once_all_have_the_version(self) -> None:
         self._put(200, {"version": 7})
         self.daemon.answer("GET", "/v1/catalogue", 200, {"version": 6})
@@ -206,6 +214,11 @@
         status = self.run_ctl("zone out bc-west-b")
         self.assertEqual(status, exits.Exit.UNCONFIRMED)
 
+    def test_success_that_cannot_be_read_is_unconfirmed(self) -> None:
+        self.daemon.answer("POST", self._PATH, 200, {"accepted": True})
+        status = self.run_ctl("zone out bc-west-b")
+        self.assertEqual(status, exits.Exit.UNCONFIRMED)
+
     def test_refusal_without_effect_is_told(self) -> None:
         code = int(results.Code.STORE_UNAVAILABLE)
         refusal = fakes_operators.refuse(code, "no")
