Show on the status page whether the store answers, and its calls

Cause: the status page said 'store up' and 0 calls in every case, since these fields were never filled and their defaults looked like good news; the operators' page relies on them. Change: daemon/stores.py counts calls and keeps whether the last one was answered; control_cost.py shows rates; fields that aren't measured (share of a core for control) are None and shown as '-'.

--- a/mothpass/control/statuses.py
+++ b/mothpass/control/statuses.py
@@ -14,6 +14,7 @@
 from mothpass.daemon import status_page
 
 _OK = 200
+_STORE_WORDS = {True: "up", False: "DOWN", None: "-"}
 Row = tuple[object, ...]
 T = typing.TypeVar("T")
 
@@ -105,10 +106,10 @@
                 page.state,
                 f"{page.catalogue.version} {page.catalogue.digest[:8]}",
                 round(cost.bytes_per_s),
-                f"{cost.processor_share * 100:.2f}",
+                _show_percent(cost.processor_share),
                 f"{cost.store_reads_per_s:.1f}",
                 f"{cost.store_writes_per_s:.1f}",
-                "up" if cost.store_up else "DOWN",
+                _STORE_WORDS[cost.store_up],
                 f"{cost.peers_heard}/{cost.peers_known}",
             )
         )
@@ -258,6 +259,10 @@
     return f"{value:.0f}" if isinstance(value, float) else str(value)
 
 
+def _show_percent(share: float | None) -> str:
+    return "-" if share is None else f"{share * 100:.2f}"
+
+
 def _format_table(rows: list[Row]) -> list[str]:
     texts = [[str(cell) for cell in row] for row in rows]
     widths = [max(map(len, column)) for column in zip(*texts, strict=True)]
--- a/mothpass/daemon/control_cost.py
+++ b/mothpass/daemon/control_cost.py
@@ -6,6 +6,7 @@
 
 from mothpass.adapters import peer_transport
 from mothpass.daemon import status_page
+from mothpass.daemon import stores
 
 WINDOW_S = 60.0
 
@@ -14,15 +15,20 @@
     at: float
     sent_bytes: int
     messages: int
+    store_reads: int
+    store_writes: int
 
 
 class ControlCost:
-    """Samples the counts of the exchange with peers."""
+    """Samples the counts of the exchange with peers and of the store."""
 
-    __slots__ = ("_samples", "_traffic")
+    __slots__ = ("_samples", "_store", "_traffic")
 
-    def __init__(self, *, traffic: peer_transport.Traffic) -> None:
+    def __init__(
+        self, *, traffic: peer_transport.Traffic, store: stores.Store
+    ) -> None:
         """Starts without samples."""
+        self._store = store
         self._traffic = traffic
         self._samples: collections.deque[_Sample] = collections.deque()
 
@@ -36,13 +42,18 @@
     def show(self, now: float) -> status_page.ControlStatus:
         """Returns the rates since the oldest sample."""
         if not self._samples:
-            return status_page.ControlStatus()
+            return status_page.ControlStatus(store_up=self._store.answered)
         oldest = self._samples[0]
         present = self._read(now)
         seconds = max(0.001, now - oldest.at)
         return status_page.ControlStatus(
             bytes_per_s=(present.sent_bytes - oldest.sent_bytes) / seconds,
             messages_per_s=(present.messages - oldest.messages) / seconds,
+            store_reads_per_s=(present.store_reads - oldest.store_reads)
+            / seconds,
+            store_writes_per_s=(present.store_writes - oldest.store_writes)
+            / seconds,
+            store_up=self._store.answered,
         )
 
     def _read(self, now: float) -> _Sample:
@@ -51,4 +62,6 @@
             at=now,
             sent_bytes=traffic.sent_bytes + traffic.received_bytes,
             messages=traffic.sent + traffic.received,
+            store_reads=self._store.reads,
+            store_writes=self._store.writes,
         )
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -136,7 +136,9 @@
             slots=instance.slots,
         )
         self._control = self._build_control(random)
-        self._cost = control_cost.ControlCost(traffic=self._control.traffic)
+        self._cost = control_cost.ControlCost(
+            traffic=self._control.traffic, store=self._platform.store
+        )
         self._placement = placement.Placement(
             router=self._router,
             names=self._names,
--- a/mothpass/daemon/status_page.py
+++ b/mothpass/daemon/status_page.py
@@ -127,20 +127,22 @@
         bytes_per_s: Bytes sent and received for control, each second, over
             the last minute.
         messages_per_s: Messages of the same.
-        processor_share: Share of one core spent on control, 0 to 1.
+        processor_share: Share of one core spent on control, 0 to 1; None
+            where it isn't measured.
         store_reads_per_s: Reads of the platform's store, each second.
         store_writes_per_s: Writes of the same.
-        store_up: Whether the last call of the store was answered.
+        store_up: Whether the last call of the store was answered; None
+            before the first.
         peers_known: Other daemons in the membership list.
         peers_heard: Other daemons heard of within the last ten ticks.
     """
 
     bytes_per_s: float = 0.0
     messages_per_s: float = 0.0
-    processor_share: float = 0.0
+    processor_share: float | None = None
     store_reads_per_s: float = 0.0
     store_writes_per_s: float = 0.0
-    store_up: bool = True
+    store_up: bool | None = None
     peers_known: int = 0
     peers_heard: int = 0
 
--- a/mothpass/daemon/stores.py
+++ b/mothpass/daemon/stores.py
@@ -1,6 +1,7 @@
 """The platform's store as this daemon may use it: within its budget."""
 
 from collections import abc
+import typing
 
 from mothpass.core import budget
 from mothpass.core import errors
@@ -8,6 +9,8 @@
 from mothpass.ports import objects
 from mothpass.ports import tables
 
+T = typing.TypeVar("T")
+
 
 class Store:
     """Table service and object store behind this daemon's share of calls.
@@ -18,6 +21,10 @@
 
     Attributes:
         budget: The share; shared by all parts of the daemon.
+        reads: Reads sent since the daemon started.
+        writes: Rows and objects sent to be written since then.
+        answered: Whether the last call that ended was answered; None before
+            the first.
     """
 
     __slots__ = (
@@ -27,7 +34,10 @@
         "_read_row",
         "_scan_rows",
         "_transact",
+        "answered",
         "budget",
+        "reads",
+        "writes",
     )
 
     def __init__(
@@ -49,51 +59,71 @@
         self._put_object = put_object
         self._monotonic = monotonic
         self.budget = store_budget
+        self.reads = 0
+        self.writes = 0
+        self.answered: bool | None = None
 
     async def read_row(
         self, table: str, key: str, *, priority: budget.Priority
     ) -> tables.Row | None:
         """Reads one row, as ports.tables.ReadRow does."""
         self._take(budget.Kind.READ, priority)
-        return await self._read_row(table, key)
+        return await self._ask(self._read_row(table, key))
 
     async def scan_rows(
         self, table: str, prefix: str, limit: int, *, priority: budget.Priority
     ) -> list[tables.Row]:
         """Reads rows by prefix, as ports.tables.ScanRows does."""
         self._take(budget.Kind.READ, priority)
-        return await self._scan_rows(table, prefix, limit)
+        return await self._ask(self._scan_rows(table, prefix, limit))
 
     async def transact(
         self, writes: list[tables.Write], *, priority: budget.Priority
     ) -> tables.Committed | tables.Conflict:
         """Runs a transaction, as ports.tables.Transact does."""
         self._take(budget.Kind.WRITE, priority, calls=len(writes))
-        return await self._transact(writes)
+        return await self._ask(self._transact(writes))
 
     async def get_object(
         self, name: str, *, priority: budget.Priority
     ) -> bytes | None:
         """Reads an object, as ports.objects.GetObject does."""
         self._take(budget.Kind.READ, priority)
-        return await self._get_object(name)
+        return await self._ask(self._get_object(name))
 
     async def put_object(
         self, name: str, data: bytes, *, priority: budget.Priority
     ) -> None:
         """Writes an object, as ports.objects.PutObject does."""
         self._take(budget.Kind.WRITE, priority)
-        await self._put_object(name, data)
+        await self._ask(self._put_object(name, data))
 
     def _take(
         self, kind: budget.Kind, priority: budget.Priority, *, calls: int = 1
     ) -> None:
         now = self._monotonic()
         if self.budget.try_take(kind, priority, now=now, calls=calls):
+            self._count(kind, calls)
             return
         wait_s = self.budget.wait_s(kind, priority, now=now, calls=calls)
         raise errors.StoreBudgetError(wait_s)
 
+    def _count(self, kind: budget.Kind, calls: int) -> None:
+        if kind is budget.Kind.READ:
+            self.reads += calls
+        else:
+            self.writes += calls
+
+    async def _ask(self, call: abc.Awaitable[T]) -> T:
+        """Waits for the store and notes whether it answered."""
+        try:
+            answer = await call
+        except (errors.StoreUnavailableError, errors.StoreUnconfirmedError):
+            self.answered = False
+            raise
+        self.answered = True
+        return answer
+
 
 # Waits for a number of seconds.
 Sleep = abc.Callable[[float], abc.Awaitable[None]]
--- a/mothpass/load/samples.py
+++ b/mothpass/load/samples.py
@@ -95,14 +95,15 @@
         at_ms: When, from the start of the run.
         daemon: Id of the daemon.
         bytes_per_s: Bytes a second for control.
-        processor_share: Share of a core for control.
+        processor_share: Share of a core for control, None where the daemon
+            doesn't measure it.
         version: Catalogue version in force.
     """
 
     at_ms: float
     daemon: str
     bytes_per_s: float
-    processor_share: float
+    processor_share: float | None
     version: int
 
 
--- a/tests/test_mothpassctl.py
+++ b/tests/test_mothpassctl.py
@@ -339,6 +339,15 @@
         self.assertRegex(self.out, pattern)
         self.assertRegex(self.out, r"quay +10 .* 20\.0 +30\.0 +70\.0")
 
+    def test_store_is_shown_as_the_daemons_saw_it(self) -> None:
+        for store_up, word in ((True, "up"), (False, "DOWN"), (None, "-")):
+            with self.subTest(store_up=store_up):
+                daemon = self.start_daemon()
+                page = self._page("d1", control={"store_up": store_up})
+                daemon.answer("GET", "/v1/status", 200, page)
+                self.run_ctl("status", daemon.address)
+                self.assertRegex(self.out, rf"d1 .* 0\.0 +{word} +0/0")
+
     def test_answers_in_part_and_says_so(self) -> None:
         gone = self.find_closed_address()
         self.daemon.answer("GET", "/v1/status", 200, self._page("d1"))
