--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -55,7 +55,8 @@
             ),
         )
         self._cost = control_cost.ControlCost(
-            traffic=self._parts.control.traffic
+            traffic=self._parts.control.traffic,
+            store=self._parts.platform.store,
         )
 
     async def start(self) -> None:
