Let cold engines be entered only by permit, and show it in the bench

Cause: an engine that has just started falls over when pushed, and daemons disagree on membership, gates die or pause, and the store may be down. Ruled out: a reserve of one call a target that does not grow. Change: each part of the reserve grows by the answers that finished under it alone, and the gate's ramp by those under its own permits, so that the claims never add up to more than the engine's answers have earned. A daemon that finds a target dead tells the others with its counts.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bench import cold
 from bench import measures
 from bench import skew
 
@@ -18,6 +19,7 @@
 
 MEASURES: dict[str, abc.Callable[[int], list[measures.Measure]]] = {
     "skew": skew.measure,
+    "cold": cold.measure,
 }
 
 
--- a/bench/engines.py
+++ b/bench/engines.py
@@ -16,7 +16,6 @@
 FIRST_TOKEN_S = 0.05
 TOKEN_S = 0.043
 COLD_FACTOR = 3.0
-RESTART_S = 4.0
 
 
 class Work:
@@ -82,7 +81,9 @@
         "_running",
         "_start",
         "_batch",
+        "_falls_over",
         "_prefill_free_at",
+        "_restart_s",
         "boot",
         "cold",
         "fell_over",
@@ -101,6 +102,8 @@
         cache_tokens: int,
         cold_start: catalogue.ColdStart,
         cold: bool,
+        falls_over: bool = True,
+        restart_s: float = 4.0,
     ) -> None:
         """Starts warm or cold, with an empty cache."""
         self.id = engine_id
@@ -110,6 +113,8 @@
         self.fell_over = 0
         self.peak_over = 0
         self.finished = 0
+        self._falls_over = falls_over
+        self._restart_s = restart_s
         self._loop = loop
         self._batch = batch
         self._start = cold_start
@@ -166,9 +171,10 @@
         self._queue.append(work)
         if self.cold and self.in_flight > self.bears:
             self.peak_over = max(self.peak_over, self.in_flight - self.bears)
-            self.fell_over += 1
-            self.crash()
-            return True
+            if self._falls_over:
+                self.fell_over += 1
+                self.crash()
+                return True
         self._fill_batch()
         return True
 
@@ -182,7 +188,7 @@
         self.up = False
         for work in lost:
             work.on_end(False)
-        self._loop.call_later(RESTART_S, self.start)
+        self._loop.call_later(self._restart_s, self.start)
 
     def start(self) -> None:
         """Comes up cold under a new boot id."""
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -28,6 +28,7 @@
 PEER_S = 0.001
 REPORT_INTERVAL_S = 1.0
 TICK_S = 0.25
+RESTART_S = 4.0
 ZONES = ("a", "b", "c")
 
 # Chooses for one daemon; the baselines replace Router.choose by their own.
@@ -49,6 +50,8 @@
         report_lag_s: Least and most age of a load report at a daemon.
         member_lag_s: Least and most age of a membership list at a daemon.
         cold: Whether all engines start cold.
+        falls_over: Whether a cold engine dies when it is pushed.
+        restart_s: Time that a dead engine takes to come up.
     """
 
     daemons: int = 8
@@ -62,6 +65,8 @@
     report_lag_s: tuple[float, float] = (0.75, 1.25)
     member_lag_s: tuple[float, float] = (0.5, 3.0)
     cold: bool = False
+    falls_over: bool = True
+    restart_s: float = RESTART_S
 
 
 class Sample(msgspec.Struct, frozen=True, kw_only=True):
@@ -155,7 +160,10 @@
         daemons: All daemons.
         table: The table service.
         samples: What became of each request that has ended.
-        denied_slots: Engines that the list shows as leaving.
+        leaving: Engines that the list shows as leaving.
+        gone: Engines that the list doesn't show.
+        hidden: Daemons that the list doesn't show.
+        watch: Called at each call of an engine, if set.
     """
 
     def __init__(
@@ -173,6 +181,8 @@
         self.samples: list[Sample] = []
         self.leaving: set[str] = set()
         self.gone: set[str] = set()
+        self.hidden: set[str] = set()
+        self.watch: abc.Callable[[Daemon, str], None] | None = None
         self.catalogue = make_catalogue(layout)
         self._choose: Choose | None = None
         self._reserve_only = reserve_only
@@ -186,6 +196,8 @@
                 cache_tokens=layout.cache_tokens,
                 cold_start=layout.cold_start,
                 cold=layout.cold,
+                falls_over=layout.falls_over,
+                restart_s=layout.restart_s,
             )
             for number in range(layout.engines)
         }
@@ -261,7 +273,7 @@
         instances = [
             _make_instance(item.id, members.Role.DAEMON, number, False)
             for number, item in enumerate(self.daemons)
-            if not item.dead
+            if not item.dead and item.id not in self.hidden
         ]
         instances += [
             _make_instance(
@@ -452,6 +464,8 @@
             self.loop.call_later(0.0, lambda: self._route(request))
             return
         request.attempts += 1
+        if self.watch is not None:
+            self.watch(daemon, target_id)
         engine = self.engines[target_id]
         turn = request.turn
         work = engines.Work(
--- a/mothpass/core/gates.py
+++ b/mothpass/core/gates.py
@@ -6,9 +6,12 @@
 - the gate, the one daemon that holds the lease of the target's partition,
   grants what the target bears less the reserve;
 - each holder of the reserve, found by hashing over the daemons' slots, may
-  have one call there at a time, with no talk at all;
+  have one call there, with no talk at all;
 - calls that an earlier gate let through still count until a load report or
   the passing of time shows that they have ended.
+
+What a target bears grows with its finished answers. Each party claims growth
+only for answers of its own, so that the claims never add up to more.
 """
 
 import enum
@@ -250,16 +253,17 @@
         """Takes in that a call has ended; a doubled release counts once.
 
         A release of an earlier gate's permit changes no count, since such
-        calls are counted together and not one by one.
+        calls are counted together and not one by one. Answers under the
+        reserve earn growth for the reserve alone.
         """
         if release.boot_id != self.boot_id:
             return
-        if release.source is Source.GATE:
-            if release.fencing != self.fencing:
-                return
-            if self._held.pop(release.number, None) is None:
-                return
-        if release.answered:
+        if release.source is not Source.GATE or (
+            release.fencing != self.fencing
+        ):
+            return
+        known = self._held.pop(release.number, None)
+        if known is not None and release.answered:
             self.ramp.record_answer()
 
     def record_load(self, in_flight: int, *, measured_at: float) -> None:
--- a/mothpass/core/peer_counts.py
+++ b/mothpass/core/peer_counts.py
@@ -7,7 +7,22 @@
 
 from collections import abc
 
+import msgspec
+
 FRESH_S = 2.0
+LOST_TOLD_S = 2.0
+
+
+class Counts(msgspec.Struct, frozen=True, kw_only=True):
+    """What one daemon tells the others.
+
+    Attributes:
+        calls: Its calls in flight by target, without zeros.
+        lost: Boot ids by target that it has just found dead.
+    """
+
+    calls: dict[str, int]
+    lost: dict[str, str] = {}
 
 
 class PeerCounts:
--- a/mothpass/core/reserves.py
+++ b/mothpass/core/reserves.py
@@ -1,7 +1,7 @@
 """The reserve of cold targets: calls that need no gate and no store.
 
 A part of what a cold target bears is never a gate's. It belongs to daemon
-slots, one call at a time each, found by hashing the start of the target over
+slots, one call each at first, found by hashing the start of the target over
 the slots of the region. The settings alone decide, so that no two daemons
 can think that they hold the same part, however their views differ.
 """
@@ -34,16 +34,21 @@
 class Reserve:
     """This daemon's part of the reserve of one start of one target.
 
+    A part is one call at first. It grows by the answers that finished under
+    this part alone, so that all parts and the gate together never claim more
+    growth than the target's answers have earned.
+
     Attributes:
         boot_id: Start of the target.
         held: Whether this daemon's slot holds a part.
     """
 
     __slots__ = (
-        "_dispatch_by",
-        "_in_use",
+        "_finished",
         "_last_number",
+        "_pending",
         "_started",
+        "_step",
         "_unknown",
         "_unknown_until",
         "boot_id",
@@ -51,41 +56,55 @@
     )
 
     def __init__(
-        self, *, boot_id: str, held: bool, unknown_until: float
+        self,
+        *,
+        boot_id: str,
+        held: bool,
+        answers_per_step: int,
+        unknown_until: float,
     ) -> None:
-        """Counts a call of the slot's last daemon as in flight.
+        """Counts calls of the slot's last daemon as in flight.
 
         Args:
             boot_id: Start of the target.
             held: Whether this daemon's slot holds a part.
-            unknown_until: Monotonic seconds at which a call of the daemon
-                that had the slot before has surely ended.
+            answers_per_step: Finished answers that earn one more in flight.
+            unknown_until: Monotonic seconds at which the calls of the daemon
+                that had the slot before have surely ended.
         """
         self.boot_id = boot_id
         self.held = held
-        self._in_use = False
-        self._started = False
+        self._finished = 0
         self._last_number = 0
-        self._dispatch_by = 0.0
+        self._pending: dict[int, float] = {}
+        self._started: set[int] = set()
+        self._step = answers_per_step
         self._unknown = True
         self._unknown_until = unknown_until
 
+    @property
+    def part(self) -> int:
+        """Calls in flight that this part allows."""
+        if not self.held:
+            return 0
+        return 1 + self._finished // self._step
+
     def take(
         self, *, target_id: str, daemon: str, now: float
     ) -> gates.Permit | None:
-        """Takes the permit, if this slot has one and it isn't out.
+        """Takes a permit, if the part allows one more.
 
-        A permit that was taken but whose call had not started by its
-        deadline is free again.
+        A permit whose call had not started by its deadline is free again.
         """
-        if not self.held or (self._unknown and now < self._unknown_until):
+        if self._unknown and now < self._unknown_until:
             return None
-        if self._in_use and (self._started or now < self._dispatch_by):
+        for number in [x for x, end in self._pending.items() if now >= end]:
+            del self._pending[number]
+        if len(self._pending) + len(self._started) >= self.part:
             return None
-        self._in_use = True
-        self._started = False
         self._last_number += 1
-        self._dispatch_by = now + gates.DISPATCH_WINDOW_S
+        dispatch_by = now + gates.DISPATCH_WINDOW_S
+        self._pending[self._last_number] = dispatch_by
         return gates.Permit(
             target_id=target_id,
             boot_id=self.boot_id,
@@ -93,21 +112,28 @@
             gate=daemon,
             number=self._last_number,
             fencing=0,
-            dispatch_by=self._dispatch_by,
+            dispatch_by=dispatch_by,
         )
 
     def start(self, permit: gates.Permit) -> bool:
         """Notes that the call starts; False where the permit isn't out."""
-        if not self._in_use or permit.number != self._last_number:
+        if self._pending.pop(permit.number, None) is None:
             return False
-        self._started = True
+        self._started.add(permit.number)
         return True
 
-    def release(self, permit: gates.Permit) -> None:
-        """Takes the permit back; a doubled or old release does nothing."""
-        if permit.number == self._last_number:
-            self._in_use = False
-            self._started = False
+    def release(self, permit: gates.Permit, *, answered: bool) -> None:
+        """Takes a permit back; a doubled release does nothing.
+
+        Args:
+            permit: The permit.
+            answered: Whether a whole answer came, which earns growth.
+        """
+        self._pending.pop(permit.number, None)
+        if permit.number in self._started:
+            self._started.remove(permit.number)
+            if answered:
+                self._finished += 1
 
     def note_idle(self) -> None:
         """Learns that no call of the slot's last daemon still runs."""
@@ -167,11 +193,11 @@
             return False
         return reserve.start(permit)
 
-    def release(self, permit: gates.Permit) -> None:
+    def release(self, permit: gates.Permit, *, answered: bool) -> None:
         """Takes a permit back."""
         reserve = self._reserves.get(permit.target_id)
         if reserve is not None and reserve.boot_id == permit.boot_id:
-            reserve.release(permit)
+            reserve.release(permit, answered=answered)
 
     def record_load(
         self, target: targets.Target, record: targets.LoadRecord
@@ -209,6 +235,7 @@
                 slots=self._slots,
                 count=cold.count_reserve(target.cold_start),
             ),
+            answers_per_step=target.cold_start.answers_per_step,
             unknown_until=self._started_at
             + self._call_limit_ms / 1000
             + gates.HOLD_MARGIN_S,
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -306,35 +306,46 @@
             first_token_ms, prompt_tokens=prompt_tokens, now=now
         )
 
-    def tell_counts(self, *, now: float) -> dict[str, int]:
-        """Returns this daemon's calls in flight by target, to be sent out.
+    def tell_counts(self, *, now: float) -> peer_counts.Counts:
+        """Returns this daemon's calls in flight, to be sent out.
 
         Every other daemon must be sent them now: calls from here on are
         counted as unknown to the others until the next time.
         """
-        del now
-        counts = {x.id: x.tell_count() for x in self.targets.values()}
-        return {name: count for name, count in counts.items() if count}
+        calls = {x.id: x.tell_count() for x in self.targets.values()}
+        since = now - peer_counts.LOST_TOLD_S
+        lost = {
+            item.id: item.lost_boot_id
+            for item in self.targets.values()
+            if item.lost_at > since
+        }
+        return peer_counts.Counts(
+            calls={name: count for name, count in calls.items() if count},
+            lost=lost,
+        )
 
     def record_counts(
-        self, daemon_id: str, counts: abc.Mapping[str, int], *, now: float
+        self, daemon_id: str, counts: peer_counts.Counts, *, now: float
     ) -> None:
         """Takes in the calls in flight that another daemon has told.
 
         Args:
             daemon_id: The other daemon.
-            counts: Its calls in flight by target, without zeros.
+            counts: What it told.
             now: Monotonic seconds; the earliest moment at which it may have
                 counted.
         """
-        self._peers.record(daemon_id, counts, now)
+        for target_id, boot_id in counts.lost.items():
+            lost = self.targets.get(target_id)
+            if lost is not None and lost.boot_id == boot_id:
+                lost.doubt_boot(now)
+        self._peers.record(daemon_id, counts.calls, now)
         if not self._peers.is_complete(self.daemons, now):
             return
         known_at = self._peers.known_at()
         for target in self.targets.values():
-            target.record_counts(
-                self._peers.total(target.id), known_at=known_at
-            )
+            others = self._peers.total(target.id)
+            target.record_counts(others, known_at=known_at)
         self._refresh()
 
     def finish_call(
@@ -358,7 +369,8 @@
             permit: The permit it was started with.
             boot_id: Boot id that came with the answer, if one came.
         """
-        self._give_back(permit)
+        answered = outcome is targets.Outcome.ANSWERED
+        self._give_back(permit, answered=answered)
         target = self.targets.get(target_id)
         if target is None:
             return
@@ -369,6 +381,8 @@
                 target_id, first_token_ms=first_token_ms, now=now
             )
         target.finish_call(outcome, now)
+        if target.lost_at == now:
+            self._tell_now(now)
 
     def bound(self, name: str) -> int:
         """Returns the load that no warm target of a model may exceed."""
@@ -549,9 +563,11 @@
         target.ask_after = now
         return True
 
-    def _give_back(self, permit: gates.Permit | None) -> None:
+    def _give_back(
+        self, permit: gates.Permit | None, *, answered: bool = False
+    ) -> None:
         if permit is not None and permit.source is gates.Source.RESERVE:
-            self._reserves.release(permit)
+            self._reserves.release(permit, answered=answered)
 
     def _is_busy(self, target: targets.Target) -> bool:
         """Tells whether calls have to wait at a target."""
--- a/mothpass/core/targets.py
+++ b/mothpass/core/targets.py
@@ -87,6 +87,8 @@
             a failure.
         ask_after: Monotonic seconds before which no permit is asked for.
         spread: Hash of the id, the same at each daemon.
+        lost_boot_id: Boot id that this daemon found dead last.
+        lost_at: Monotonic seconds of that moment.
         alone: Whether a call that must be alone runs there.
     """
 
@@ -103,6 +105,8 @@
         "cold_start",
         "instance",
         "known_at",
+        "lost_at",
+        "lost_boot_id",
         "others",
         "own",
         "own_told",
@@ -120,6 +124,8 @@
         self.known_at = float("-inf")
         self.cold_start: catalogue.ColdStart | None = None
         self.alone = False
+        self.lost_boot_id = ""
+        self.lost_at = float("-inf")
         self.spread = preference.hash_name(instance.id)
         self.closed_until = float("-inf")
         self.ask_after = float("-inf")
@@ -238,7 +244,10 @@
             self._failures = 0
             return
         if outcome in (Outcome.UNREACHABLE, Outcome.LOST):
-            self._boot_unknown_since = now
+            if self.boot_id:
+                self.lost_boot_id = self.boot_id
+                self.lost_at = now
+            self.doubt_boot(now)
         if outcome in (Outcome.UNREACHABLE, Outcome.LOST, Outcome.REFUSED):
             self._failures += 1
             pause = BACK_OFF_S * 2 ** min(self._failures - 1, 8)
@@ -267,11 +276,15 @@
         self._suspected_since = None
         costs.append(cost)
 
+    def doubt_boot(self, now: float) -> None:
+        """Counts it as started anew until a later report shows its boot."""
+        self._boot_unknown_since = now
+
     def note_boot(self, boot_id: str, now: float) -> None:
         """Compares the boot id of an answer with the reported one."""
         known = self.record
         if known is not None and boot_id != known.boot_id:
-            self._boot_unknown_since = now
+            self.doubt_boot(now)
 
     def _restart(self) -> None:
         self._first_token_costs.clear()
