--- a/mothpass/core/gates.py
+++ b/mothpass/core/gates.py
@@ -145,6 +145,17 @@
     )
 
 
+def may_dispatch(permit: Permit, *, boot_id: str, now: float) -> bool:
+    """Tells whether the call of a permit may start, right before it does.
+
+    Args:
+        permit: The permit.
+        boot_id: Start of the target, as the asking daemon knows it now.
+        now: Monotonic seconds on the clock of the daemon that asked.
+    """
+    return now < permit.dispatch_by and permit.boot_id == boot_id
+
+
 def make_release(permit: Permit, *, answered: bool) -> Release:
     """Builds what the gate is told once the call of a permit has ended."""
     return Release(
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -555,7 +555,7 @@
     def _check_permit(
         self, target: targets.Target, permit: gates.Permit, now: float
     ) -> bool:
-        if now >= permit.dispatch_by or permit.boot_id != target.boot_id:
+        if not gates.may_dispatch(permit, boot_id=target.boot_id, now=now):
             return False
         if permit.source is gates.Source.RESERVE:
             return self._reserves.start(permit)
