--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,9 @@
 import msgspec
 
 from bench import cold
+from bench import killers
 from bench import measures
+from bench import overload
 from bench import skew
 
 SEED = 7
@@ -20,6 +22,8 @@
 MEASURES: dict[str, abc.Callable[[int], list[measures.Measure]]] = {
     "skew": skew.measure,
     "cold": cold.measure,
+    "overload": overload.measure,
+    "killers": killers.measure,
 }
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -316,16 +316,28 @@
         if daemon.dead or now < daemon.paused_until:
             return
         own = daemon.router.tell_counts(now=now)
+        lost = daemon.router.list_lost(now=now)
         for other in self.daemons:
             if other is not daemon and not other.dead:
                 daemon.control_sends += 1
                 self.loop.call_later(
                     PEER_S,
-                    lambda other=other: other.router.record_counts(  # type: ignore[misc]
-                        daemon.id, own, now=self.loop.now
+                    lambda other=other: self._take_counts(  # type: ignore[misc]
+                        other, daemon.id, own, lost
                     ),
                 )
 
+    def _take_counts(
+        self,
+        daemon: Daemon,
+        sender: str,
+        counts: dict[str, int],
+        lost: dict[str, str],
+    ) -> None:
+        now = self.loop.now
+        daemon.router.record_lost(lost, now=now)
+        daemon.router.record_counts(sender, counts, now=now)
+
     def _deliver(
         self, daemon: Daemon, records: list[targets.LoadRecord], now: float
     ) -> None:
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -26,6 +26,7 @@
 
 COLD_ASKS_PER_S_AT_GATE = 20.0
 COLD_ASK_INTERVAL_S = 0.25
+LOST_TOLD_S = 2.0
 TELLS_PER_S = 4.0
 TELLS_BURST = 8.0
 TIGHT_ROOM = 4
@@ -41,7 +42,8 @@
         name: Model or service.
         chat: 64-bit hash of the chat; None for a call of a plain service.
         excluded: Targets that the call must not go to.
-        alone: Whether it must be the only call of this daemon there.
+        alone: Whether it is a suspect on trial, which must be the only one
+            at its target.
     """
 
     name: str
@@ -71,11 +73,13 @@
         target_id: The target.
         boot_id: Its start.
         gates: Ids of the daemons to ask, in order.
+        alone: Whether the call is the trial of a suspect.
     """
 
     target_id: str
     boot_id: str
     gates: tuple[str, ...]
+    alone: bool = False
 
 
 class Wait(msgspec.Struct, frozen=True, kw_only=True):
@@ -306,40 +310,48 @@
             first_token_ms, prompt_tokens=prompt_tokens, now=now
         )
 
-    def tell_counts(self, *, now: float) -> peer_counts.Counts:
-        """Returns this daemon's calls in flight, to be sent out.
+    def tell_counts(self, *, now: float) -> dict[str, int]:
+        """Returns this daemon's calls in flight by target, to be sent out.
 
         Every other daemon must be sent them now: calls from here on are
         counted as unknown to the others until the next time.
         """
-        calls = {x.id: x.tell_count() for x in self.targets.values()}
-        since = now - peer_counts.LOST_TOLD_S
-        lost = {
+        del now
+        counts = {x.id: x.tell_count() for x in self.targets.values()}
+        return {name: count for name, count in counts.items() if count}
+
+    def list_lost(self, *, now: float) -> dict[str, str]:
+        """Returns the boot ids, by target, that were just found dead.
+
+        They go out with the counts, so that a daemon without a call there
+        does not take the target's next start for the warm one before.
+        """
+        since = now - LOST_TOLD_S
+        return {
             item.id: item.lost_boot_id
             for item in self.targets.values()
             if item.lost_at > since
         }
-        return peer_counts.Counts(
-            calls={name: count for name, count in calls.items() if count},
-            lost=lost,
-        )
+
+    def record_lost(self, lost: abc.Mapping[str, str], *, now: float) -> None:
+        """Takes in what another daemon has found dead, by ``list_lost``."""
+        for target_id, boot_id in lost.items():
+            target = self.targets.get(target_id)
+            if target is not None and target.boot_id == boot_id:
+                target.doubt_boot(now)
 
     def record_counts(
-        self, daemon_id: str, counts: peer_counts.Counts, *, now: float
+        self, daemon_id: str, counts: abc.Mapping[str, int], *, now: float
     ) -> None:
         """Takes in the calls in flight that another daemon has told.
 
         Args:
             daemon_id: The other daemon.
-            counts: What it told.
+            counts: Its calls in flight by target, without zeros.
             now: Monotonic seconds; the earliest moment at which it may have
                 counted.
         """
-        for target_id, boot_id in counts.lost.items():
-            lost = self.targets.get(target_id)
-            if lost is not None and lost.boot_id == boot_id:
-                lost.doubt_boot(now)
-        self._peers.record(daemon_id, counts.calls, now)
+        self._peers.record(daemon_id, counts, now)
         if not self._peers.is_complete(self.daemons, now):
             return
         known_at = self._peers.known_at()
@@ -456,12 +468,15 @@
             part = max(1, part)
         return _send(target) if target.growth < part else None
 
-    def _ask(self, target: targets.Target, count: int) -> AskPermit:
+    def _ask(
+        self, target: targets.Target, count: int, *, alone: bool = False
+    ) -> AskPermit:
         partition = gate_table.find_partition(target.id)
         return AskPermit(
             target_id=target.id,
             boot_id=target.boot_id,
             gates=self._gates.get(partition, ())[:count],
+            alone=alone,
         )
 
     def _choose_fallback(
@@ -497,14 +512,17 @@
     def _choose_alone(
         self, pool: pools.Pool, request: RouteRequest, now: float
     ) -> Choice:
-        """Chooses a warm target where this daemon has no other call."""
-        usable = self._list_usable(pool, request, now)
-        idle = [item for item in usable if not item.own and not item.is_cold()]
-        if not idle:
+        """Chooses the least loaded warm target whose gate may be asked."""
+        open_targets = [
+            item
+            for item in self._list_usable(pool, request, now)
+            if not item.is_cold() and item.boot_id and now >= item.ask_after
+        ]
+        if not open_targets:
             return Wait(until=now + WAIT_S)
-        target = min(idle, key=lambda item: item.load)
-        target.alone = True
-        return _send(target)
+        target = min(open_targets, key=lambda item: item.load)
+        target.ask_after = now + self._ask_interval()
+        return self._ask(target, gate_table.GATES_ASKED, alone=True)
 
     def _list_usable(
         self, pool: pools.Pool, request: RouteRequest, now: float
@@ -633,8 +651,8 @@
 
 
 def _is_open(target: targets.Target, now: float) -> bool:
-    """Tells whether a target isn't left alone for now."""
-    return now >= target.closed_until and not target.alone
+    """Tells whether no failure keeps calls away from a target for now."""
+    return now >= target.closed_until
 
 
 def _send(target: targets.Target, permit: gates.Permit | None = None) -> Send:
--- a/mothpass/core/targets.py
+++ b/mothpass/core/targets.py
@@ -89,7 +89,6 @@
         spread: Hash of the id, the same at each daemon.
         lost_boot_id: Boot id that this daemon found dead last.
         lost_at: Monotonic seconds of that moment.
-        alone: Whether a call that must be alone runs there.
     """
 
     __slots__ = (
@@ -99,7 +98,6 @@
         "_own_history",
         "_slow_answers",
         "_suspected_since",
-        "alone",
         "ask_after",
         "closed_until",
         "cold_start",
@@ -123,7 +121,6 @@
         self.own_told = 0
         self.known_at = float("-inf")
         self.cold_start: catalogue.ColdStart | None = None
-        self.alone = False
         self.lost_boot_id = ""
         self.lost_at = float("-inf")
         self.spread = preference.hash_name(instance.id)
@@ -238,7 +235,6 @@
     def finish_call(self, outcome: Outcome, now: float) -> None:
         """Counts one call less, and backs off after a failure."""
         self.own = max(0, self.own - 1)
-        self.alone = False
         self._own_history.record(self.own, now)
         if outcome is Outcome.ANSWERED:
             self._failures = 0
--- a/spec/runner.py
+++ b/spec/runner.py
@@ -1,6 +1,7 @@
 """Checks models with minicheck, and their mutants."""
 
 from collections import abc
+import dataclasses
 import typing
 
 import minicheck
@@ -8,10 +9,8 @@
 from spec import results
 
 MOST_STATES = 2_000_000
-# A mutant is searched in growing parts, since minicheck goes on after the
-# first counterexample.
-MUTANT_FIRST_STATES = 2_000
-MUTANT_GROWTH = 4
+
+State = tuple[typing.Any, ...]
 
 
 def check_model(
@@ -48,13 +47,10 @@
 def _check_mutant(
     guard: str, mutant: minicheck.Protocol
 ) -> results.MutantResult:
-    limit = MUTANT_FIRST_STATES
-    while True:
-        report = minicheck.check_safety(mutant, max_states=limit)
-        invariant, trace = _find_violation(report)
-        if invariant or report["exhaustive"] or limit >= MOST_STATES:
-            break
-        limit *= MUTANT_GROWTH
+    report = minicheck.check_safety(
+        _stop_at_violation(mutant), max_states=MOST_STATES
+    )
+    invariant, trace = _find_violation(report)
     return results.MutantResult(
         name=guard,
         states=report["reachable_states"],
@@ -64,6 +60,28 @@
     )
 
 
+def _stop_at_violation(model: minicheck.Protocol) -> minicheck.Protocol:
+    """Returns the model without the steps after the first violation.
+
+    minicheck goes on to the last state otherwise; its search is breadth
+    first, so that the first violation has the shortest trace.
+    """
+    found = False
+
+    def list_moves(state: State) -> list[tuple[str, State]]:
+        nonlocal found
+        if found:
+            return []
+        moves: list[tuple[str, State]] = model.transitions(state)
+        for _, after in moves:
+            fields = model.d(after)
+            if not all(holds(fields) for holds in model.invariants.values()):
+                found = True
+        return moves
+
+    return dataclasses.replace(model, transitions=list_moves)
+
+
 def _find_violation(report: dict[str, typing.Any]) -> tuple[str, list[str]]:
     """Returns the invariant with the shortest counterexample, and its steps."""
     found = [
