--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,7 +14,9 @@
 from bench import killers
 from bench import measures
 from bench import overload
+from bench import reuse
 from bench import skew
+from bench import zones
 
 SEED = 7
 _KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
@@ -22,6 +24,8 @@
 MEASURES: dict[str, abc.Callable[[int], list[measures.Measure]]] = {
     "skew": skew.measure,
     "cold": cold.measure,
+    "reuse": reuse.measure,
+    "zones": zones.measure,
     "overload": overload.measure,
     "killers": killers.measure,
 }
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -260,6 +260,10 @@
                 ),
             )
 
+    def find_zone(self, engine_id: str) -> str:
+        """Returns the availability zone of an engine."""
+        return ZONES[list(self.engines).index(engine_id) % len(ZONES)]
+
     def list_loads(self) -> list[int]:
         """Returns what each engine that is up carries at this moment."""
         return [item.in_flight for item in self.engines.values() if item.up]
--- a/mothpass/core/pools.py
+++ b/mothpass/core/pools.py
@@ -8,8 +8,8 @@
 
 RATE_WINDOW_S = 5.0
 REPORT_LAG_MOST_S = 3.0
-NOISE_FACTOR = 1.5
-WATERMARK_SHARE = 0.9
+NOISE_FACTOR = 1.0
+WATERMARK_SHARE = 0.8
 
 
 class Pool:
