Show claims and catalogue over real processes

Change: failure tests over two and three daemons with the stand-ins. An operator's change reads the head once more after a lost answer: a live test got STORE_UNAVAILABLE where one read had been lost.

--- a/mothpass/daemon/proposals.py
+++ b/mothpass/daemon/proposals.py
@@ -103,7 +103,7 @@
         """
         base = self._catalogues.revision
         if base is None or base.version < base_version:
-            if not await self._catalogues.poll(self._log):
+            if not await self._refresh():
                 return result.Failure(_reject_unavailable())
             base = self._catalogues.newest
         if base_version != base.version:
@@ -158,7 +158,7 @@
         for attempt in range(REAPPLY_TRIES):
             if attempt > 0:
                 await self._pause(REAPPLY_PAUSE_S * 2**attempt)
-            if not await self._catalogues.poll(self._log):
+            if not await self._refresh():
                 return result.Failure(_reject_unavailable())
             base = self._catalogues.newest
             wanted = make_edits(base.catalogue)
@@ -171,6 +171,13 @@
                 return outcome
         return outcome
 
+    async def _refresh(self) -> bool:
+        """Loads the newest version; one answer may be lost on the way."""
+        if await self._catalogues.poll(self._log):
+            return True
+        await self._pause(CONFIRM_PAUSE_S)
+        return await self._catalogues.poll(self._log)
+
     async def _commit(
         self, base: revisions.Revision, wanted: list[edits.Edit], author: str
     ) -> Outcome:
--- /dev/null
+++ b/tests/test_claims_live.py
@@ -0,0 +1,216 @@
+"""Payments over real processes: two daemons, a service with a ledger."""
+
+import contextlib
+import threading
+import time
+import typing
+import unittest
+
+from tests import deployments
+from tests import http_calls
+from tests import processes
+
+_PATH = f"/v1/services/{deployments.SERVICE}"
+_BODY = b'{"chair": "victoria-12", "amount": 30}'
+_SLOW_MS = 1500
+# Time in which a call whose row is claimed reaches the service.
+_SEND_S = 0.4
+
+
+class PaymentsTest(unittest.TestCase):
+    """Each test pays once, with a key of its own."""
+
+    deployment: typing.ClassVar[deployments.Deployment]
+    first: typing.ClassVar[processes.Process]
+    second: typing.ClassVar[processes.Process]
+    service: typing.ClassVar[processes.Process]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        started = processes.open_class_processes(cls)
+        cls.deployment = deployments.Deployment(started=started)
+        cls.service = cls.deployment.add_service("s1")
+        cls.first = cls.deployment.add_daemon("d1")
+        cls.second = cls.deployment.add_daemon("d2")
+        processes.wait_until(cls._pay_for_warm_up)
+
+    @classmethod
+    def _pay_for_warm_up(cls) -> bool:
+        """Pays once through each daemon, which shows that all is there."""
+        answers = [
+            _pay(daemon, f"warm-up-{index}")
+            for index, daemon in enumerate((cls.first, cls.second))
+        ]
+        return all(answer.status == http_calls.OK for answer in answers)
+
+    def setUp(self) -> None:
+        self.key = self.id()[-100:]
+        self.addCleanup(self.service.clear_faults)
+        self.addCleanup(self.deployment.table.clear_faults)
+
+    def pay(
+        self, daemon: processes.Process, deadline_ms: int = 10_000
+    ) -> http_calls.Answer:
+        return _pay(daemon, self.key, deadline_ms=deadline_ms)
+
+    def start_paying(self, daemon: processes.Process) -> "_Payment":
+        """Pays in the background; returns while the service has the call."""
+        claimed = self.count_claims() + 1
+        self.service.set_faults(late_ms=_SLOW_MS)
+        payment = _Payment(daemon=daemon, key=self.key)
+        payment.start()
+        processes.wait_until(lambda: self.count_claims() == claimed)
+        time.sleep(_SEND_S)
+        # The fault delays all answers; the call has met it already.
+        self.service.clear_faults()
+        processes.wait_until(lambda: self.count_runs() == 1)
+        return payment
+
+    def count_claims(self) -> int:
+        """Returns the number of keys that were ever claimed."""
+        path = "/v1/tables/claims/rows?prefix=&limit=100"
+        found = http_calls.call(self.deployment.table.address, "GET", path)
+        return len(typing.cast(list[object], found.decode()["rows"]))
+
+    def count_runs(self) -> int:
+        """Returns how often the service ran the call of this test."""
+        ledger = http_calls.call(self.service.address, "GET", "/v1/ledger")
+        entries = typing.cast(
+            list[dict[str, object]], ledger.decode()["entries"]
+        )
+        return sum(entry["key"] == self.key for entry in entries)
+
+    def check_refused(
+        self, answer: http_calls.Answer, name: str, ran: str
+    ) -> None:
+        error = typing.cast(dict[str, object], answer.decode()["error"])
+        self.assertEqual((error["name"], error["ran"]), (name, ran))
+
+    def test_three_asks_through_both_daemons_run_once(self) -> None:
+        answers = [
+            self.pay(daemon) for daemon in (self.first, self.second, self.first)
+        ]
+        self.assertEqual([item.status for item in answers], [200] * 3)
+        self.assertEqual(len({item.body for item in answers}), 1)
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_two_asks_at_once_run_once(self) -> None:
+        running = self.start_paying(self.first)
+        second = self.pay(self.second)
+        first = running.join()
+        self.assertEqual((first.status, second.status), (200, 200))
+        self.assertEqual(first.body, second.body)
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_lost_answers_of_the_store_run_it_once(self) -> None:
+        for count in (1, 2, 3):
+            self.deployment.table.set_faults(lose_answers=count)
+            self.assertEqual(self.pay(self.first).status, http_calls.OK)
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_store_that_is_down_gives_unknown_and_no_run(self) -> None:
+        self.deployment.table.set_faults(down=True)
+        answer = self.pay(self.first)
+        self.check_refused(answer, "STORE_UNAVAILABLE", "unknown")
+        self.assertEqual(self.count_runs(), 0)
+        self.deployment.table.clear_faults()
+        self.assertEqual(self.pay(self.second).status, http_calls.OK)
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_store_that_goes_down_after_the_claim_still_gives_the_answer(
+        self,
+    ) -> None:
+        running = self.start_paying(self.first)
+        self.deployment.table.set_faults(down=True)
+        self.assertEqual(running.join().status, http_calls.OK)
+        answer = self.pay(self.second)
+        self.check_refused(answer, "STORE_UNAVAILABLE", "unknown")
+        self.deployment.table.clear_faults()
+        self.assertEqual(self.pay(self.second).status, http_calls.OK)
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_lost_answer_of_the_service_is_unknown_everywhere(self) -> None:
+        self.service.set_faults(lose_answers=1)
+        for daemon in (self.first, self.second):
+            self.check_refused(self.pay(daemon), "OUTCOME_UNKNOWN", "unknown")
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_same_key_with_another_body_is_refused(self) -> None:
+        self.pay(self.first)
+        answer = _pay(self.second, self.key, body=b'{"amount": 31}')
+        self.check_refused(answer, "IDEMPOTENCY_KEY_REUSED", "unknown")
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_frozen_daemon_keeps_its_claim_and_answers_later(self) -> None:
+        running = self.start_paying(self.first)
+        self.first.freeze()
+        self.addCleanup(self.first.thaw)
+        answer = self.pay(self.second, deadline_ms=500)
+        self.check_refused(answer, "IN_PROGRESS", "unknown")
+        self.first.thaw()
+        self.assertEqual(running.join().status, http_calls.OK)
+        self.assertEqual(self.pay(self.second).body, running.join().body)
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_killed_daemon_leaves_unknown_and_no_second_run(self) -> None:
+        daemon = self.deployment.add_daemon("d3")
+        processes.wait_until(
+            lambda: _pay(daemon, "warm-up-3").status == http_calls.OK
+        )
+        running = self.start_paying(daemon)
+        daemon.kill()
+        self.assertIsNone(running.wait())
+        answer = self.pay(self.second, deadline_ms=500)
+        self.check_refused(answer, "IN_PROGRESS", "unknown")
+        self.assertEqual(self.count_runs(), 1)
+
+
+class _Payment:
+    """A payment in the background."""
+
+    __slots__ = ("_answer", "_daemon", "_key", "_thread")
+
+    def __init__(self, *, daemon: processes.Process, key: str) -> None:
+        self._daemon = daemon
+        self._key = key
+        self._answer: http_calls.Answer | None = None
+        self._thread = threading.Thread(target=self._run)
+
+    def start(self) -> None:
+        """Starts to pay."""
+        self._thread.start()
+
+    def _run(self) -> None:
+        """Pays; a daemon that dies gives no answer."""
+        with contextlib.suppress(OSError):
+            self._answer = _pay(self._daemon, self._key)
+
+    def wait(self) -> http_calls.Answer | None:
+        """Returns the answer, None if there was none."""
+        self._thread.join()
+        return self._answer
+
+    def join(self) -> http_calls.Answer:
+        """Returns the answer, which must be there."""
+        answer = self.wait()
+        assert answer is not None
+        return answer
+
+
+def _pay(
+    daemon: processes.Process,
+    key: str,
+    *,
+    body: bytes = _BODY,
+    deadline_ms: int = 10_000,
+) -> http_calls.Answer:
+    headers = {
+        "Authorization": f"Bearer {deployments.TEAM_KEY}",
+        "Idempotency-Key": key,
+        "X-Deadline-Ms": str(deadline_ms),
+    }
+    return http_calls.call(daemon.address, "POST", _PATH, body, headers)
+
+
+if __name__ == "__main__":
+    unittest.main()
