Follow a change without touching the entries that stay

Cause: each change rebuilt and sorted the list of all teams, and edits were encoded up to four times to learn their size.

Change: places are searched in the ordered list; sizes are summed. A change that can't be decoded (from a daemon that knows other fields) is dropped like one of another history in place of raising.

--- a/mothpass/core/edits.py
+++ b/mothpass/core/edits.py
@@ -1,6 +1,8 @@
 """Edits of single entries, by which one catalogue leads to another."""
 
+import bisect
 from collections import abc
+import operator
 import typing
 
 import msgspec
@@ -8,6 +10,8 @@
 from mothpass.core import catalogue
 
 SUMMARY_EDITS = 4
+# Bytes of an encoded edit beside its name and its entry.
+EDIT_OVERHEAD_BYTES = 48
 
 Section = typing.Literal[
     "classes",
@@ -32,6 +36,7 @@
     "teams": catalogue.Team,
     "availability_zones": catalogue.AvailabilityZone,
 }
+_read_name = operator.attrgetter("name")
 PRESENT = msgspec.Raw(b"true")
 _ABSENT = msgspec.Raw(b"null")
 
@@ -94,6 +99,14 @@
     return msgspec.json.encode(fields, order="deterministic")
 
 
+def measure_edits(edits: list[Edit]) -> int:
+    """Returns the bytes that edits take, without encoding them."""
+    return sum(
+        EDIT_OVERHEAD_BYTES + len(edit.name) + len(bytes(edit.entry))
+        for edit in edits
+    )
+
+
 def decode_edits(data: bytes) -> list[Edit]:
     """Decodes what ``encode_edits`` gave."""
     return msgspec.json.decode(data, type=list[Edit])
@@ -126,19 +139,29 @@
 def _apply_section(
     section: str, base: catalogue.Catalogue, edits: list[Edit]
 ) -> list[typing.Any]:
+    """Returns one list after the edits; it is ordered by name, as the base."""
     if section == "instances_out":
-        names = set(base.instances_out)
-        for edit in edits:
-            if is_removal(edit):
-                names.discard(edit.name)
-            else:
-                names.add(edit.name)
-        return sorted(names)
-    entries = {entry.name: entry for entry in getattr(base, section)}
+        return _apply_names(base.instances_out, edits)
+    entries = list(getattr(base, section))
     for edit in edits:
+        # Few of many entries change, so that the place of each is searched.
+        index = bisect.bisect_left(entries, edit.name, key=_read_name)
+        end = index
+        if index < len(entries) and entries[index].name == edit.name:
+            end = index + 1
         if is_removal(edit):
-            entries.pop(edit.name, None)
+            entries[index:end] = []
         else:
             kind = _KINDS[section]
-            entries[edit.name] = msgspec.json.decode(edit.entry, type=kind)
-    return [entries[name] for name in sorted(entries)]
+            entries[index:end] = [msgspec.json.decode(edit.entry, type=kind)]
+    return entries
+
+
+def _apply_names(base: list[str], edits: list[Edit]) -> list[str]:
+    names = set(base)
+    for edit in edits:
+        if is_removal(edit):
+            names.discard(edit.name)
+        else:
+            names.add(edit.name)
+    return sorted(names)
--- a/mothpass/core/history.py
+++ b/mothpass/core/history.py
@@ -183,7 +183,7 @@
         slim = revisions.strip_large_edits(change)
         size = CHANGE_OVERHEAD_BYTES
         if slim.edits is not None:
-            size += len(edits.encode_edits(slim.edits))
+            size += edits.measure_edits(slim.edits)
         self._log.append((slim, size))
         self._log_bytes += size
         while (
--- a/mothpass/core/revisions.py
+++ b/mothpass/core/revisions.py
@@ -145,7 +145,8 @@
 
     Raises:
         errors.ChangeMismatchError: The change does not build on this
-            revision, or its edits are not those that were accepted.
+            revision, its edits are not those that were accepted, or it was
+            written by a daemon that knows other fields.
     """
     if change.version != base.version + 1 or change.previous != base.digest:
         raise errors.ChangeMismatchError(
@@ -159,10 +160,16 @@
         raise errors.ChangeMismatchError(
             f"the edits of change {change.version} do not match its digest"
         )
+    try:
+        followed = edits_module.apply_edits(base.catalogue, change.edits)
+    except msgspec.DecodeError as error:
+        raise errors.ChangeMismatchError(
+            f"change {change.version} can't be read: {error}"
+        ) from error
     return Revision(
         version=change.version,
         digest=digest_change(change),
-        catalogue=edits_module.apply_edits(base.catalogue, change.edits),
+        catalogue=followed,
     )
 
 
@@ -176,7 +183,7 @@
     """Returns the change as its row keeps it: without edits too large."""
     if change.edits is None:
         return change
-    if len(edits_module.encode_edits(change.edits)) <= EDITS_ROW_LIMIT_BYTES:
+    if edits_module.measure_edits(change.edits) <= EDITS_ROW_LIMIT_BYTES:
         return change
     return msgspec.structs.replace(change, edits=None)
 
--- a/mothpass/daemon/proposals.py
+++ b/mothpass/daemon/proposals.py
@@ -197,10 +197,18 @@
             return result.Failure(rejection)
         self._catalogues.take_accepted(change)
         if revisions.needs_snapshot(row):
-            revision = revisions.follow_change(base, change)
-            await self._log.save_snapshot(revision)
+            await self._save_snapshot(base, change)
         return result.Success(change.version)
 
+    async def _save_snapshot(
+        self, base: revisions.Revision, change: revisions.Change
+    ) -> None:
+        """Writes the snapshot after an accepted change."""
+        revision = self._catalogues.newest
+        if revision.version != change.version:
+            revision = revisions.follow_change(base, change)
+        await self._log.save_snapshot(revision)
+
     async def _confirm(self, row: revisions.Change) -> Rejection | None:
         """Sends the transaction until its outcome is known.
 
