Test cold engines and crashing requests over real processes

Cause: that cold engines get no more than they bear, and that a request which crashes engines kills at most two, was shown in virtual time only. Ruled out: waiting for takeover after a gate's death in the test: with three daemons of eight slots it took 12.7 s until a cold engine was given work again (lease of 12 s), in one trial; the test gives its callers 3 s instead and holds that what is refused as not run did not run. Change: tests/test_fragile_targets.py; the engine counts its most in flight beyond what it bore; a deployment starts all its processes at once, at addresses known beforehand.

--- a/mothpass/standin/engine.py
+++ b/mothpass/standin/engine.py
@@ -36,6 +36,7 @@
         deaths: Restarts after falling over or a crash.
         peak_in_flight: Most attempts in flight at once.
         peak_in_flight_cold: The same while it was cold.
+        peak_past_cold: Most in flight beyond what it bore while it was cold.
         prompt_tokens: Prompt tokens of all finished attempts.
         cached_tokens: Those of them that were cached.
         last_start_age_ms: Time since an attempt was last taken; None before
@@ -49,6 +50,7 @@
     deaths: int = 0
     peak_in_flight: int = 0
     peak_in_flight_cold: int = 0
+    peak_past_cold: int = 0
     prompt_tokens: int = 0
     cached_tokens: int = 0
     last_start_age_ms: int | None = None
@@ -253,6 +255,8 @@
             stats.peak_in_flight_cold = max(
                 stats.peak_in_flight_cold, in_flight
             )
+            past = in_flight - self._warmup.bears
+            stats.peak_past_cold = max(stats.peak_past_cold, past)
         self._last_start = time.monotonic()
         self._record_load()
 
--- a/tests/chats.py
+++ b/tests/chats.py
@@ -52,6 +52,7 @@
 
     __slots__ = (
         "_address",
+        "_deadline_ms",
         "_max_tokens",
         "_messages",
         "_shown",
@@ -67,6 +68,7 @@
         content: str,
         max_tokens: int = 6,
         stream: bool = True,
+        deadline_ms: int | None = None,
     ) -> None:
         """Sends nothing yet.
 
@@ -75,11 +77,14 @@
             content: Text of the one message; also names the chat.
             max_tokens: Tokens of the answer.
             stream: Whether events are asked for.
+            deadline_ms: Time that the caller waits, None for that of the
+                class.
         """
         self.outcome = Outcome()
         self._address = address
         self._messages = [answers.Message(role="user", content=content)]
         self._max_tokens = max_tokens
+        self._deadline_ms = deadline_ms
         self._stream = stream
         self._shown = threading.Event()
         self._thread = threading.Thread(target=self.run, daemon=True)
@@ -132,6 +137,8 @@
             "Authorization": f"Bearer {deployments.TEAM_KEY}",
             "Content-Type": "application/json",
         }
+        if self._deadline_ms is not None:
+            headers["X-Deadline-Ms"] = str(self._deadline_ms)
         encoded = json.dumps(body).encode()
         connection.request("POST", _PATH, encoded, headers)
         return connection.getresponse()
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -1,5 +1,6 @@
 """A small deployment of stand-ins and daemons as processes for tests."""
 
+import functools
 import hashlib
 import json
 import typing
@@ -48,13 +49,15 @@
     def __init__(self, *, started: processes.Processes) -> None:
         """Starts the platform.
 
+        Nothing that is started is waited for until wait_ready().
+
         Args:
             started: Ends the processes.
         """
         self.started = started
-        self.table = started.start_standin("table")
-        self.objects = started.start_standin("objects")
-        self.members = started.start_standin(
+        self.table = self._start_platform("table")
+        self.objects = self._start_platform("objects")
+        self.members = self._start_platform(
             "members", lag_ms=100, heartbeat_ttl_ms=2000
         )
         self.daemons: dict[str, processes.Process] = {}
@@ -89,20 +92,27 @@
         return self._add_target("service", name, zone, {"serves": [SERVICE]})
 
     def add_daemon(self, name: str, zone: int = 0) -> processes.Process:
-        """Starts a daemon and waits until it is ready.
-
-        The first one accepts the catalogue of the tests.
-        """
+        """Starts a daemon."""
         settings = self._build_settings(name, zone)
         process = self.started.launch_daemon(settings)
         self.daemons[name] = process
         self._operators[name] = settings["operators"]["address"]
-        if len(self.daemons) == 1:
-            processes.wait_until(lambda: self._apply_catalogue(name), process)
-        processes.wait_until(lambda: processes.is_ready(process), process)
-        processes.wait_until(lambda: self._knows_targets(name), process)
         return process
 
+    def wait_ready(self) -> None:
+        """Waits until all daemons are ready and know all targets.
+
+        The first daemon accepts the catalogue of the tests.
+        """
+        for number, (name, process) in enumerate(self.daemons.items()):
+            if number == 0:
+                accept = functools.partial(self._apply_catalogue, name)
+                processes.wait_until(accept, process)
+            ready = functools.partial(processes.is_ready, process)
+            processes.wait_until(ready, process)
+            knows = functools.partial(self._knows_targets, name)
+            processes.wait_until(knows, process)
+
     def operate(
         self, daemon: str, method: str, path: str, document: object = None
     ) -> http_calls.Answer:
@@ -113,12 +123,28 @@
             self._operators[daemon], method, path, body, headers
         )
 
+    def read_gates(self) -> set[str]:
+        """Returns the daemons that any daemon knows as gate of a target."""
+        gates = set()
+        for name in self.daemons:
+            status = self.operate(name, "GET", "/v1/status").decode()
+            listed = typing.cast(list[dict[str, str]], status["targets"])
+            gates |= {item["gate"] for item in listed if item["gate"]}
+        return gates
+
     def read_started(self, target: str) -> int:
         """Returns the attempts that an engine has taken so far."""
         address = self.targets[target].address
         stats = http_calls.call(address, "GET", "/v1/stats").decode()
         return typing.cast(int, stats["started"])
 
+    def _start_platform(
+        self, kind: str, **settings: object
+    ) -> processes.Process:
+        """Starts a part of the platform at an address known beforehand."""
+        address = processes.find_free_address()
+        return self.started.start_standin(kind, address=address, **settings)
+
     def _add_target(
         self, kind: str, name: str, zone: int, settings: dict[str, typing.Any]
     ) -> processes.Process:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -17,6 +17,9 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _READY_S = 20.0
 _POLL_S = 0.02
+_ANY_PORT = "127.0.0.1:0"
+_KNOWN_HOST = "127.0.0.2"
+_HANDED_OUT: set[str] = set()
 _STANDIN = "mothpass.programs.mothpass_standin"
 _DAEMON = "mothpass.programs.mothpassd"
 
@@ -57,8 +60,12 @@
     def address(self) -> str:
         """Where its HTTP listener is; waits until the process tells."""
         if self._address is None:
-            self._address = _read_ready(self)
-        return self._address
+            self.wait_listening()
+        return str(self._address)
+
+    def wait_listening(self) -> None:
+        """Waits until a stand-in tells that it listens."""
+        self._address = _read_ready(self)
 
     @property
     def url(self) -> str:
@@ -132,15 +139,18 @@
             settings: Settings beside the address.
 
         Returns:
-            The process; it listens once its address is known.
+            The process. Where the port is left to the system, it listens
+            once its address is known.
         """
-        document = {"address": "127.0.0.1:0", **settings}
+        document = {"address": _ANY_PORT, **settings}
         name = str(settings.get("id", kind))
         path = self.write_document(f"{name}-{len(self._started)}", document)
-        return self._start(name, None, _STANDIN, kind, "--config", str(path))
+        address = document["address"]
+        known = None if address == _ANY_PORT else str(address)
+        return self._start(name, known, _STANDIN, kind, "--config", str(path))
 
-    def start_daemon(self, settings: dict[str, typing.Any]) -> Process:
-        """Starts a daemon and waits until it is ready for callers.
+    def launch_daemon(self, settings: dict[str, typing.Any]) -> Process:
+        """Starts a daemon, without waiting for it.
 
         Args:
             settings: All its settings.
@@ -148,12 +158,6 @@
         Returns:
             The process, with the address of its listener for callers.
         """
-        process = self.launch_daemon(settings)
-        wait_until(lambda: is_ready(process), process)
-        return process
-
-    def launch_daemon(self, settings: dict[str, typing.Any]) -> Process:
-        """Starts a daemon as start_daemon does, without waiting."""
         name = str(settings["instance"]["id"])
         path = self.write_document(f"{name}-{len(self._started)}", settings)
         address = str(settings["callers"]["address"])
@@ -198,11 +202,19 @@
 
 
 def find_free_address() -> str:
-    """Returns ``ip:port`` on loopback that nothing listens at."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        host, port = probe.getsockname()
-    return f"{host}:{port}"
+    """Returns ``ip:port`` on loopback that nothing listens at.
+
+    No address is returned twice. The host is another one than that of
+    stand-ins whose port is left to the system, so that they can't take it.
+    """
+    while True:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+            probe.bind((_KNOWN_HOST, 0))
+            host, port = probe.getsockname()
+        address = f"{host}:{port}"
+        if address not in _HANDED_OUT:
+            _HANDED_OUT.add(address)
+            return address
 
 
 def is_ready(process: Process) -> bool:
--- /dev/null
+++ b/tests/test_fragile_targets.py
@@ -0,0 +1,163 @@
+"""Cold engines and requests that crash engines, over real processes."""
+
+import collections
+import typing
+import unittest
+
+from tests import chats
+from tests import deployments
+from tests import http_calls
+from tests import processes
+
+_MARKER = "poison"
+_DAEMONS = ("d1", "d2", "d3")
+_IMPATIENT_MS = 3000
+_COLD = {"start_warm": False, "token_us": 5000}
+
+
+def _read_stats(engine: processes.Process) -> dict[str, typing.Any]:
+    return http_calls.call(engine.address, "GET", "/v1/stats").decode()
+
+
+class ColdEngineTest(unittest.TestCase):
+    """Cold engines behind three daemons get no more than they bear."""
+
+    def setUp(self) -> None:
+        started = processes.open_processes(self)
+        self.deployment = deployments.Deployment(started=started)
+        self.engines = [
+            self.deployment.add_engine(name, index % 2, **_COLD)
+            for index, name in enumerate(("e1", "e2"))
+        ]
+        for name in _DAEMONS:
+            self.deployment.add_daemon(name)
+        self.deployment.wait_ready()
+
+    def _ask(
+        self, name: str, count: int, deadline_ms: int | None
+    ) -> list[chats.Outcome]:
+        """Sends chats through all daemons at once and waits for all ends."""
+        daemons = list(self.deployment.daemons.values())
+        running = [
+            chats.Chat(
+                address=daemons[index % len(daemons)].address,
+                content=f"{name} {index}",
+                max_tokens=20,
+                deadline_ms=deadline_ms,
+            )
+            for index in range(count)
+        ]
+        for chat in running:
+            chat.start()
+        return [chat.join() for chat in running]
+
+    def _check_bounds(self) -> None:
+        for engine in self.engines:
+            self.assertIsNone(engine.popen.poll(), "it fell over")
+            self.assertLessEqual(_read_stats(engine)["peak_past_cold"], 0)
+
+    def test_all_cold_at_once_come_up_within_what_they_bear(self) -> None:
+        outcomes = self._ask("surge", 60, None)
+        self._check_bounds()
+        kinds = {item.kind for item in outcomes}
+        self.assertEqual(kinds, {chats.Kind.WHOLE})
+
+    def test_all_cold_and_the_store_down(self) -> None:
+        self.deployment.table.kill()
+        outcomes = self._ask("surge", 60, None)
+        self._check_bounds()
+        whole = [x for x in outcomes if x.kind == chats.Kind.WHOLE]
+        self.assertGreater(len(whole), 0)
+        kinds = {item.kind for item in outcomes}
+        self.assertLessEqual(kinds, {chats.Kind.WHOLE, chats.Kind.ERROR})
+
+    def test_gate_killed_while_they_are_cold(self) -> None:
+        self._ask("before", 6, None)
+        processes.wait_until(lambda: bool(self.deployment.read_gates()))
+        for name in self.deployment.read_gates():
+            self.deployment.daemons.pop(name).kill()
+        before = self._count_started()
+        outcomes = self._ask("after", 40, _IMPATIENT_MS)
+        self._check_bounds()
+        told = collections.Counter(
+            "yes" if item.error is None else item.error["ran"]
+            for item in outcomes
+        )
+        started = self._count_started() - before
+        self.assertGreaterEqual(started, told["yes"])
+        self.assertLessEqual(started, told["yes"] + told["unknown"])
+
+    def _count_started(self) -> int:
+        return sum(_read_stats(item)["started"] for item in self.engines)
+
+
+class CrashingRequestTest(unittest.TestCase):
+    """A request that kills each engine that runs it."""
+
+    def setUp(self) -> None:
+        started = processes.open_processes(self)
+        self.deployment = deployments.Deployment(started=started)
+        self.engines = [
+            self.deployment.add_engine(
+                f"e{index}",
+                index % 2,
+                crash_marker=_MARKER,
+                fall="restart",
+                restart_ms=300,
+            )
+            for index in range(4)
+        ]
+        for name in _DAEMONS[:2]:
+            self.deployment.add_daemon(name)
+        self.deployment.wait_ready()
+
+    def _count_deaths(self) -> int:
+        return sum(_read_stats(item)["deaths"] for item in self.engines)
+
+    def _ask(self, daemon: str, content: str) -> chats.Outcome:
+        address = self.deployment.daemons[daemon].address
+        return chats.Chat(address=address, content=content).run()
+
+    def test_kills_at_most_two_however_it_is_resent(self) -> None:
+        outcomes = [
+            self._ask(daemon, f"a {_MARKER} pill")
+            for daemon in ("d1", "d2", "d1", "d2", "d2", "d1")
+        ]
+        kinds = {item.kind for item in outcomes}
+        self.assertEqual(kinds, {chats.Kind.ERROR})
+        processes.wait_until(self._are_back)
+        self.assertLessEqual(self._count_deaths(), 2)
+
+    def test_innocent_requests_beside_it_are_served(self) -> None:
+        running = [
+            chats.Chat(
+                address=self.deployment.daemons["d1"].address,
+                content=f"innocent {index}",
+                max_tokens=200,
+            )
+            for index in range(8)
+        ]
+        for chat in running:
+            chat.start()
+        running[0].wait_shown()
+        for daemon in ("d1", "d2"):
+            self._ask(daemon, f"a {_MARKER} pill")
+        kinds = {chat.join().kind for chat in running}
+        self.assertLessEqual(kinds, {chats.Kind.WHOLE, chats.Kind.ERROR})
+        processes.wait_until(self._are_back)
+        names = [f"innocent {index}" for index in range(8)]
+        processes.wait_until(lambda: all(map(self._is_served, names)))
+
+    def _is_served(self, content: str) -> bool:
+        return self._ask("d2", content).kind == chats.Kind.WHOLE
+
+    def _are_back(self) -> bool:
+        try:
+            self._count_deaths()
+        except OSError:
+            return False
+        return True
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_payments.py
+++ b/tests/test_payments.py
@@ -8,6 +8,13 @@
 from tests import processes
 
 _HELD_S = 0.2
+# At each one a daemon of that name is killed, with the name as its key.
+_MOMENTS = (
+    "before-the-claim",
+    "claim-answered-late",
+    "before-the-call-ran",
+    "before-the-call-ended",
+)
 
 
 class PaymentTest(unittest.TestCase):
@@ -25,6 +32,7 @@
         cls.service = cls.deployment.add_service("s1")
         cls.first = cls.deployment.add_daemon("d1")
         cls.second = cls.deployment.add_daemon("d2", 1)
+        cls.deployment.wait_ready()
 
     def setUp(self) -> None:
         self.key = self.id().rpartition(".")[2]
@@ -127,15 +135,17 @@
         self.deployment = deployments.Deployment(started=started)
         self.service = self.deployment.add_service("s1")
         self.survivor = self.deployment.add_daemon("d0")
+        for moment in _MOMENTS:
+            self.deployment.add_daemon(moment)
+        self.deployment.wait_ready()
 
     def test_ask_through_another_daemon_never_runs_it_again(self) -> None:
         table, service = self.deployment.table, self.service
-        self._pay_and_kill("before-the-claim", table, slow_ms=400)
-        self._pay_and_kill("claim-answered-late", table, late_ms=400)
-        self._pay_and_kill("before-the-call-ran", service, slow_ms=400)
-        self._pay_and_kill("before-the-call-ended", service, late_ms=400)
-        runs = {key: self._count_runs(key) for key in self.deployment.daemons}
-        self.assertEqual(runs.pop("before-the-call-ended"), 1)
+        self._pay_and_kill(_MOMENTS[0], table, slow_ms=400)
+        self._pay_and_kill(_MOMENTS[1], table, late_ms=400)
+        self._pay_and_kill(_MOMENTS[2], service, slow_ms=400)
+        self._pay_and_kill(_MOMENTS[3], service, late_ms=400)
+        self.assertEqual(self._count_runs(_MOMENTS[3]), 1)
         for _ in range(2):
             self._ask_again()
 
@@ -149,7 +159,7 @@
 
         The daemon has the key as its name.
         """
-        victim = self.deployment.add_daemon(key)
+        victim = self.deployment.daemons[key]
         slowed.set_faults(**faults)
         thread, _ = payments.start_pay(victim, key)
         thread.join(_HELD_S)
@@ -159,8 +169,7 @@
 
     def _ask_again(self) -> None:
         """Asks for all payments at once through the daemon that is left."""
-        keys = [key for key in self.deployment.daemons if key != "d0"]
-        asks = {key: payments.start_pay(self.survivor, key) for key in keys}
+        asks = {key: payments.start_pay(self.survivor, key) for key in _MOMENTS}
         for key, (thread, outcomes) in asks.items():
             thread.join()
             with self.subTest(key=key):
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -164,8 +164,7 @@
         await store.read_row("claims", "a")
         first.kill()
         second = started.start_standin("table", address=first.address)
-        # Asking for the address waits until the process listens.
-        self.assertEqual(second.address, first.address)
+        second.wait_listening()
         self.assertIsNone(await store.read_row("claims", "a"))
         exchange.close()
 
--- a/tests/test_service_continuity.py
+++ b/tests/test_service_continuity.py
@@ -53,6 +53,7 @@
         for zone, name in enumerate(("e1", "e2")):
             deployment.add_engine(name, zone, token_us=_SLOW_TOKEN_US)
         self.daemon = deployment.add_daemon("d1")
+        deployment.wait_ready()
 
     def test_sigterm_lets_all_requests_finish_whole(self) -> None:
         running = _start_chats(self.daemon, 8, "before the end")
@@ -94,6 +95,7 @@
             cls.deployment.add_engine(name, zone, token_us=_SLOW_TOKEN_US)
         cls.deployment.add_engine("stays", 1)
         cls.daemon = cls.deployment.add_daemon("d1")
+        cls.deployment.wait_ready()
         cls.running = _start_chats(cls.daemon, 24, "running")
         cls._take_out()
         time.sleep(_NO_NEW_WORK_AFTER_S)
@@ -192,6 +194,7 @@
             deployment.add_engine(name, zone)
         for zone, name in enumerate(("d1", "d2")):
             deployment.add_daemon(name, zone)
+        deployment.wait_ready()
         platform = {
             "table": deployment.table,
             "objects": deployment.objects,
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -25,6 +25,7 @@
         cls.deployment = deployments.Deployment(started=started)
         cls.engine = cls.deployment.add_engine("e1")
         cls.daemon = cls.deployment.add_daemon("d1")
+        cls.deployment.wait_ready()
 
     def setUp(self) -> None:
         self.addCleanup(self.engine.clear_faults)
@@ -112,6 +113,7 @@
             for position in _POSITIONS[:-1]
         ]
         daemon = deployment.add_daemon("d1")
+        deployment.wait_ready()
         for position in _POSITIONS[:-1]:
             fault = {"kind": "cut", "at": position, "count": 9}
             for engine in engines:
@@ -136,6 +138,7 @@
         self.deployment = deployments.Deployment(started=started)
         self.engine = self.deployment.add_engine("e1", token_us=20_000)
         self.daemon = self.deployment.add_daemon("d1")
+        self.deployment.wait_ready()
 
     def _start_chats(self, count: int) -> list[chats.Chat]:
         started = [
