--- a/tests/test_mothpassctl.py
+++ b/tests/test_mothpassctl.py
@@ -70,6 +70,7 @@
         self.daemon.answer("PUT", "/v1/catalogue", status, body)
 
     def test_sends_catalogue_on_top_of_the_version_in_force(self) -> None:
+        self.catalogue["instances_out"] = ["guild-engine-1"]
         shown = {"version": 6, "digest": "d", "catalogue": self.catalogue}
         self.daemon.answer("GET", "/v1/catalogue", 200, shown)
         self._put(200, {"version": 7})
@@ -81,6 +82,19 @@
         self.assertEqual(self.daemon.tokens[-1], f"Bearer {_TOKEN}")
         self.assertIn("accepted as version 7", self.out)
 
+    def test_same_catalogue_is_not_sent(self) -> None:
+        shown = {"version": 6, "digest": "d", "catalogue": self.catalogue}
+        self.daemon.answer("GET", "/v1/catalogue", 200, shown)
+        self.assertEqual(self.run_ctl(f"apply {_GUILD}"), exits.Exit.DONE)
+        self.assertIn("nothing to change: version 6", self.out)
+        self.assertEqual([x[0] for x in self.daemon.calls], ["GET"])
+
+    def test_same_catalogue_on_a_given_base_is_no_new_version(self) -> None:
+        self._put(200, {"version": 6})
+        status = self.run_ctl(f"apply {_GUILD} --base 6")
+        self.assertEqual(status, exits.Exit.DONE)
+        self.assertIn("nothing to change: version 6", self.out)
+
     def test_first_catalogue_has_base_zero(self) -> None:
         code = int(results.Code.NO_CATALOGUE)
         refusal = fakes_operators.refuse(code, "no")
@@ -145,6 +159,14 @@
         status = self.run_ctl(f"apply {_GUILD} --base 6")
         self.assertEqual(status, exits.Exit.DONE)
 
+    def test_success_that_cannot_be_read_is_read_back(self) -> None:
+        self._put(200, {"accepted": True})
+        shown = {"version": 7, "digest": "d", "catalogue": self.catalogue}
+        self.daemon.answer("GET", "/v1/catalogue/7", 200, shown)
+        status = self.run_ctl(f"apply {_GUILD} --base 6")
+        self.assertEqual(status, exits.Exit.DONE)
+        self.assertIn("accepted as version 7, as read back", self.out)
+
     def test_wait_ends_once_all_have_the_version(self) -> None:
         self._put(200, {"version": 7})
         self.daemon.answer("GET", "/v1/catalogue", 200, {"version": 6})
@@ -192,6 +214,11 @@
         status = self.run_ctl("zone out bc-west-b")
         self.assertEqual(status, exits.Exit.UNCONFIRMED)
 
+    def test_success_that_cannot_be_read_is_unconfirmed(self) -> None:
+        self.daemon.answer("POST", self._PATH, 200, {"accepted": True})
+        status = self.run_ctl("zone out bc-west-b")
+        self.assertEqual(status, exits.Exit.UNCONFIRMED)
+
     def test_refusal_without_effect_is_told(self) -> None:
         code = int(results.Code.STORE_UNAVAILABLE)
         refusal = fakes_operators.refuse(code, "no")
@@ -312,6 +339,15 @@
         self.assertRegex(self.out, pattern)
         self.assertRegex(self.out, r"quay +10 .* 20\.0 +30\.0 +70\.0")
 
+    def test_store_is_shown_as_the_daemons_saw_it(self) -> None:
+        for store_up, word in ((True, "up"), (False, "DOWN"), (None, "-")):
+            with self.subTest(store_up=store_up):
+                daemon = self.start_daemon()
+                page = self._page("d1", control={"store_up": store_up})
+                daemon.answer("GET", "/v1/status", 200, page)
+                self.run_ctl("status", daemon.address)
+                self.assertRegex(self.out, rf"d1 .* 0\.0 +{word} +0/0")
+
     def test_answers_in_part_and_says_so(self) -> None:
         gone = self.find_closed_address()
         self.daemon.answer("GET", "/v1/status", 200, self._page("d1"))
