Test payments during a shutdown and connections that went silent

Cause: a graceful shutdown was tested with chats only, and silence with streams only. Change: a payment that is being answered when SIGTERM comes; idle connections that went silent; answers lost by the engine.

--- a/tests/test_service_continuity.py
+++ b/tests/test_service_continuity.py
@@ -9,11 +9,14 @@
 from tests import chats
 from tests import deployments
 from tests import http_calls
+from tests import payments
 from tests import processes
 
 _NO_NEW_WORK_AFTER_S = 3.0
 _LONG_TOKENS = 60
 _SLOW_TOKEN_US = 20_000
+# Longer than a daemon announces its end.
+_LATE_PAYMENT_MS = 1300
 _ZONE = deployments.ZONES[0]
 _WHOLE = chats.Kind.WHOLE
 
@@ -52,14 +55,22 @@
         deployment = deployments.Deployment(started=started)
         for zone, name in enumerate(("e1", "e2")):
             deployment.add_engine(name, zone, token_us=_SLOW_TOKEN_US)
+        self.service = deployment.add_service("s1")
         self.daemon = deployment.add_daemon("d1")
         deployment.wait_ready()
 
     def test_sigterm_lets_all_requests_finish_whole(self) -> None:
         running = _start_chats(self.daemon, 8, "before the end")
+        self.service.set_faults(late_ms=_LATE_PAYMENT_MS)
+        paying, paid = payments.start_pay(self.daemon, "before the end")
+        processes.wait_until(
+            lambda: payments.count_runs([self.service], "before the end") > 0
+        )
         self.daemon.terminate()
         kinds = [chat.join().kind for chat in running]
         self.assertEqual(kinds, [_WHOLE] * len(running))
+        paying.join()
+        self.assertEqual([item.ran for item in paid], ["yes"])
         self.assertEqual(self.daemon.wait(), 0)
 
     def test_requests_are_served_until_the_balancer_has_seen_it(self) -> None:
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -88,6 +88,23 @@
         outcome = self._ask("crossed whole answer", stream=False)
         self.assertIn(outcome.kind, (chats.Kind.WHOLE, chats.Kind.ERROR))
 
+    def test_idle_connections_that_went_silent_spoil_nothing(self) -> None:
+        for stream in (True, False):
+            with self.subTest(stream=stream):
+                self._ask("leaves an idle connection", stream)
+                self.engine.set_faults(silent=True)
+                outcome = self._ask(f"over a silent one {stream}", stream)
+                self.assertEqual(outcome.kind, chats.Kind.WHOLE, outcome)
+
+    def test_lost_answer_is_resumed_or_ends_in_an_error(self) -> None:
+        for stream in (True, False):
+            with self.subTest(stream=stream):
+                self.engine.set_faults(lose_answers=1)
+                outcome = self._ask(f"answer is lost {stream}", stream)
+                self.assertIn(
+                    outcome.kind, (chats.Kind.WHOLE, chats.Kind.ERROR)
+                )
+
     def test_paused_engine_delays_and_spoils_nothing(self) -> None:
         chat = chats.Chat(
             address=self.daemon.address, content="pause", max_tokens=50
