Send nothing past a request's deadline

Cause: a request whose deadline had passed was still sent where a target had room, since only calls that wait were checked. Change: the deadline is checked before each choice of a target; a permit that comes too late is given back. Ruled out: leaving it to the target, which can't answer in time.

--- a/mothpass/daemon/placement.py
+++ b/mothpass/daemon/placement.py
@@ -124,6 +124,8 @@
             alone=alone,
         )
         while True:
+            if self._clock() >= call.deadline:
+                raise errors.RefusalError(_refuse_late())
             chosen = await self._choose(call, request)
             if isinstance(chosen, Place):
                 return chosen
@@ -238,10 +240,11 @@
         """Asks for a permit and counts the call at the target."""
         permit = await self._acquire(ask, call.deadline)
         now = self._clock()
-        if now >= call.deadline:
-            raise errors.RefusalError(_refuse_late())
         if permit is None:
             return None
+        if now >= call.deadline:
+            self._release(permit, targets.Outcome.CANCELLED)
+            return None
         target = self._router.targets.get(ask.target_id)
         if target is None or not self._router.start_call(
             ask.target_id, permit=permit, now=now
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -142,9 +142,16 @@
         refusal = await self._refuse(daemon_parts.make_call(deadline_ms=300))
         self.assertIs(refusal.ran, results.Ran.UNKNOWN)
 
+    async def test_sends_nothing_past_the_deadline(self) -> None:
+        refusal = await self._refuse(daemon_parts.make_call(deadline_ms=0))
+        self.assertIs(refusal.code, results.Code.DEADLINE_EXCEEDED)
+        self.assertIs(refusal.ran, results.Ran.NO)
+        self.assertEqual(self.scripted.opened, [])
+
     async def test_never_retries_past_the_deadline(self) -> None:
+        self.scripted.pause_s = 0.03
         self.scripted.streams = [[_UNREACHABLE]]
-        refusal = await self._refuse(daemon_parts.make_call(deadline_ms=0))
+        refusal = await self._refuse(daemon_parts.make_call(deadline_ms=20))
         self.assertIs(refusal.code, results.Code.DEADLINE_EXCEEDED)
         self.assertEqual(len(self.scripted.opened), 1)
 
