Give the permit of a trial back with a call that has surely ended

Cause: the permit of a suspect's trial was given back only where its first events cleared it; one that was refused, or cleared later, kept the target from other trials until its deadline. Change: it goes back with an answer, a refusal or a target that was not reached; it is kept where the call may still run. Ruled out: giving it back always; another trial beside a lost one could not be told from it if the target died.

--- a/mothpass/daemon/placement.py
+++ b/mothpass/daemon/placement.py
@@ -21,6 +21,13 @@
 RETRY_AFTER_MS = 1000
 ROUTE_AGAIN_MS = 20
 
+_SURELY_ENDED = (
+    targets.Outcome.ANSWERED,
+    targets.Outcome.FAILED,
+    targets.Outcome.REFUSED,
+    targets.Outcome.UNREACHABLE,
+)
+
 # Asks the gates of a cold target for a permit until a deadline in monotonic
 # seconds; None where none was given.
 AcquirePermit = abc.Callable[
@@ -156,7 +163,7 @@
             boot_id=boot_id,
         )
         permit = place.permit
-        if permit is not None and permit.source is gates.Source.GATE:
+        if permit is not None and _may_release(permit, outcome):
             self._release(permit, outcome)
         self.wake()
 
@@ -333,6 +340,17 @@
             waiting.future.set_exception(errors.RefusalError(refusal))
 
 
+def _may_release(permit: gates.Permit, outcome: targets.Outcome) -> bool:
+    """Tells whether a permit goes back to its gate with the call's end.
+
+    That of a trial is kept where the call may still run at the target, since
+    another trial beside it could not be told from it if the target died.
+    """
+    if permit.source is gates.Source.TRIAL:
+        return outcome in _SURELY_ENDED
+    return permit.source is gates.Source.GATE
+
+
 def _refuse_late() -> errors.Refusal:
     return errors.Refusal(
         code=results.Code.DEADLINE_EXCEEDED,
--- a/tests/daemon_parts.py
+++ b/tests/daemon_parts.py
@@ -241,6 +241,7 @@
         dispatcher: What is tested.
         directory: The catalogue by what requests name.
         placement: Finds targets.
+        released: Outcomes of the permits that were given back.
         router: Knows the targets.
         suspects: Requests that crash targets.
         teams: Limits of teams.
@@ -266,11 +267,12 @@
         by_name |= {x.name: x.limits for x in entries.services}
         names.set_limits(by_name)
         self.suspects = suspects.Suspects(own_id="d0")
+        self.released: list[target_states.Outcome] = []
         self.placement = placement.Placement(
             router=self.router,
             names=names,
             acquire=_acquire,
-            release=_release_none,
+            release=self._note_release,
             clock=time.monotonic,
         )
         runner = attempts.AttemptRunner(
@@ -294,6 +296,12 @@
             run_once=run_once or run_at_once,
         )
 
+    def _note_release(
+        self, permit: gates.Permit, outcome: target_states.Outcome
+    ) -> None:
+        del permit
+        self.released.append(outcome)
+
     def restart_targets(self, boot_id: str) -> None:
         """Shows all targets as warm under a new boot id."""
         _report_warm(self.router, boot_id)
@@ -382,10 +390,6 @@
     router.record_loads(records, now=now)
 
 
-def _release_none(permit: gates.Permit, outcome: target_states.Outcome) -> None:
-    del permit, outcome
-
-
 async def _acquire(
     ask: routing.AskPermit, deadline: float
 ) -> gates.Permit | None:
@@ -394,7 +398,7 @@
     return gates.Permit(
         target_id=ask.target_id,
         boot_id=ask.boot_id,
-        source=gates.Source.GATE,
+        source=gates.Source.TRIAL if ask.alone else gates.Source.GATE,
         gate="d0",
         number=1,
         fencing=1,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,6 +1,7 @@
 """Tests for mothpass.daemon.dispatch over scripted targets."""
 
 import asyncio
+import time
 import unittest
 
 from returns import result
@@ -8,6 +9,7 @@
 from mothpass.core import errors
 from mothpass.core import results
 from mothpass.core import suspects
+from mothpass.core import targets as target_states
 from mothpass.daemon import attempts
 from mothpass.daemon import calls
 from mothpass.daemon import claims
@@ -202,11 +204,29 @@
         refusal = await self._refuse()
         self.assertIs(refusal.code, results.Code.REQUEST_QUARANTINED)
 
+    async def test_a_trial_is_given_back_only_once_it_has_ended(self) -> None:
+        self.daemon.suspects.record_death(
+            "boot",
+            [suspects.Running(fingerprint=99, position=3)],
+            now=time.monotonic(),
+        )
+        self.scripted.streams = [
+            [daemon_parts.make_batch(0), _LOST],
+            [daemon_parts.make_batch(0), daemon_parts.make_batch(1, last=1)],
+        ]
+        self.scripted.resumes = [[errors.AttemptUnknownError("boot")]]
+        with self.assertRaises(errors.AttemptUnknownError):
+            await self._read()
+        self.assertEqual(self.daemon.released, [])
+        self.daemon.restart_targets("second")
+        await self._read()
+        self.assertEqual(self.daemon.released, [target_states.Outcome.ANSWERED])
+
     async def test_a_connection_that_was_closed_accuses_nobody(self) -> None:
         self.scripted.streams = [[_LOST], [daemon_parts.make_batch(0, last=0)]]
         self.scripted.resumes = [[errors.AttemptUnknownError("boot")]]
         self.assertEqual(await self._read(), [0])
-        decision = self.daemon.suspects.check(99, now=0.0)
+        decision = self.daemon.suspects.check(99, now=time.monotonic())
         self.assertIs(decision.verdict, suspects.Verdict.CLEAR)
 
 
