Check in a test that the permit given back is that of a trial

Cause: the test passed as well with a permit of another kind, since its suspicion had lapsed by the clock of the machine it ran on. Ruled out: a fault of the code.

--- a/tests/daemon_parts.py
+++ b/tests/daemon_parts.py
@@ -241,7 +241,7 @@
         dispatcher: What is tested.
         directory: The catalogue by what requests name.
         placement: Finds targets.
-        released: Outcomes of the permits that were given back.
+        released: Permits that were given back.
         router: Knows the targets.
         suspects: Requests that crash targets.
         teams: Limits of teams.
@@ -267,7 +267,7 @@
         by_name |= {x.name: x.limits for x in entries.services}
         names.set_limits(by_name)
         self.suspects = suspects.Suspects(own_id="d0")
-        self.released: list[target_states.Outcome] = []
+        self.released: list[gates.Permit] = []
         self.placement = placement.Placement(
             router=self.router,
             names=names,
@@ -299,8 +299,8 @@
     def _note_release(
         self, permit: gates.Permit, outcome: target_states.Outcome
     ) -> None:
-        del permit
-        self.released.append(outcome)
+        del outcome
+        self.released.append(permit)
 
     def restart_targets(self, boot_id: str) -> None:
         """Shows all targets as warm under a new boot id."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,9 +7,9 @@
 from returns import result
 
 from mothpass.core import errors
+from mothpass.core import gates
 from mothpass.core import results
 from mothpass.core import suspects
-from mothpass.core import targets as target_states
 from mothpass.daemon import attempts
 from mothpass.daemon import calls
 from mothpass.daemon import claims
@@ -220,7 +220,8 @@
         self.assertEqual(self.daemon.released, [])
         self.daemon.restart_targets("second")
         await self._read()
-        self.assertEqual(self.daemon.released, [target_states.Outcome.ANSWERED])
+        sources = [permit.source for permit in self.daemon.released]
+        self.assertEqual(sources, [gates.Source.TRIAL])
 
     async def test_a_connection_that_was_closed_accuses_nobody(self) -> None:
         self.scripted.streams = [[_LOST], [daemon_parts.make_batch(0, last=0)]]
