Show queues and dropped events; remove what nothing used

Cause: the status page left each team's queue at 0, and events dropped as early and attempts retried were counted but shown nowhere; some functions of the first version had no caller left. Ruled out: nothing else.

--- a/bench/live_data_path.py
+++ b/bench/live_data_path.py
@@ -54,6 +54,7 @@
 
     outcome: live_client.Outcome
     core_share: float
+    resident_mb: float
 
 
 def measure() -> abc.Iterator[Figure]:
@@ -83,6 +84,7 @@
             "us_per_token": round(full.core_share / tokens_per_s * 1e6, 1),
             "answers": full.outcome.answers,
             "broken": full.outcome.broken,
+            "resident_mb": round(full.resident_mb),
             "first_token_p95_ms": _quantile(full.outcome.first_token_ms, 95),
         },
     )
@@ -242,8 +244,13 @@
         before = _read_processor_s(daemon)
         line = popen.stdout.readline()
         used_s = _read_processor_s(daemon) - before
+        resident_mb = _read_resident_mb(daemon)
     outcome = msgspec.json.decode(line, type=live_client.Outcome)
-    return _Run(outcome=outcome, core_share=used_s / outcome.seconds)
+    return _Run(
+        outcome=outcome,
+        core_share=used_s / outcome.seconds,
+        resident_mb=resident_mb,
+    )
 
 
 def _read_processor_s(daemon: processes.Process | None) -> float:
@@ -253,3 +260,14 @@
     path = pathlib.Path(f"/proc/{daemon.popen.pid}/stat")
     fields = path.read_text(encoding="utf-8").rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def _read_resident_mb(daemon: processes.Process | None) -> float:
+    """Returns the memory that a process has resident, in megabytes."""
+    if daemon is None:
+        return 0.0
+    path = pathlib.Path(f"/proc/{daemon.popen.pid}/status")
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
--- a/mothpass/daemon/assembly.py
+++ b/mothpass/daemon/assembly.py
@@ -76,6 +76,7 @@
         claims: Calls that may not be repeated.
         control: The control loop.
         core: State of the core.
+        dispatcher: Runs calls.
         placement: Finds targets.
         platform: The platform's services.
         pool: Connections to targets.
@@ -90,6 +91,7 @@
     claims: claims.Claims
     control: control_parts.Built
     core: Core
+    dispatcher: dispatch.Dispatcher
     placement: placement.Placement
     platform: platform.Platform
     pool: http_pool.Pool
@@ -131,11 +133,12 @@
         sleep=asyncio.sleep,
         random=core.random,
     )
+    dispatcher = _build_dispatcher(core, placed, runner, claimed)
     reported = telemetry.build_telemetry(chosen.telemetry)
     return Parts(
         callers=callers.Callers(
             state=core.state,
-            dispatcher=_build_dispatcher(core, placed, runner, claimed),
+            dispatcher=dispatcher,
             telemetry=reported,
             body_limit_bytes=chosen.callers.body_limit_bytes,
             clock=time.monotonic,
@@ -144,6 +147,7 @@
         claims=claimed,
         control=control,
         core=core,
+        dispatcher=dispatcher,
         placement=placed,
         platform=services,
         pool=pool,
--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -84,6 +84,7 @@
     Attributes:
         crossed: Events and answers dropped since they belong to another
             attempt.
+        early: Events dropped since an earlier one was missing.
         repeated: Events dropped since they had come before.
         resumed: Streams resumed over a new connection.
     """
@@ -97,6 +98,7 @@
         "_prefix",
         "_router",
         "crossed",
+        "early",
         "repeated",
         "resumed",
     )
@@ -130,6 +132,7 @@
         self._deaths = deaths.Deaths(suspects=suspects)
         self._cancels: set[asyncio.Task[None]] = set()
         self.crossed = 0
+        self.early = 0
         self.repeated = 0
         self.resumed = 0
 
@@ -137,6 +140,7 @@
         """Returns the counts by the names of their metrics."""
         return {
             "events.crossed": self.crossed,
+            "events.early": self.early,
             "events.repeated": self.repeated,
             "streams.resumed": self.resumed,
         }
@@ -234,6 +238,7 @@
         now = self._ports.clock()
         self._deaths.end(run.place.target_id, run.stream, now=now)
         self.crossed += run.stream.crossed
+        self.early += run.stream.early
         self.repeated += run.stream.repeated
         self.resumed += run.stream.resumes
         self._placement.finish(run.place, outcome, boot_id=run.stream.boot_id)
--- a/mothpass/daemon/calls.py
+++ b/mothpass/daemon/calls.py
@@ -1,7 +1,6 @@
 """Reads a caller's request into a typed call."""
 
 from collections import abc
-import math
 import typing
 
 import msgspec
@@ -59,7 +58,6 @@
         service_class: Name of the class that holds for the call.
         priority: 0 is the most urgent.
         deadline: Monotonic seconds after which an answer is of no use.
-        received_at: Monotonic seconds at which the request was read.
         path: Path of the request at the target.
         body: Body as it goes to the target.
         chat: Hash of the chat, 0 for a service.
@@ -77,7 +75,6 @@
     service_class: str
     priority: int
     deadline: float
-    received_at: float
     path: str
     body: bytes
     chat: int = 0
@@ -171,7 +168,6 @@
         service_class=chosen.name,
         priority=chosen.priority,
         deadline=_read_deadline(headers, chosen, now),
-        received_at=now,
         path=CHAT_PATH,
         body=sent,
         chat=_hash_chat(team.name, request, headers),
@@ -210,7 +206,6 @@
         service_class=chosen.name,
         priority=chosen.priority,
         deadline=_read_deadline(headers, chosen, now),
-        received_at=now,
         path=SERVICE_PATH + service.name,
         body=body,
         repeatable=service.repeatable,
@@ -300,8 +295,3 @@
         yield message
         if message.role == "user":
             return
-
-
-def seconds_to_ms(seconds: float) -> int:
-    """Returns milliseconds, rounded up and not negative."""
-    return max(0, math.ceil(seconds * 1000))
--- a/mothpass/daemon/placement.py
+++ b/mothpass/daemon/placement.py
@@ -179,11 +179,6 @@
             if len(queue):
                 self._serve(name)
 
-    def refuse_all(self, refusal: errors.Refusal) -> None:
-        """Refuses all that waits."""
-        for waiting in list(self._waiting.values()):
-            self._refuse(waiting, refusal)
-
     async def _choose(
         self, call: calls.Call, request: routing.RouteRequest
     ) -> Place | routing.AskPermit:
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -112,7 +112,9 @@
         """Looks again at what waits; a check once a tick serves all changes."""
         self._parts.placement.wake()
         self._cost.sample(time.monotonic())
-        for name, value in self._parts.runner.read_counters().items():
+        counters = self._parts.runner.read_counters()
+        counters["attempts.retried"] = self._parts.dispatcher.retried
+        for name, value in counters.items():
             self._parts.telemetry.gauge(name, value)
 
     async def _open_callers(
@@ -210,6 +212,7 @@
             router=self._parts.core.router,
             suspects=self._parts.core.suspects,
             telemetry=self._parts.telemetry,
+            placement=self._parts.placement,
             control=self._parts.control.control,
             cost=self._cost,
             clock=time.monotonic,
--- a/mothpass/daemon/status.py
+++ b/mothpass/daemon/status.py
@@ -9,6 +9,7 @@
 from mothpass.daemon import catalogues
 from mothpass.daemon import control
 from mothpass.daemon import control_cost
+from mothpass.daemon import placement
 from mothpass.daemon import settings
 from mothpass.daemon import status_page
 from mothpass.daemon import telemetry
@@ -52,6 +53,7 @@
         router: What is known of targets.
         suspects: Requests that crash targets.
         telemetry: Counts and histograms.
+        placement: Where calls wait.
         control: The control loop.
         cost: What control costs.
         clock: Monotonic seconds.
@@ -65,6 +67,7 @@
     router: routing.Router
     suspects: suspects.Suspects
     telemetry: telemetry.Telemetry
+    placement: placement.Placement
     control: control.Control
     cost: control_cost.ControlCost
     clock: clock.Monotonic
@@ -88,7 +91,7 @@
         ),
         availability_zones=_list_zones(parts),
         targets=_list_targets(parts, now),
-        teams=parts.telemetry.list_teams(),
+        teams=_list_teams(parts),
         classes=parts.telemetry.list_classes(),
         control=_show_control(parts, now),
         suspects=_list_suspects(parts, now),
@@ -136,6 +139,13 @@
     return "ready" if state.ready else "starting"
 
 
+def _list_teams(parts: Parts) -> list[status_page.TrafficStatus]:
+    teams = parts.telemetry.list_teams()
+    for team in teams:
+        team.queued = parts.placement.count_waiting(team.name)
+    return teams
+
+
 def _list_zones(parts: Parts) -> list[status_page.ZoneStatus]:
     revision = parts.catalogues.revision
     if revision is None:
--- a/mothpass/daemon/telemetry.py
+++ b/mothpass/daemon/telemetry.py
@@ -3,7 +3,6 @@
 import collections
 import logging
 import sys
-import time
 
 from hdrh import histogram
 import msgspec
@@ -247,11 +246,6 @@
     return Telemetry(client=client, log=logging.getLogger("mothpass.requests"))
 
 
-def read_clock() -> float:
-    """Returns monotonic seconds."""
-    return time.monotonic()
-
-
 def _make_histogram() -> histogram.HdrHistogram:
     return histogram.HdrHistogram(1, HIGHEST_US, DIGITS)
 
--- a/tests/daemon_parts.py
+++ b/tests/daemon_parts.py
@@ -332,7 +332,6 @@
         service_class="quick",
         priority=1,
         deadline=now + deadline_ms / 1000,
-        received_at=now,
         path="/v1/chat/completions",
         body=b"{}",
         chat=7 if name == "advice" else 0,
