Let a run take another seed, so that it measures anew

Cause: a second run of the steady profile on the same fleet showed a reuse of 1.0 in its first 8 s: it sent the chats of the first run again, which the engines still held.

--- a/mothpass/load/running.py
+++ b/mothpass/load/running.py
@@ -61,14 +61,20 @@
     recording: recordings.Recording | None = None
 
 
-def read_plan(path: pathlib.Path) -> Plan:
+def read_plan(path: pathlib.Path, *, seed: int | None = None) -> Plan:
     """Reads a profile and the files that it names.
 
+    Args:
+        path: Path of the profile.
+        seed: Goes before the profile's own seed.
+
     Raises:
         errors.DocumentError: Where one of them has faults.
         OSError: Where one of them can't be read.
     """
     profile = profiles.decode_profile(path.read_bytes())
+    if seed is not None:
+        profile = msgspec.structs.replace(profile, seed=seed)
     keys = profiles.read_keys(path, profile)
     recording = None
     if profile.recorded is not None:
--- a/mothpass/programs/mothpass_load.py
+++ b/mothpass/programs/mothpass_load.py
@@ -50,10 +50,12 @@
     options = [
         helpers.option("output", "o", "File for the JSON lines.", flag=False),
         helpers.option("check", None, "Checks the profile only."),
+        helpers.option("seed", None, "Goes before the profile's.", flag=False),
     ]
 
     def run_command(self) -> int:
-        plan = running.read_plan(pathlib.Path(self.argument("profile")))
+        path = pathlib.Path(self.argument("profile"))
+        plan = running.read_plan(path, seed=_parse_seed(self.option("seed")))
         if self.option("check"):
             print("good")
             return EXIT_DONE
@@ -180,6 +182,15 @@
         return demonstration.Totals()
 
 
+def _parse_seed(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not text.isdecimal():
+        problem = errors.Problem(path="--seed", message="expected a number")
+        raise errors.DocumentError([problem])
+    return int(text)
+
+
 def _parse_percent(text: str | None) -> float | None:
     if text is None:
         return None
--- a/tests/test_load_traffic.py
+++ b/tests/test_load_traffic.py
@@ -90,6 +90,11 @@
                 plan = running.read_plan(path)
                 self.assertGreater(len(plan.profile.daemons), 1)
 
+    def test_seed_of_the_command_line_goes_first(self) -> None:
+        path = _GUILD / "profiles" / "steady.json"
+        self.assertEqual(running.read_plan(path).profile.seed, 1)
+        self.assertEqual(running.read_plan(path, seed=9).profile.seed, 9)
+
 
 class ScheduleTest(unittest.TestCase):
     """Checks the requests that a profile gives."""
