Measure cache reuse as a share of what an oracle would find cached

Cause: the bound of the measure is a share of the best possible, and a returning prompt always has a new message that nobody can have cached.

--- a/mothpass/load/clients.py
+++ b/mothpass/load/clients.py
@@ -13,6 +13,7 @@
 from mothpass.load import samples
 from mothpass.load import traffic
 from mothpass.standin import answers
+from mothpass.standin import prefixes
 
 _MS_PER_S = 1000.0
 _OK = 200
@@ -266,10 +267,19 @@
         whole_ms=result.whole_ms,
         prompt_tokens=verdict.usage.prompt_tokens,
         cached_tokens=verdict.usage.cached_tokens,
+        reusable_tokens=_count_reusable(planned),
         returning=planned.returning,
     )
 
 
+def _count_reusable(planned: traffic.Planned) -> int:
+    """Counts the tokens of all messages but the one that is new."""
+    if not planned.returning or not planned.messages:
+        return 0
+    blocks = prefixes.split_prompt(planned.messages[:-1])
+    return sum(block.tokens for block in blocks)
+
+
 def _elapsed_ms(due: float) -> float:
     return round((time.monotonic() - due) * _MS_PER_S, 3)
 
--- a/mothpass/load/comparison.py
+++ b/mothpass/load/comparison.py
@@ -77,6 +77,8 @@
         yield f"codes.{code}", count
     if summary.cache_reuse is not None:
         yield "cache_reuse", summary.cache_reuse
+    if summary.cache_reuse_of_best is not None:
+        yield "cache_reuse_of_best", summary.cache_reuse_of_best
     yield from _list_spread("skew", summary.skew)
     yield "loads_over_bound", summary.loads_over_bound
     yield "loads_read", summary.loads_read
--- a/mothpass/load/report.py
+++ b/mothpass/load/report.py
@@ -78,6 +78,10 @@
     rows += [(str(fate), _read_fate(fate)) for fate in samples.Fate]
     rows += [
         ("cache reuse", lambda x: _show(x.cache_reuse)),
+        (
+            "cache reuse, share of the best possible",
+            lambda x: _show(x.cache_reuse_of_best),
+        ),
         ("skew p95", lambda x: _show(x.skew.p95 or None)),
         ("skew highest", lambda x: _show(x.skew.highest or None)),
         (
--- a/mothpass/load/samples.py
+++ b/mothpass/load/samples.py
@@ -49,6 +49,8 @@
         whole_ms: To the end of a whole answer.
         prompt_tokens: Tokens of the prompt.
         cached_tokens: Those of them that were cached.
+        reusable_tokens: Those of them that an engine which holds all that the
+            chat sent before has cached.
         returning: Whether the chat was sent before.
     """
 
@@ -66,6 +68,7 @@
     whole_ms: float | None = None
     prompt_tokens: int = 0
     cached_tokens: int = 0
+    reusable_tokens: int = 0
     returning: bool = False
 
 
@@ -209,6 +212,8 @@
         codes: Refusals by result code.
         cache_reuse: Cached share of the prompt tokens of returning chats;
             None without any.
+        cache_reuse_of_best: The same as a share of what an oracle would have
+            found cached.
         skew: Highest load of an engine over the mean, at each moment with a
             mean of at least one; count, p50, p95, p99 and highest.
         loads_over_bound: Moments at which an engine had more than the larger
@@ -224,6 +229,7 @@
     fates: dict[str, int]
     codes: dict[str, int] = {}
     cache_reuse: float | None = None
+    cache_reuse_of_best: float | None = None
     skew: Spread = Spread()
     loads_over_bound: int = 0
     loads_read: int = 0
@@ -261,6 +267,7 @@
         "_loads_read",
         "_prompt",
         "_requests",
+        "_reusable",
         "_skew",
         "_teams",
     )
@@ -273,6 +280,7 @@
         self._codes: dict[str, int] = {}
         self._prompt = 0
         self._cached = 0
+        self._reusable = 0
         self._skew: list[float] = []
         self._loads_over_bound = 0
         self._loads_read = 0
@@ -294,11 +302,13 @@
     def summarize(self) -> Summary:
         """Returns the summary of all lines taken in."""
         reuse = self._cached / self._prompt if self._prompt else None
+        of_best = self._cached / self._reusable if self._reusable else None
         return Summary(
             requests=self._requests,
             fates=dict(sorted(self._fates.items())),
             codes=dict(sorted(self._codes.items())),
             cache_reuse=reuse,
+            cache_reuse_of_best=of_best,
             skew=_spread_values(self._skew),
             loads_over_bound=self._loads_over_bound,
             loads_read=self._loads_read,
@@ -324,6 +334,7 @@
         if sample.returning and sample.fate is Fate.WHOLE:
             self._prompt += sample.prompt_tokens
             self._cached += sample.cached_tokens
+            self._reusable += sample.reusable_tokens
         _record(self._teams.setdefault(sample.team, _Timings()), sample)
         label = sample.service_class
         _record(self._classes.setdefault(label, _Timings()), sample)
--- a/tests/test_load_results.py
+++ b/tests/test_load_results.py
@@ -30,6 +30,7 @@
         "whole_ms": 30.0,
         "prompt_tokens": 100,
         "cached_tokens": 80,
+        "reusable_tokens": 90,
         "returning": True,
         **more,
     }
@@ -77,6 +78,7 @@
         path = self.write("a", [build_sample(), new, cut, other])
         summary = samples.summarize_file(path)
         self.assertEqual(summary.cache_reuse, 180 / 400)
+        self.assertEqual(summary.cache_reuse_of_best, 180 / 180)
 
     def test_histograms_by_team_and_class(self) -> None:
         slow = build_sample(team="lake", first_token_ms=1000.0)
--- a/tests/test_load_running.py
+++ b/tests/test_load_running.py
@@ -11,8 +11,10 @@
 
 import msgspec
 
+from mothpass.load import checks
 from mothpass.load import clients
 from mothpass.load import profiles
+from mothpass.load import recordings
 from mothpass.load import running
 from mothpass.load import samples
 from mothpass.load import traffic
@@ -212,6 +214,24 @@
         self.assertIs(result.verdict.fate, samples.Fate.LOST)
 
 
+class SampleTest(unittest.TestCase):
+    """Checks what of a prompt could have been cached."""
+
+    def test_all_but_the_new_message_is_reusable(self) -> None:
+        turns = ["a" * 400, "b" * 40]
+        for turn in range(2):
+            messages = recordings.build_messages(turns, turn, _TOKENS)
+            answer = sum(len(x.content) // 4 + 1 for x in messages[1:-1])
+            planned = msgspec.structs.replace(
+                CHAT, messages=messages, returning=turn > 0
+            )
+            verdict = checks.Verdict(fate=samples.Fate.WHOLE)
+            result = clients.Result(verdict=verdict)
+            sample = clients.build_sample(planned, "", result)
+            expected = 101 + answer if turn else 0
+            self.assertEqual(sample.reusable_tokens, expected)
+
+
 class OpenLoopTest(ServerCase):
     """Checks that the schedule holds and the bounds are kept."""
 
