--- a/tests/test_claims_live.py
+++ b/tests/test_claims_live.py
@@ -15,6 +15,10 @@
 _SLOW_MS = 1500
 # Time in which a call whose row is claimed reaches the service.
 _SEND_S = 0.4
+# Below the time after which the daemons hold an answer of the store for lost.
+_STORE_LATE_MS = 400
+_SHORT_MS = 600
+_FREEZE_TRIES = 10
 
 
 class PaymentsTest(unittest.TestCase):
@@ -152,6 +156,43 @@
         self.assertEqual(self.pay(self.second).body, running.join().body)
         self.assertEqual(self.count_runs(), 1)
 
+    def test_daemon_frozen_before_it_sends_sends_nothing_later(self) -> None:
+        running = self.freeze_after_claim()
+        answer = self.pay(self.second, deadline_ms=_SHORT_MS)
+        self.check_refused(answer, "IN_PROGRESS", "unknown")
+        time.sleep(_SHORT_MS / 1000)
+        self.first.thaw()
+        self.assertNotEqual(running.join().status, http_calls.OK)
+        self.assertEqual(self.count_runs(), 0)
+        processes.wait_until(
+            lambda: self.pay(self.second).status == http_calls.OK
+        )
+        self.assertEqual(self.count_runs(), 1)
+
+    def freeze_after_claim(self) -> "_Payment":
+        """Freezes the first daemon between its claim and its call.
+
+        The store answers the claim late, and the daemon is frozen meanwhile;
+        where that was too early or too late, another key is used.
+        """
+        self.addCleanup(self.first.thaw)
+        for attempt in range(_FREEZE_TRIES):
+            self.key = f"{self.key[:90]}-{attempt}"
+            claimed = self.count_claims() + 1
+            self.deployment.table.set_faults(late_ms=_STORE_LATE_MS)
+            payment = _Payment(
+                daemon=self.first, key=self.key, deadline_ms=2 * _SHORT_MS
+            )
+            payment.start()
+            time.sleep(_STORE_LATE_MS / 2000)
+            self.first.freeze()
+            self.deployment.table.clear_faults()
+            if self.count_claims() == claimed and self.count_runs() == 0:
+                return payment
+            self.first.thaw()
+            payment.wait()
+        raise AssertionError("the daemon was never frozen in between")
+
     def test_killed_daemon_leaves_unknown_and_no_second_run(self) -> None:
         daemon = self.deployment.add_daemon("d3")
         processes.wait_until(
@@ -168,10 +209,17 @@
 class _Payment:
     """A payment in the background."""
 
-    __slots__ = ("_answer", "_daemon", "_key", "_thread")
+    __slots__ = ("_answer", "_daemon", "_deadline_ms", "_key", "_thread")
 
-    def __init__(self, *, daemon: processes.Process, key: str) -> None:
+    def __init__(
+        self,
+        *,
+        daemon: processes.Process,
+        key: str,
+        deadline_ms: int = 10_000,
+    ) -> None:
         self._daemon = daemon
+        self._deadline_ms = deadline_ms
         self._key = key
         self._answer: http_calls.Answer | None = None
         self._thread = threading.Thread(target=self._run)
@@ -183,7 +231,9 @@
     def _run(self) -> None:
         """Pays; a daemon that dies gives no answer."""
         with contextlib.suppress(OSError):
-            self._answer = _pay(self._daemon, self._key)
+            self._answer = _pay(
+                self._daemon, self._key, deadline_ms=self._deadline_ms
+            )
 
     def wait(self) -> http_calls.Answer | None:
         """Returns the answer, None if there was none."""
