Warm a returning engine with a quarter of its chats

Change: of the chats that prefer a cold target a quarter, by hash, ask for a permit; the others stay where they are cached until it is warm, or until no warm target has room.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -3,6 +3,8 @@
 from collections import abc
 import random
 
+import msgspec
+
 from bench import engines
 from bench import fleet
 from mothpass.core import routing
@@ -126,3 +128,20 @@
         return _send(best, now)
 
     return choose
+
+
+def make_team_hash(teams: abc.Mapping[int, int]) -> fleet.Choose:
+    """Returns a choice that sends all chats of a team to one target.
+
+    Args:
+        teams: Team of each chat.
+    """
+
+    def choose(
+        router: routing.Router, request: routing.RouteRequest, now: float
+    ) -> routing.Choice:
+        assert request.chat is not None
+        whole = msgspec.structs.replace(request, chat=teams[request.chat])
+        return choose_hash(router, whole, now)
+
+    return choose
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -163,6 +163,7 @@
         leaving: Engines that the list shows as leaving.
         gone: Engines that the list doesn't show.
         hidden: Daemons that the list doesn't show.
+        teams: Team of each chat.
         watch: Called at each call of an engine, if set.
     """
 
@@ -182,6 +183,7 @@
         self.leaving: set[str] = set()
         self.gone: set[str] = set()
         self.hidden: set[str] = set()
+        self.teams: dict[int, int] = {}
         self.watch: abc.Callable[[Daemon, str], None] | None = None
         self.catalogue = make_catalogue(layout)
         self._choose: Choose | None = None
@@ -234,6 +236,7 @@
     def submit(self, turns: abc.Iterable[traffic.Turn]) -> None:
         """Has each request arrive at the next daemon that is up, in turn."""
         for turn in turns:
+            self.teams[turn.chat] = turn.team
             self.loop.call_at(turn.at, lambda turn=turn: self._arrive(turn))  # type: ignore[misc]
 
     def change_members(self) -> None:
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -31,6 +31,7 @@
 TELLS_BURST = 12.0
 TIGHT_ROOM = 8
 WAIT_S = 0.1
+WARM_UP_SHARE = 4
 RETRY_AFTER_MS = 1000
 CALL_LIMIT_MS = 600_000
 
@@ -446,7 +447,10 @@
                 continue
             usable.append(target)
             if target.is_cold():
-                choice = self._enter_cold(target, now) if place == 0 else None
+                # A prompt is read slowly there: the other chats stay where
+                # they are cached, and return once the target is warm.
+                first = place == 0 and chat % WARM_UP_SHARE == 0
+                choice = self._enter_cold(target, now) if first else None
             else:
                 choice = self._enter_warm(target, bound, rate, now)
             if choice is not None:
