--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -278,12 +278,12 @@
     def _list_members(self) -> members.Members:
         self._revision += 1
         instances = [
-            _make_instance(item.id, members.Role.DAEMON, number, False)
+            make_instance(item.id, members.Role.DAEMON, number)
             for number, item in enumerate(self.daemons)
             if not item.dead and item.id not in self.hidden
         ]
         instances += [
-            _make_instance(
+            make_instance(
                 item, members.Role.ENGINE, number, item in self.leaving
             )
             for number, item in enumerate(self.engines)
@@ -621,9 +621,13 @@
     )
 
 
-def _make_instance(
-    instance_id: str, role: members.Role, number: int, leaving: bool
+def make_instance(
+    instance_id: str,
+    role: members.Role,
+    number: int,
+    leaving: bool = False,
 ) -> members.Instance:
+    """Returns an entry of the membership list."""
     return members.Instance(
         id=instance_id,
         role=role,
--- a/mothpass/core/preference.py
+++ b/mothpass/core/preference.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-WINDOW = 64
+WINDOW = 32
 
 
 def hash_name(name: str) -> int:
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -27,6 +27,7 @@
 COLD_ASKS_PER_S_AT_GATE = 20.0
 COLD_ASK_INTERVAL_S = 0.25
 LOST_TOLD_S = 2.0
+REFRESH_S_PER_TARGET = 0.0001
 TELLS_PER_S = 6.0
 TELLS_BURST = 12.0
 TIGHT_ROOM = 8
@@ -111,10 +112,12 @@
         "_gates",
         "_instance_id",
         "_instances_out",
+        "_is_stale",
         "_peers",
         "_pools",
         "_random",
         "_rank",
+        "_refreshed_at",
         "_reserves",
         "_tells",
         "_zones_out",
@@ -155,6 +158,8 @@
         self._gates: dict[int, tuple[str, ...]] = {}
         self._instance_id = instance_id
         self._instances_out: frozenset[str] = frozenset()
+        self._is_stale = False
+        self._refreshed_at = float("-inf")
         self._zones_out: frozenset[str] = frozenset()
         self._peers = peer_counts.PeerCounts()
         self._pools: dict[str, pools.Pool] = {}
@@ -214,7 +219,6 @@
         self, records: abc.Iterable[targets.LoadRecord], *, now: float
     ) -> None:
         """Takes load reports in, own ones and those that peers pass on."""
-        del now
         changed = False
         for record in records:
             target = self.targets.get(record.target_id)
@@ -226,8 +230,8 @@
                 changed = changed or target.is_leaving() != was_leaving
         if changed:
             self._rebuild()
-        else:
-            self._refresh()
+        self._is_stale = True
+        self._refresh(now)
 
     def choose(self, request: RouteRequest, *, now: float) -> Choice:
         """Chooses what happens to a call now.
@@ -240,6 +244,7 @@
             A target, a permit to ask for, a wait, or a refusal where no
             target is known that could ever take the call.
         """
+        self._refresh(now)
         pool = self._pools.get(request.name)
         if pool is None or pool.members.keys() <= request.excluded:
             return _refuse_no_target(request.name)
@@ -359,7 +364,8 @@
         for target in self.targets.values():
             others = self._peers.total(target.id)
             target.record_counts(others, known_at=known_at)
-        self._refresh()
+        self._is_stale = True
+        self._refresh(now)
 
     def finish_call(
         self,
@@ -649,7 +655,13 @@
         pool.skew_multiple = skew_multiple
         self._pools[name] = pool
 
-    def _refresh(self) -> None:
+    def _refresh(self, now: float) -> None:
+        """Computes mean loads anew, less often the more targets there are."""
+        pause = len(self.targets) * REFRESH_S_PER_TARGET
+        if not self._is_stale or now - self._refreshed_at < pause:
+            return
+        self._is_stale = False
+        self._refreshed_at = now
         for pool in self._pools.values():
             pool.refresh()
 
