--- /dev/null
+++ b/tests/test_gates.py
@@ -0,0 +1,136 @@
+"""Tests for mothpass.core.gates."""
+
+import unittest
+
+from mothpass.core import catalogue
+from mothpass.core import cold
+from mothpass.core import gates
+
+START = catalogue.ColdStart(in_flight=4, answers_per_step=2, warm_in_flight=8)
+LATER = 1000.0
+
+
+def _make_gate(*, fresh: bool = True, taken_at: float = 0.0) -> gates.Gate:
+    return gates.Gate(
+        target_id="e0",
+        boot_id="b1",
+        fencing=7,
+        ramp=cold.Ramp(start=START),
+        taken_at=taken_at,
+        call_limit_ms=3000,
+        fresh=fresh,
+    )
+
+
+def _ask(
+    gate: gates.Gate,
+    now: float,
+    *,
+    boot_id: str = "b1",
+    lease_ends_at: float = LATER,
+) -> gates.Granted | gates.Denied:
+    request = gates.GrantRequest(target_id="e0", boot_id=boot_id, call_ms=3000)
+    return gate.grant(request, lease_ends_at=lease_ends_at, now=now)
+
+
+def _release(number: int, *, fencing: int = 7) -> gates.Release:
+    return gates.Release(
+        target_id="e0",
+        boot_id="b1",
+        source=gates.Source.GATE,
+        number=number,
+        fencing=fencing,
+        answered=True,
+    )
+
+
+class GrantTest(unittest.TestCase):
+    """Checks what a gate lets through."""
+
+    def test_grants_what_the_target_bears_less_the_reserve(self) -> None:
+        gate = _make_gate()
+        replies = [_ask(gate, 0.0) for _ in range(4)]
+        granted = [x for x in replies if isinstance(x, gates.Granted)]
+        self.assertEqual(len(granted), 3)
+        self.assertEqual(replies[3], gates.Denied(reason=gates.Reason.FULL))
+
+    def test_answers_earn_more_and_a_doubled_release_counts_once(
+        self,
+    ) -> None:
+        gate = _make_gate()
+        for _ in range(2):
+            _ask(gate, 0.0)
+        gate.release(_release(1))
+        gate.release(_release(1))
+        self.assertEqual(gate.ramp.bears, 4)
+        gate.release(_release(2))
+        self.assertEqual((gate.ramp.bears, gate.in_flight(0.0)), (5, 0))
+
+    def test_a_release_of_an_earlier_gate_changes_nothing(self) -> None:
+        gate = _make_gate()
+        _ask(gate, 0.0)
+        gate.release(_release(1, fencing=6))
+        self.assertEqual(gate.in_flight(0.0), 1)
+
+    def test_grants_nothing_once_its_lease_has_ended(self) -> None:
+        reply = _ask(_make_gate(), 5.0, lease_ends_at=5.0)
+        self.assertEqual(reply, gates.Denied(reason=gates.Reason.NOT_HOLDER))
+
+    def test_grants_nothing_for_another_start_of_the_target(self) -> None:
+        reply = _ask(_make_gate(), 0.0, boot_id="b2")
+        self.assertEqual(reply, gates.Denied(reason=gates.Reason.OTHER_BOOT))
+
+    def test_a_permit_without_a_release_counts_until_its_call_has_ended(
+        self,
+    ) -> None:
+        gate = _make_gate()
+        for _ in range(3):
+            _ask(gate, 0.0)
+        self.assertIsInstance(_ask(gate, 5.9), gates.Denied)
+        self.assertIsInstance(_ask(gate, 6.0), gates.Granted)
+
+
+class TakeoverTest(unittest.TestCase):
+    """Checks what a gate counts of the gate before it."""
+
+    def test_counts_calls_that_it_does_not_know_until_they_have_ended(
+        self,
+    ) -> None:
+        gate = _make_gate(fresh=False)
+        self.assertIsInstance(_ask(gate, 5.9), gates.Denied)
+        self.assertIsInstance(_ask(gate, 6.0), gates.Granted)
+
+    def test_a_report_shows_how_many_of_them_there_are(self) -> None:
+        gate = _make_gate(fresh=False)
+        gate.record_load(0, measured_at=0.9)
+        self.assertIsInstance(_ask(gate, 2.0), gates.Denied)
+        gate.record_load(2, measured_at=1.5)
+        self.assertIsInstance(_ask(gate, 2.0), gates.Granted)
+        self.assertIsInstance(_ask(gate, 2.0), gates.Denied)
+
+    def test_grants_nothing_while_the_target_carries_more_than_it_bears(
+        self,
+    ) -> None:
+        gate = _make_gate()
+        gate.record_load(9, measured_at=2.0)
+        self.assertIsInstance(_ask(gate, 2.0), gates.Denied)
+
+
+class PermitTest(unittest.TestCase):
+    """Checks the asking daemon's side."""
+
+    def test_the_deadline_counts_from_when_it_was_asked(self) -> None:
+        request = gates.GrantRequest(target_id="e0", boot_id="b1", call_ms=3000)
+        granted = gates.Granted(number=1, fencing=7, dispatch_ms=1000)
+        permit = gates.make_permit(request, granted, gate="d1", asked_at=50.0)
+        for boot_id, now, expected in (
+            ("b1", 50.9, True),
+            ("b1", 51.0, False),
+            ("b2", 50.9, False),
+        ):
+            found = gates.may_dispatch(permit, boot_id=boot_id, now=now)
+            self.assertEqual(found, expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_preference.py
@@ -0,0 +1,43 @@
+"""Tests for mothpass.core.preference."""
+
+import unittest
+
+from mothpass.core import preference
+
+CHATS = 3000
+
+
+class RingTest(unittest.TestCase):
+    """Checks the order of targets for many chats."""
+
+    def _list_firsts(self, count: int) -> list[str]:
+        ring = preference.Ring(ids=[f"e{i}" for i in range(count)])
+        return [ring.rank(chat)[0] for chat in range(CHATS)]
+
+    def test_a_new_target_moves_only_the_chats_that_it_gets(self) -> None:
+        before = self._list_firsts(5)
+        after = self._list_firsts(6)
+        moved = {b for a, b in zip(before, after, strict=True) if a != b}
+        self.assertEqual(moved, {"e5"})
+
+    def test_chats_spread_evenly_over_few_targets(self) -> None:
+        firsts = self._list_firsts(5)
+        for name in set(firsts):
+            self.assertAlmostEqual(firsts.count(name) / CHATS, 0.2, delta=0.03)
+
+    def test_many_targets_move_few_chats_when_one_is_new(self) -> None:
+        before = self._list_firsts(200)
+        after = self._list_firsts(201)
+        moved = sum(a != b for a, b in zip(before, after, strict=True))
+        self.assertLess(moved / CHATS, 4 / 200)
+
+    def test_a_rank_names_no_target_twice(self) -> None:
+        ring = preference.Ring(ids=[f"e{i}" for i in range(200)])
+        for chat in range(100):
+            found = ring.rank(chat)
+            self.assertEqual(len(found), preference.WINDOW)
+            self.assertEqual(len(set(found)), preference.WINDOW)
+
+
+if __name__ == "__main__":
+    unittest.main()
