Split pools and asks of gates from the router

Change: core/pool_table.py (what may take work) and core/gate_asks.py (whom to ask, how often); no behaviour changes.

--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -13,21 +13,18 @@
 
 from mothpass.core import buckets
 from mothpass.core import catalogue as catalogue_module
-from mothpass.core import cold
 from mothpass.core import errors
-from mothpass.core import gate_table
+from mothpass.core import gate_asks
 from mothpass.core import gates
 from mothpass.core import peer_counts
+from mothpass.core import pool_table
 from mothpass.core import pools
 from mothpass.core import reserves
 from mothpass.core import results
 from mothpass.core import targets
 from mothpass.ports import members as members_port
 
-COLD_ASKS_PER_S_AT_GATE = 20.0
-COLD_ASK_INTERVAL_S = 0.25
 LOST_TOLD_S = 2.0
-REFRESH_S_PER_TARGET = 0.0001
 TELLS_PER_S = 6.0
 TELLS_BURST = 12.0
 TIGHT_ROOM = 8
@@ -108,19 +105,14 @@
     """
 
     __slots__ = (
-        "_catalogue",
-        "_gates",
+        "_asks",
         "_instance_id",
-        "_instances_out",
-        "_is_stale",
         "_peers",
         "_pools",
         "_random",
         "_rank",
-        "_refreshed_at",
         "_reserves",
         "_tells",
-        "_zones_out",
         "daemons",
         "targets",
         "tell_now",
@@ -154,15 +146,10 @@
         self._tells = buckets.TokenBucket(
             rate=TELLS_PER_S, burst=TELLS_BURST, now=started_at
         )
-        self._catalogue: catalogue_module.Catalogue | None = None
-        self._gates: dict[int, tuple[str, ...]] = {}
+        self._asks = gate_asks.GateAsks(random=random)
         self._instance_id = instance_id
-        self._instances_out: frozenset[str] = frozenset()
-        self._is_stale = False
-        self._refreshed_at = float("-inf")
-        self._zones_out: frozenset[str] = frozenset()
         self._peers = peer_counts.PeerCounts()
-        self._pools: dict[str, pools.Pool] = {}
+        self._pools = pool_table.PoolTable(known=self.targets)
         self._random = random
         self._rank = 0
         self._reserves = reserves.ReserveTable(
@@ -178,14 +165,7 @@
     ) -> None:
         """Takes a version of the catalogue into force for new choices."""
         del now
-        self._catalogue = catalogue
-        self._instances_out = frozenset(catalogue.instances_out)
-        self._zones_out = frozenset(
-            zone.name for zone in catalogue.availability_zones if zone.out
-        )
-        for target in self.targets.values():
-            self._set_cold_start(target)
-        self._rebuild()
+        self._pools.set_catalogue(catalogue)
 
     def set_members(self, members: members_port.Members, *, now: float) -> None:
         """Takes the membership list in."""
@@ -196,7 +176,11 @@
             del self.targets[gone]
             self._reserves.forget(gone)
         for item in listed.values():
-            self._set_instance(item)
+            known = self.targets.get(item.id)
+            if known is None:
+                self.targets[item.id] = targets.Target(instance=item)
+            else:
+                known.instance = item
         live = {
             item.id
             for item in members.instances
@@ -205,15 +189,8 @@
         self.daemons = sorted(live | {self._instance_id})
         self._rank = self.daemons.index(self._instance_id)
         self._peers.keep(self.daemons)
-        self._gates = {
-            number: tuple(
-                gate_table.rank_daemons(number, self.daemons)[
-                    : gate_table.GATES_ASKED
-                ]
-            )
-            for number in range(gate_table.PARTITIONS)
-        }
-        self._rebuild()
+        self._asks.set_daemons(self.daemons)
+        self._pools.rebuild()
 
     def record_loads(
         self, records: abc.Iterable[targets.LoadRecord], *, now: float
@@ -229,9 +206,8 @@
                 self._reserves.record_load(target, record)
                 changed = changed or target.is_leaving() != was_leaving
         if changed:
-            self._rebuild()
-        self._is_stale = True
-        self._refresh(now)
+            self._pools.rebuild()
+        self._pools.note_loads(now)
 
     def choose(self, request: RouteRequest, *, now: float) -> Choice:
         """Chooses what happens to a call now.
@@ -244,8 +220,8 @@
             A target, a permit to ask for, a wait, or a refusal where no
             target is known that could ever take the call.
         """
-        self._refresh(now)
-        pool = self._pools.get(request.name)
+        self._pools.refresh(now)
+        pool = self._pools.find(request.name)
         if pool is None or pool.members.keys() <= request.excluded:
             return _refuse_no_target(request.name)
         if request.alone:
@@ -280,10 +256,8 @@
             self._give_back(permit)
             return False
         target.start_call(now)
-        for name in target.instance.serves:
-            pool = self._pools.get(name)
-            if pool is not None:
-                pool.record_start(now)
+        for pool in self._pools.list_served(target):
+            pool.record_start(now)
         if target.cold_start is not None:
             room = self.find_bound(target_id) - target.load
             if room <= TIGHT_ROOM:
@@ -364,8 +338,7 @@
         for target in self.targets.values():
             others = self._peers.total(target.id)
             target.record_counts(others, known_at=known_at)
-        self._is_stale = True
-        self._refresh(now)
+        self._pools.note_loads(now)
 
     def finish_call(
         self,
@@ -405,35 +378,25 @@
 
     def bound(self, name: str) -> int:
         """Returns the load that no warm target of a model may exceed."""
-        pool = self._pools.get(name)
+        pool = self._pools.find(name)
         return pool.bound() if pool is not None else 0
 
     def find_bound(self, target_id: str) -> int:
-        """Returns the load that a warm target must not exceed.
+        """Returns the load up to which a warm target takes calls.
 
-        Of several models the largest bound counts; 0 for a target that is
-        not known.
+        Of several models the largest counts; 0 for an unknown target.
         """
         target = self.targets.get(target_id)
-        if target is None:
-            return 0
-        served = [self._pools.get(name) for name in target.instance.serves]
-        bounds = [pool.watermark() for pool in served if pool is not None]
-        return max(bounds, default=0)
+        return self._pools.find_watermark(target) if target is not None else 0
 
     def rank(self, name: str, chat: int) -> list[str]:
         """Returns a chat's order of preference among what may take work."""
-        pool = self._pools.get(name)
+        pool = self._pools.find(name)
         return pool.ring.rank(chat) if pool is not None else []
 
     def may_take_work(self, target: targets.Target) -> bool:
         """Tells whether neither operators nor the target itself forbid it."""
-        if target.is_leaving() or self._catalogue is None:
-            return False
-        instance = target.instance
-        if instance.id in self._instances_out:
-            return False
-        return instance.availability_zone not in self._zones_out
+        return self._pools.may_take_work(target)
 
     def _tell_now(self, now: float) -> None:
         """Has the counts sent at once, as far as the budget goes."""
@@ -479,13 +442,15 @@
         return _send(target) if target.growth < part else None
 
     def _ask(
-        self, target: targets.Target, count: int, *, alone: bool = False
-    ) -> AskPermit:
-        partition = gate_table.find_partition(target.id)
+        self, target: targets.Target, now: float, *, alone: bool = False
+    ) -> AskPermit | None:
+        """Returns what to ask the target's gates, None if not now."""
+        if not self._asks.try_ask(target, now):
+            return None
         return AskPermit(
             target_id=target.id,
             boot_id=target.boot_id,
-            gates=self._gates.get(partition, ())[:count],
+            gates=self._asks.find_gates(target.id),
             alone=alone,
         )
 
@@ -523,16 +488,13 @@
         self, pool: pools.Pool, request: RouteRequest, now: float
     ) -> Choice:
         """Chooses the least loaded warm target whose gate may be asked."""
-        open_targets = [
-            item
-            for item in self._list_usable(pool, request, now)
-            if not item.is_cold() and item.boot_id and now >= item.ask_after
-        ]
-        if not open_targets:
-            return Wait(until=now + WAIT_S)
-        target = min(open_targets, key=lambda item: item.load)
-        target.ask_after = now + self._ask_interval()
-        return self._ask(target, gate_table.GATES_ASKED, alone=True)
+        usable = self._list_usable(pool, request, now)
+        warm = [item for item in usable if not item.is_cold()]
+        for target in sorted(warm, key=lambda item: item.load):
+            ask = self._ask(target, now, alone=True)
+            if ask is not None:
+                return ask
+        return Wait(until=now + WAIT_S)
 
     def _list_usable(
         self, pool: pools.Pool, request: RouteRequest, now: float
@@ -564,21 +526,7 @@
         permit = self._reserves.take(target, now)
         if permit is not None:
             return _send(target, permit)
-        if now < target.ask_after or not target.boot_id:
-            return None
-        if target.is_suspected():
-            return None
-        target.ask_after = now + self._ask_interval()
-        return self._ask(target, gate_table.GATES_ASKED)
-
-    def _ask_interval(self) -> float:
-        """Returns a time between asks that many daemons do not keep step in.
-
-        It grows with the count of daemons, so that what one gate is asked
-        does not.
-        """
-        fair = len(self.daemons) / COLD_ASKS_PER_S_AT_GATE
-        return max(COLD_ASK_INTERVAL_S, fair) * self._random.uniform(0.75, 1.25)
+        return None if target.is_suspected() else self._ask(target, now)
 
     def _check_permit(
         self, target: targets.Target, permit: gates.Permit, now: float
@@ -604,67 +552,6 @@
             return True
         return target.load > self.find_bound(target.id)
 
-    def _set_instance(self, instance: members_port.Instance) -> None:
-        known = self.targets.get(instance.id)
-        if known is not None:
-            known.instance = instance
-            return
-        target = targets.Target(instance=instance)
-        self._set_cold_start(target)
-        self.targets[instance.id] = target
-
-    def _set_cold_start(self, target: targets.Target) -> None:
-        if self._catalogue is not None:
-            target.cold_start = cold.find_cold_start(
-                self._catalogue, target.instance.serves
-            )
-
-    def _rebuild(self) -> None:
-        """Builds the pools anew, after what may take work has changed."""
-        if self._catalogue is None:
-            return
-        old = self._pools
-        self._pools = {}
-        for model in self._catalogue.models:
-            self._add_pool(
-                old, model.name, model.target_in_flight, model.skew_multiple
-            )
-        for service in self._catalogue.services:
-            self._add_pool(old, service.name, service.target_in_flight, None)
-        members: dict[str, list[targets.Target]] = {}
-        for target in self.targets.values():
-            if self.may_take_work(target):
-                for name in target.instance.serves:
-                    members.setdefault(name, []).append(target)
-        for name, pool in self._pools.items():
-            pool.set_members(members.get(name, []))
-
-    def _add_pool(
-        self,
-        old: dict[str, pools.Pool],
-        name: str,
-        target_in_flight: int,
-        skew_multiple: float | None,
-    ) -> None:
-        pool = old.get(name)
-        if pool is None:
-            pool = pools.Pool(
-                name=name, target_in_flight=1, skew_multiple=skew_multiple
-            )
-        pool.target_in_flight = target_in_flight
-        pool.skew_multiple = skew_multiple
-        self._pools[name] = pool
-
-    def _refresh(self, now: float) -> None:
-        """Computes mean loads anew, less often the more targets there are."""
-        pause = len(self.targets) * REFRESH_S_PER_TARGET
-        if not self._is_stale or now - self._refreshed_at < pause:
-            return
-        self._is_stale = False
-        self._refreshed_at = now
-        for pool in self._pools.values():
-            pool.refresh()
-
 
 def _is_open(target: targets.Target, now: float) -> bool:
     """Tells whether no failure keeps calls away from a target for now."""
