Start an answer anew elsewhere where it is wanted whole

Cause: an answer that broke after its first events ended in ANSWER_INCOMPLETE also where the caller wanted it whole, and so had seen nothing of it. Change: retries go on until there is something to show: the first events of a stream, or all events of a whole answer. Ruled out: keeping events to compare two runs; models differ between them.

--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -25,6 +25,7 @@
         attempts: Attempts that were sent.
         claim_known: Whether the claim of a call that may not be repeated has
             been looked up, so that a refusal can tell whether it ran.
+        first_at: Monotonic seconds at which the first events came.
         may_have_run: Whether one of them ended without a known result.
         sent_at: Monotonic seconds at which the last one was sent.
     """
@@ -32,6 +33,7 @@
     __slots__ = (
         "attempts",
         "claim_known",
+        "first_at",
         "may_have_run",
         "sent_at",
         "target_id",
@@ -42,6 +44,7 @@
         self.target_id = ""
         self.attempts = 0
         self.claim_known = False
+        self.first_at: float | None = None
         self.may_have_run = False
         self.sent_at: float | None = None
 
@@ -183,9 +186,10 @@
         """Returns the events of an attempt, see ``resumption``."""
         return resumption.follow_attempt(self._ports, run.attempt, run.stream)
 
-    def note_first_token(self, run: Run) -> None:
+    def note_first_token(self, run: Run, trace: Trace) -> None:
         """Takes in that the first events of an attempt have come."""
         now = self._ports.clock()
+        trace.first_at = now
         self._router.record_first_token(
             run.place.target_id,
             first_token_ms=(now - run.sent_at) * 1000,
--- a/mothpass/daemon/callers.py
+++ b/mothpass/daemon/callers.py
@@ -245,23 +245,12 @@
     ) -> blacksheep.Response:
         # The first events come before the status, so that a request that
         # fails before them gets an error answer of its own.
-        begun = await self._dispatcher.start_stream(call, record.trace)
-        record.first_at = self._clock()
+        begun = await self._dispatcher.start_answer(call, record.trace)
         if call.stream:
             record.caller.call_at_end(lambda: self._end_stream(record, begun))
             return _respond_events(self._show_events(record, begun), record)
-        try:
-            events = list(begun.first)
-            async for batch in begun.batches:
-                events.extend(batch)
-        except errors.RefusalError:
-            raise
-        except errors.MothpassError as error:
-            refusal = begun.fail(error, self._clock())
-            raise errors.RefusalError(refusal) from error
-        finally:
-            await begun.close()
-        body = answers.encode_whole(events)
+        await begun.close()
+        body = answers.encode_whole(begun.first)
         self._end(record, results.Code.OK)
         return caller_messages.respond(200, body, record.request_id)
 
--- a/mothpass/daemon/dispatch.py
+++ b/mothpass/daemon/dispatch.py
@@ -75,21 +75,22 @@
         self._budgets: dict[str, retries.RetryBudget] = {}
         self.retried = 0
 
-    async def start_stream(
+    async def start_answer(
         self, call: calls.Call, trace: attempts.Trace
     ) -> answering.Answering:
-        """Waits for the first events of a model's answer.
+        """Waits until there is something of a model's answer to show.
 
-        Only until then may another target be tried: answers of models differ
-        from one run to the next, so that a caller who has seen a part can't be
-        given the rest of another.
+        That is its first events where the caller wants a stream, else all of
+        them. Only until then may another target be tried: answers of models
+        differ from one run to the next, so that a caller who has seen a part
+        can't be given the rest of another.
 
         Raises:
             errors.RefusalError: If there is no answer.
         """
         admission = self._admit(call, trace)
         try:
-            run, batches, first = await self._find_answer(call, trace)
+            run, batches, events = await self._find_answer(call, trace)
         except BaseException:
             admission.close()
             raise
@@ -97,7 +98,7 @@
             run=run,
             runner=self._parts.runner,
             batches=batches,
-            first=first,
+            first=events,
             admission=admission,
             budget=self._find_budget(call),
         )
@@ -142,7 +143,7 @@
     async def _find_answer(
         self, call: calls.Call, trace: attempts.Trace
     ) -> tuple[attempts.Run, answering.Batches, list[targets.Event]]:
-        """Tries targets until one begins to answer."""
+        """Tries targets until one has answered as far as is needed."""
         runner = self._parts.runner
         excluded: frozenset[str] = frozenset()
         while True:
@@ -150,7 +151,11 @@
             run = runner.start(call, place, trace, runner.name_attempt())
             batches = runner.follow(run)
             try:
-                first = await anext(batches)
+                events = await anext(batches)
+                runner.note_first_token(run, trace)
+                if not call.stream:
+                    async for batch in batches:
+                        events.extend(batch)
             except errors.MothpassError as error:
                 runner.end(run, error)
                 await self._prepare_retry(call, trace, error)
@@ -162,8 +167,7 @@
                 runner.end(run, None)
                 raise
             else:
-                runner.note_first_token(run)
-                return run, batches, first
+                return run, batches, events
 
     async def _call_repeatable(
         self, call: calls.Call, trace: attempts.Trace
--- a/mothpass/daemon/records.py
+++ b/mothpass/daemon/records.py
@@ -18,7 +18,6 @@
         headers: Headers that it depends on.
         call: The request once it has been read.
         code: How a streamed answer has ended.
-        first_at: Monotonic seconds of the first events, None before them.
         started_at: Monotonic seconds at which the request came.
         trace: Its attempts.
     """
@@ -27,7 +26,6 @@
         "call",
         "caller",
         "code",
-        "first_at",
         "headers",
         "started_at",
         "trace",
@@ -46,7 +44,6 @@
         self.started_at = started_at
         self.call: calls.Call | None = None
         self.code = results.Code.CALLER_GONE
-        self.first_at: float | None = None
         self.trace = attempts.Trace()
 
     @property
@@ -65,7 +62,7 @@
             target=self.trace.target_id,
             code=code,
             attempts=self.trace.attempts,
-            first_token_ms=self._measure_ms(self.first_at),
+            first_token_ms=self._measure_ms(self.trace.first_at),
             whole_ms=(now - self.started_at) * 1000,
             added_ms=self._measure_ms(self.trace.sent_at),
         )
--- a/tests/daemon_parts.py
+++ b/tests/daemon_parts.py
@@ -320,7 +320,11 @@
 
 
 def make_call(
-    name: str = "advice", *, deadline_ms: int = 5000, key: str | None = None
+    name: str = "advice",
+    *,
+    deadline_ms: int = 5000,
+    key: str | None = None,
+    stream: bool = True,
 ) -> calls.Call:
     """Returns a call of a model or service."""
     now = time.monotonic()
@@ -335,6 +339,7 @@
         path="/v1/chat/completions",
         body=b"{}",
         chat=7 if name == "advice" else 0,
+        stream=stream,
         repeatable=name != "payment",
         idempotency_key=key,
         kept_ms=0 if key is None else 60_000,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -34,7 +34,7 @@
 
     async def _read(self, call: calls.Call | None = None) -> list[int]:
         """Returns the positions of an answer's events."""
-        answering = await self.daemon.dispatcher.start_stream(
+        answering = await self.daemon.dispatcher.start_answer(
             call or daemon_parts.make_call(), self.trace
         )
         try:
@@ -123,6 +123,15 @@
         self.assertNotEqual(first.target_id, second.target_id)
         self.assertNotEqual(first.id, second.id)
 
+    async def test_starts_anew_where_an_answer_is_wanted_whole(self) -> None:
+        self.scripted.streams = [
+            [daemon_parts.make_batch(0), _LOST],
+            [daemon_parts.make_batch(0, 1, last=1)],
+        ]
+        self.scripted.resumes = [[errors.AttemptUnknownError("boot")]]
+        call = daemon_parts.make_call(stream=False)
+        self.assertEqual(await self._read(call), [0, 1])
+
     async def test_goes_elsewhere_where_a_target_refuses(self) -> None:
         self.scripted.streams = [
             [errors.TargetRefusedError("full")],
@@ -184,7 +193,7 @@
         entries = daemon_parts.build_catalogue(team_in_flight=1)
         self.daemon = daemon_parts.Daemon(entries=entries)
         self.daemon.scripted.streams = [[daemon_parts.make_batch(0)]]
-        answering = await self.daemon.dispatcher.start_stream(
+        answering = await self.daemon.dispatcher.start_answer(
             daemon_parts.make_call(), self.trace
         )
         refusal = await self._refuse()
