Bound what a client may send after its request was refused

Cause: the rest of a refused body was taken without end, headers after a body were kept, and a connection whose body had not come in time stayed open. Change: 16 MB are discarded at most; headers after a body are dropped; a refusal for a cut body asks for the connection to be closed. Ruled out: closing at once after 413, which resets a client that still sends, before it has read the refusal.

--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -21,6 +21,9 @@
 HEADER_TIMEOUT_MS = 10_000
 # Time that a client may leave an answer unread while more of it waits.
 UNREAD_TIMEOUT_MS = 30_000
+# Rest of a body that is taken, unused, after its request was refused, so that
+# a client that is still sending gets to read the refusal.
+DISCARD_LIMIT_BYTES = 16_777_216
 KEEP_ALIVE_S = 5
 # Encodes a refusal as the body of an answer.
 EncodeRefusal = abc.Callable[[errors.Refusal], bytes]
@@ -70,6 +73,7 @@
         """Starts a connection of a listener."""
         super().__init__(config, state, {})
         self._bounds = bounds
+        self._discarded_bytes = 0
         self._header_bytes = 0
         self._in_headers = True
         self._refused = False
@@ -128,6 +132,11 @@
         if self._header_timer is None:
             self._start_header_timer()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header; those that follow a body are of no use."""
+        if self._in_headers:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Starts the application, unless the headers are too large."""
         self._in_headers = False
@@ -145,9 +154,15 @@
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
-        """Takes a part of a body."""
-        if not self._refused:
-            super().on_body(body)
+        """Takes a part of a body, for some time also of a refused one."""
+        if self._refused:
+            return
+        if self.cycle.response_complete:
+            self._discarded_bytes += len(body)
+            if self._discarded_bytes > DISCARD_LIMIT_BYTES:
+                self.transport.abort()
+            return
+        super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Takes the end of a request."""
--- a/mothpass/daemon/caller_messages.py
+++ b/mothpass/daemon/caller_messages.py
@@ -99,6 +99,9 @@
     body = answers.encode_refusal(refusal, request_id)
     status = results.http_status(refusal.code)
     response = respond(status, body, request_id)
+    if refusal.code is results.Code.BODY_INCOMPLETE:
+        # The rest of the body would be taken for the next request.
+        response.add_header(b"Connection", b"close")
     for name, value in answers.list_refusal_headers(refusal):
         response.add_header(name, value)
     return response
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -13,6 +13,7 @@
 from mothpass.core import errors
 from mothpass.core import results
 from mothpass.daemon import answers
+from mothpass.daemon import caller_messages
 from mothpass.daemon import callers
 from mothpass.daemon import telemetry
 from tests import daemon_parts
@@ -199,6 +200,37 @@
             )
             self._check_error(answer, results.Code.BODY_INCOMPLETE)
 
+    async def test_body_that_does_not_come(self) -> None:
+        patch = mock.patch.object(caller_messages, "BODY_TIMEOUT_MS", 30)
+        patch.start()
+        self.addCleanup(patch.stop)
+        async with asyncio.timeout(5):
+            answer = await self._send(
+                b"POST /v1/services/log HTTP/1.1\r\nHost: x\r\n"
+                b"Authorization: Bearer "
+                + daemon_parts.KEY.encode()
+                + b"\r\nContent-Length: 100\r\n\r\n{}"
+            )
+        self._check_error(answer, results.Code.BODY_INCOMPLETE)
+
+    async def test_endless_body_that_was_refused(self) -> None:
+        patch = mock.patch.object(http_listener, "DISCARD_LIMIT_BYTES", 4096)
+        patch.start()
+        self.addCleanup(patch.stop)
+        _, writer = await asyncio.open_connection(
+            "127.0.0.1", self.listener.port
+        )
+        writer.write(
+            b"POST /v1/services/log HTTP/1.1\r\nHost: x\r\n"
+            b"Content-Length: 999999999\r\n\r\n"
+        )
+        with self.assertRaises(ConnectionError):
+            async with asyncio.timeout(5):
+                while True:
+                    writer.write(b"x" * 1024)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+
     async def test_too_many_connections(self) -> None:
         held = [
             await asyncio.open_connection("127.0.0.1", self.listener.port)
