Exit with 2 where the daemon's command line has a fault

Cause: an option that there is none ended with status 1, which stands for an address that can't be listened at; the usage named a command that isn't typed. Change: status 2, and the program's own name. Ruled out: nothing.

--- a/mothpass/programs/mothpassd.py
+++ b/mothpass/programs/mothpassd.py
@@ -4,6 +4,7 @@
 import pathlib
 import sys
 
+from cleo import exceptions
 import cleo.application
 import cleo.commands.command
 import cleo.helpers
@@ -22,7 +23,7 @@
 class DaemonCommand(cleo.commands.command.Command):
     """Runs a daemon until SIGTERM, then shuts it down gracefully."""
 
-    name = "run"
+    name = "mothpassd"
     description = "Runs one daemon until SIGTERM."
     arguments = [  # noqa: RUF012
         cleo.helpers.argument("settings", "JSON file.", optional=True)
@@ -63,10 +64,15 @@
     """Runs the command line and returns its exit status."""
     application = cleo.application.Application("mothpassd")
     application.auto_exits(False)
+    application.catch_exceptions(False)
     application.add(DaemonCommand())
     # There is one command, so that its name isn't typed.
     words = [sys.argv[0], DaemonCommand.name, *sys.argv[1:]]
-    return int(application.run(argv_input.ArgvInput(words)))
+    try:
+        return int(application.run(argv_input.ArgvInput(words)))
+    except exceptions.CleoError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
 
 
 if __name__ == "__main__":
--- a/tests/test_mothpassd.py
+++ b/tests/test_mothpassd.py
@@ -62,6 +62,11 @@
         self.assertEqual(ended.returncode, 2)
         self.assertIn("No such file", ended.stderr)
 
+    def test_names_an_option_that_it_does_not_have(self) -> None:
+        ended = self._run("--nope")
+        self.assertEqual(ended.returncode, 2)
+        self.assertIn("--nope", ended.stderr)
+
     def test_fails_where_an_address_is_taken(self) -> None:
         with socket.socket() as taken:
             taken.bind(("127.0.0.1", 0))
