Give the places of calls a module of their own

Change: the place at a target and the refusals of calls without one stand in daemon/places.py. Ruled out: nothing.

--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -13,6 +13,7 @@
 from mothpass.daemon import calls
 from mothpass.daemon import deaths
 from mothpass.daemon import placement
+from mothpass.daemon import places
 from mothpass.daemon import resumption
 from mothpass.ports import targets
 
@@ -68,7 +69,7 @@
         *,
         attempt: targets.Attempt,
         call: calls.Call,
-        place: placement.Place,
+        place: places.Place,
         boot_id: str,
         sent_at: float,
     ) -> None:
@@ -155,7 +156,7 @@
     def start(
         self,
         call: calls.Call,
-        place: placement.Place,
+        place: places.Place,
         trace: Trace,
         attempt_id: str,
     ) -> Run:
@@ -202,7 +203,7 @@
     async def call(
         self,
         call: calls.Call,
-        place: placement.Place,
+        place: places.Place,
         trace: Trace,
         attempt_id: str,
     ) -> targets.Answer:
@@ -296,7 +297,7 @@
 
 
 def _build_attempt(
-    call: calls.Call, place: placement.Place, attempt_id: str
+    call: calls.Call, place: places.Place, attempt_id: str
 ) -> targets.Attempt:
     return targets.Attempt(
         id=attempt_id,
--- a/mothpass/daemon/dispatch.py
+++ b/mothpass/daemon/dispatch.py
@@ -18,6 +18,7 @@
 from mothpass.daemon import calls
 from mothpass.daemon import claims
 from mothpass.daemon import placement
+from mothpass.daemon import places
 from mothpass.ports import clock
 from mothpass.ports import targets
 
@@ -247,7 +248,7 @@
 
     async def _place(
         self, call: calls.Call, trace: attempts.Trace, excluded: frozenset[str]
-    ) -> placement.Place:
+    ) -> places.Place:
         """Finds a target, unless the request is known to crash targets."""
         alone = await self._settle_suspicion(call, trace)
         try:
--- a/mothpass/daemon/placement.py
+++ b/mothpass/daemon/placement.py
@@ -10,24 +10,16 @@
 from mothpass.core import fairness
 from mothpass.core import gates
 from mothpass.core import limits
-from mothpass.core import results
 from mothpass.core import routing
 from mothpass.core import targets
 from mothpass.daemon import calls
+from mothpass.daemon import places
 from mothpass.ports import clock
 
 # Calls that are looked at, past one that has to wait, for one that hasn't.
 LOOK_AHEAD = 8
-RETRY_AFTER_MS = 1000
 ROUTE_AGAIN_MS = 20
 
-_SURELY_ENDED = (
-    targets.Outcome.ANSWERED,
-    targets.Outcome.FAILED,
-    targets.Outcome.REFUSED,
-    targets.Outcome.UNREACHABLE,
-)
-
 # Asks the gates of a cold target for a permit until a deadline in monotonic
 # seconds; None where none was given.
 AcquirePermit = abc.Callable[
@@ -38,20 +30,6 @@
 ReleasePermit = abc.Callable[[gates.Permit, targets.Outcome], None]
 
 
-class Place(msgspec.Struct, frozen=True, kw_only=True):
-    """A target that takes a call now; the call is counted there.
-
-    Attributes:
-        target_id: The target.
-        address: ``ip:port`` of it.
-        permit: Permit for a cold target, None for a warm one.
-    """
-
-    target_id: str
-    address: str
-    permit: gates.Permit | None
-
-
 class _Waiting(msgspec.Struct, kw_only=True):
     """A call in a queue.
 
@@ -63,7 +41,7 @@
 
     ticket: fairness.Ticket
     request: routing.RouteRequest
-    future: asyncio.Future[Place | routing.AskPermit]
+    future: asyncio.Future[places.Place | routing.AskPermit]
 
 
 class Placement:
@@ -115,7 +93,7 @@
 
     async def place(
         self, call: calls.Call, *, excluded: frozenset[str], alone: bool
-    ) -> Place:
+    ) -> places.Place:
         """Waits until a target takes a call.
 
         The caller ends the place with ``finish``.
@@ -132,9 +110,9 @@
         )
         while True:
             if self._clock() >= call.deadline:
-                raise errors.RefusalError(_refuse_late())
+                raise errors.RefusalError(places.refuse_late())
             chosen = await self._choose(call, request)
-            if isinstance(chosen, Place):
+            if isinstance(chosen, places.Place):
                 return chosen
             place = await self._ask(chosen, call)
             if place is not None:
@@ -142,7 +120,7 @@
 
     def finish(
         self,
-        place: Place,
+        place: places.Place,
         outcome: targets.Outcome,
         *,
         boot_id: str | None,
@@ -163,11 +141,11 @@
             boot_id=boot_id,
         )
         permit = place.permit
-        if permit is not None and _may_release(permit, outcome):
+        if permit is not None and places.may_release(permit, outcome):
             self._release(permit, outcome)
         self.wake()
 
-    def end_trial(self, place: Place) -> None:
+    def end_trial(self, place: places.Place) -> None:
         """Lets another suspect be tried at the target of a cleared one."""
         permit = place.permit
         if permit is not None and permit.source is gates.Source.TRIAL:
@@ -181,7 +159,7 @@
 
     async def _choose(
         self, call: calls.Call, request: routing.RouteRequest
-    ) -> Place | routing.AskPermit:
+    ) -> places.Place | routing.AskPermit:
         """Chooses at once where nobody waits, else in turn."""
         queue = self._find_queue(call.name)
         if not len(queue):
@@ -198,7 +176,7 @@
         call: calls.Call,
         request: routing.RouteRequest,
         queue: fairness.FairQueue,
-    ) -> Place | routing.AskPermit:
+    ) -> places.Place | routing.AskPermit:
         ticket = fairness.Ticket(
             id=next(self._ids),
             team=call.team,
@@ -206,20 +184,20 @@
             priority=call.priority,
             deadline=call.deadline,
         )
-        future: asyncio.Future[Place | routing.AskPermit] = (
+        future: asyncio.Future[places.Place | routing.AskPermit] = (
             asyncio.get_running_loop().create_future()
         )
         waiting = _Waiting(ticket=ticket, request=request, future=future)
         self._waiting[ticket.id] = waiting
         for shed in queue.offer(ticket):
-            self._refuse(self._waiting[shed.id], _refuse_full())
+            self._refuse(self._waiting[shed.id], places.refuse_full())
         chosen = None
         try:
             async with asyncio.timeout_at(call.deadline):
                 chosen = await future
                 return chosen
         except TimeoutError:
-            raise errors.RefusalError(_refuse_late()) from None
+            raise errors.RefusalError(places.refuse_late()) from None
         finally:
             queue.cancel(ticket.id)
             self._waiting.pop(ticket.id, None)
@@ -227,18 +205,18 @@
                 self._take_back(future)
 
     def _take_back(
-        self, future: asyncio.Future[Place | routing.AskPermit]
+        self, future: asyncio.Future[places.Place | routing.AskPermit]
     ) -> None:
         """Frees the place of a call that went away as it was placed."""
         if not future.done() or future.cancelled() or future.exception():
             return
         place = future.result()
-        if isinstance(place, Place):
+        if isinstance(place, places.Place):
             self.finish(place, targets.Outcome.CANCELLED, boot_id=None)
 
     async def _ask(
         self, ask: routing.AskPermit, call: calls.Call
-    ) -> Place | None:
+    ) -> places.Place | None:
         """Asks for a permit and counts the call at the target."""
         permit = await self._acquire(ask, call.deadline)
         now = self._clock()
@@ -253,7 +231,7 @@
         ):
             self._release(permit, targets.Outcome.CANCELLED)
             return None
-        return Place(
+        return places.Place(
             target_id=ask.target_id,
             address=target.instance.address,
             permit=permit,
@@ -261,7 +239,7 @@
 
     def _route(
         self, request: routing.RouteRequest
-    ) -> Place | routing.AskPermit | routing.Wait | errors.Refusal:
+    ) -> places.Place | routing.AskPermit | routing.Wait | errors.Refusal:
         """Chooses and, where the call goes at once, counts it."""
         now = self._clock()
         chosen = self._router.choose(request, now=now)
@@ -271,7 +249,7 @@
             chosen.target_id, permit=chosen.permit, now=now
         ):
             return routing.Wait(until=now + ROUTE_AGAIN_MS / 1000)
-        return Place(
+        return places.Place(
             target_id=chosen.target_id,
             address=chosen.address,
             permit=chosen.permit,
@@ -284,7 +262,7 @@
         while len(passed) < LOOK_AHEAD:
             popped = queue.pop(now=self._clock())
             for ticket in popped.expired:
-                self._refuse(self._waiting[ticket.id], _refuse_late())
+                self._refuse(self._waiting[ticket.id], places.refuse_late())
             if popped.ticket is None:
                 break
             if not self._try_ticket(name, popped.ticket):
@@ -333,32 +311,3 @@
     def _refuse(self, waiting: _Waiting, refusal: errors.Refusal) -> None:
         if not waiting.future.done():
             waiting.future.set_exception(errors.RefusalError(refusal))
-
-
-def _may_release(permit: gates.Permit, outcome: targets.Outcome) -> bool:
-    """Tells whether a permit goes back to its gate with the call's end.
-
-    That of a trial is kept where the call may still run at the target, since
-    another trial beside it could not be told from it if the target died.
-    """
-    if permit.source is gates.Source.TRIAL:
-        return outcome in _SURELY_ENDED
-    return permit.source is gates.Source.GATE
-
-
-def _refuse_late() -> errors.Refusal:
-    return errors.Refusal(
-        code=results.Code.DEADLINE_EXCEEDED,
-        ran=results.Ran.NO,
-        message="no target had room before the deadline",
-        retry_after_ms=RETRY_AFTER_MS,
-    )
-
-
-def _refuse_full() -> errors.Refusal:
-    return errors.Refusal(
-        code=results.Code.OVERLOADED,
-        ran=results.Ran.NO,
-        message="too many requests wait already",
-        retry_after_ms=RETRY_AFTER_MS,
-    )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,7 +9,7 @@
 from mothpass.core import results
 from mothpass.core import targets
 from mothpass.daemon import calls
-from mothpass.daemon import placement
+from mothpass.daemon import places
 from tests import daemon_parts
 
 _PER_TARGET = 8
@@ -23,28 +23,28 @@
         self.daemon = daemon_parts.Daemon(target_count=1, entries=entries)
         self.placement = self.daemon.placement
 
-    async def _place(self, call: calls.Call | None = None) -> placement.Place:
+    async def _place(self, call: calls.Call | None = None) -> places.Place:
         return await self.placement.place(
             call or daemon_parts.make_call("log"),
             excluded=frozenset(),
             alone=False,
         )
 
-    async def _fill(self) -> list[placement.Place]:
+    async def _fill(self) -> list[places.Place]:
         """Takes all room of the target."""
         return [await self._place() for _ in range(_PER_TARGET)]
 
-    def _free(self, place: placement.Place) -> None:
+    def _free(self, place: places.Place) -> None:
         self.placement.finish(place, targets.Outcome.ANSWERED, boot_id=None)
 
-    async def _start(self, call: calls.Call) -> asyncio.Task[placement.Place]:
+    async def _start(self, call: calls.Call) -> asyncio.Task[places.Place]:
         """Starts to place a call and lets it get into the queue."""
         task = asyncio.ensure_future(self._place(call))
         await asyncio.sleep(0)
         return task
 
     def _check_refusal(
-        self, task: asyncio.Task[placement.Place], code: results.Code
+        self, task: asyncio.Task[places.Place], code: results.Code
     ) -> None:
         error = task.exception()
         assert isinstance(error, errors.RefusalError)
