--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -13,6 +13,7 @@
 from mothpass.daemon import calls
 from mothpass.daemon import deaths
 from mothpass.daemon import placement
+from mothpass.daemon import places
 from mothpass.daemon import resumption
 from mothpass.ports import targets
 
@@ -25,6 +26,7 @@
         attempts: Attempts that were sent.
         claim_known: Whether the claim of a call that may not be repeated has
             been looked up, so that a refusal can tell whether it ran.
+        first_at: Monotonic seconds at which the first events came.
         may_have_run: Whether one of them ended without a known result.
         sent_at: Monotonic seconds at which the last one was sent.
     """
@@ -32,6 +34,7 @@
     __slots__ = (
         "attempts",
         "claim_known",
+        "first_at",
         "may_have_run",
         "sent_at",
         "target_id",
@@ -42,6 +45,7 @@
         self.target_id = ""
         self.attempts = 0
         self.claim_known = False
+        self.first_at: float | None = None
         self.may_have_run = False
         self.sent_at: float | None = None
 
@@ -65,7 +69,7 @@
         *,
         attempt: targets.Attempt,
         call: calls.Call,
-        place: placement.Place,
+        place: places.Place,
         boot_id: str,
         sent_at: float,
     ) -> None:
@@ -152,7 +156,7 @@
     def start(
         self,
         call: calls.Call,
-        place: placement.Place,
+        place: places.Place,
         trace: Trace,
         attempt_id: str,
     ) -> Run:
@@ -183,9 +187,10 @@
         """Returns the events of an attempt, see ``resumption``."""
         return resumption.follow_attempt(self._ports, run.attempt, run.stream)
 
-    def note_first_token(self, run: Run) -> None:
+    def note_first_token(self, run: Run, trace: Trace) -> None:
         """Takes in that the first events of an attempt have come."""
         now = self._ports.clock()
+        trace.first_at = now
         self._router.record_first_token(
             run.place.target_id,
             first_token_ms=(now - run.sent_at) * 1000,
@@ -198,7 +203,7 @@
     async def call(
         self,
         call: calls.Call,
-        place: placement.Place,
+        place: places.Place,
         trace: Trace,
         attempt_id: str,
     ) -> targets.Answer:
@@ -292,7 +297,7 @@
 
 
 def _build_attempt(
-    call: calls.Call, place: placement.Place, attempt_id: str
+    call: calls.Call, place: places.Place, attempt_id: str
 ) -> targets.Attempt:
     return targets.Attempt(
         id=attempt_id,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from returns import result
 
@@ -24,6 +25,11 @@
     """Base with a daemon before two targets."""
 
     def setUp(self) -> None:
+        # Daemons hold a suspect until its record has reached their peers;
+        # there are none here.
+        patch = mock.patch.object(suspects, "_HOLD_S", 0.02)
+        patch.start()
+        self.addCleanup(patch.stop)
         self.daemon = daemon_parts.Daemon()
         self.scripted = self.daemon.scripted
         self.trace = attempts.Trace()
@@ -34,7 +40,7 @@
 
     async def _read(self, call: calls.Call | None = None) -> list[int]:
         """Returns the positions of an answer's events."""
-        answering = await self.daemon.dispatcher.start_stream(
+        answering = await self.daemon.dispatcher.start_answer(
             call or daemon_parts.make_call(), self.trace
         )
         try:
@@ -123,6 +129,15 @@
         self.assertNotEqual(first.target_id, second.target_id)
         self.assertNotEqual(first.id, second.id)
 
+    async def test_starts_anew_where_an_answer_is_wanted_whole(self) -> None:
+        self.scripted.streams = [
+            [daemon_parts.make_batch(0), _LOST],
+            [daemon_parts.make_batch(0, 1, last=1)],
+        ]
+        self.scripted.resumes = [[errors.AttemptUnknownError("boot")]]
+        call = daemon_parts.make_call(stream=False)
+        self.assertEqual(await self._read(call), [0, 1])
+
     async def test_goes_elsewhere_where_a_target_refuses(self) -> None:
         self.scripted.streams = [
             [errors.TargetRefusedError("full")],
@@ -184,7 +199,7 @@
         entries = daemon_parts.build_catalogue(team_in_flight=1)
         self.daemon = daemon_parts.Daemon(entries=entries)
         self.daemon.scripted.streams = [[daemon_parts.make_batch(0)]]
-        answering = await self.daemon.dispatcher.start_stream(
+        answering = await self.daemon.dispatcher.start_answer(
             daemon_parts.make_call(), self.trace
         )
         refusal = await self._refuse()
