--- a/mothpass/load/running.py
+++ b/mothpass/load/running.py
@@ -16,6 +16,7 @@
 from mothpass.load import profiles
 from mothpass.load import recordings
 from mothpass.load import samples
+from mothpass.load import summaries
 from mothpass.load import traffic
 from mothpass.load import watching
 
@@ -29,7 +30,7 @@
 
     def __init__(self, *, file: typing.BinaryIO) -> None:
         self._file = file
-        self._collector = samples.Collector()
+        self._collector = summaries.Collector()
         self.told: list[ledgers.Told] = []
 
     def write(self, line: samples.Line) -> None:
--- a/mothpass/load/series.py
+++ b/mothpass/load/series.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from mothpass.load import samples
+from mothpass.load import summaries
 
 _MS_PER_S = 1000.0
 
@@ -82,7 +83,7 @@
         msgspec.DecodeError: Where a line isn't one of a result.
         OSError: Where the file can't be read.
     """
-    collector = samples.Collector()
+    collector = summaries.Collector()
     due: dict[int, list[samples.Sample]] = {}
     lines = list(samples.read_lines(path))
     for line in lines:
@@ -119,7 +120,7 @@
         series = run.control.setdefault(line.daemon, Series())
         series.add(line.at_ms, line.bytes_per_s)
     elif isinstance(line, samples.EngineLoad):
-        skew = samples.compute_skew(line)
+        skew = summaries.compute_skew(line)
         if skew is not None:
             run.skew.add(line.at_ms, skew)
 
--- a/mothpass/programs/mothpass_load.py
+++ b/mothpass/programs/mothpass_load.py
@@ -17,6 +17,7 @@
 from mothpass.load import running
 from mothpass.load import samples
 from mothpass.load import series
+from mothpass.load import summaries
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
@@ -86,8 +87,8 @@
 
     def run_command(self) -> int:
         rows = comparison.compare_summaries(
-            samples.summarize_file(pathlib.Path(self.argument("before"))),
-            samples.summarize_file(pathlib.Path(self.argument("after"))),
+            summaries.summarize_file(pathlib.Path(self.argument("before"))),
+            summaries.summarize_file(pathlib.Path(self.argument("after"))),
         )
         if self.option("json"):
             print(msgspec.json.encode(rows).decode())
--- a/tests/test_load_results.py
+++ b/tests/test_load_results.py
@@ -14,6 +14,7 @@
 from mothpass.load import report
 from mothpass.load import samples
 from mothpass.load import series
+from mothpass.load import summaries
 from mothpass.programs import mothpass_load
 
 
@@ -66,7 +67,7 @@
     def test_counts_fates_and_codes(self) -> None:
         refused = build_sample(fate=samples.Fate.REFUSED, code=201)
         path = self.write("a", [build_sample(), refused, refused])
-        summary = samples.summarize_file(path)
+        summary = summaries.summarize_file(path)
         self.assertEqual(summary.requests, 3)
         self.assertEqual(summary.fates, {"whole": 1, "refused": 2})
         self.assertEqual(summary.codes, {"201": 2})
@@ -76,14 +77,14 @@
         cut = build_sample(fate=samples.Fate.LOST, cached_tokens=0)
         other = build_sample(prompt_tokens=300, cached_tokens=100)
         path = self.write("a", [build_sample(), new, cut, other])
-        summary = samples.summarize_file(path)
+        summary = summaries.summarize_file(path)
         self.assertEqual(summary.cache_reuse, 180 / 400)
         self.assertEqual(summary.cache_reuse_of_best, 180 / 180)
 
     def test_histograms_by_team_and_class(self) -> None:
         slow = build_sample(team="lake", first_token_ms=1000.0)
         lines = [build_sample() for _ in range(99)]
-        summary = samples.summarize_file(self.write("a", [*lines, slow]))
+        summary = summaries.summarize_file(self.write("a", [*lines, slow]))
         quay = summary.teams["quay"]
         self.assertEqual(quay.first_token.count, 99)
         self.assertAlmostEqual(quay.first_token.p95, 20.0, delta=0.1)
@@ -98,7 +99,7 @@
             samples.EngineLoad(at_ms=2.0, in_flight={"a": 1, "b": 0}),
             samples.EngineLoad(at_ms=3.0, in_flight={}),
         ]
-        summary = samples.summarize_file(self.write("a", loads))
+        summary = summaries.summarize_file(self.write("a", loads))
         self.assertEqual((summary.skew.count, summary.skew.highest), (1, 1.5))
 
     def test_bound_on_skew_is_rounded_up_and_at_least_one(self) -> None:
@@ -110,23 +111,23 @@
         ):
             with self.subTest(in_flight=in_flight):
                 line = samples.EngineLoad(at_ms=0.0, in_flight=in_flight)
-                self.assertEqual(samples.is_over_bound(line), over)
+                self.assertEqual(summaries.is_over_bound(line), over)
 
     def test_summary_line_equals_what_the_lines_give(self) -> None:
-        collector = samples.Collector()
+        collector = summaries.Collector()
         collector.add(build_sample())
         summary = collector.summarize()
         path = self.write("a", [build_sample(), summary])
         self.assertEqual(list(samples.read_lines(path))[-1], summary)
-        self.assertEqual(samples.summarize_file(path), summary)
+        self.assertEqual(summaries.summarize_file(path), summary)
 
 
 class ComparisonTest(ResultsCase):
     """Checks the table of changes."""
 
     def compare(self, line: samples.Sample) -> dict[str, comparison.Row]:
-        before = samples.summarize_file(self.write("a", [build_sample()]))
-        after = samples.summarize_file(self.write("b", [line]))
+        before = summaries.summarize_file(self.write("a", [build_sample()]))
+        after = summaries.summarize_file(self.write("b", [line]))
         rows = comparison.compare_summaries(before, after)
         return {row.name: row for row in rows}
 
