Hold a write over a connection that its service closed

Cause: the restart test could not fail, since reads are tried again; its name said more than it held. Starting processes inside the loop filled the log. Ruled out: a pause before the write; the loop runs while the new process is waited for in a thread.

--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -16,6 +16,8 @@
 from tests import processes
 
 _TIMEOUT_S = 0.3
+_LISTED_S = 10.0
+_POLL_S = 0.02
 
 
 def _build_write(key: str, version: int = 0) -> tables.Write:
@@ -153,40 +155,54 @@
         self.assertEqual(await self._read_version(), 1)
 
 
-class RestartTest(unittest.IsolatedAsyncioTestCase):
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with stand-ins of their own."""
+
+    def setUp(self) -> None:
+        self.started = processes.open_processes(self)
+
+    async def open_exchange(
+        self, standin: processes.Process
+    ) -> platform_http.Exchange:
+        """Returns an exchange with a stand-in, once that listens."""
+        url = await asyncio.to_thread(lambda: standin.url)
+        exchange = platform_http.Exchange(url=url, timeout_s=1.0)
+        self.addCleanup(exchange.close)
+        return exchange
+
+
+class RestartTest(PlatformCase):
     """Checks kept connections against a service that was replaced."""
 
-    async def test_read_after_a_restart_needs_no_second_try(self) -> None:
-        started = processes.open_processes(self)
-        first = started.start_standin("table")
-        exchange = platform_http.Exchange(url=first.url, timeout_s=1.0)
+    async def test_write_after_a_restart_goes_over_a_new_connection(
+        self,
+    ) -> None:
+        first = self.started.start_standin("table")
+        exchange = await self.open_exchange(first)
         store = tables_http.build_tables(exchange)
         await store.read_row("claims", "a")
         first.kill()
-        second = started.start_standin("table", address=first.address)
-        second.wait_listening()
-        self.assertIsNone(await store.read_row("claims", "a"))
-        exchange.close()
+        second = self.started.start_standin("table", address=first.address)
+        await asyncio.to_thread(second.wait_listening)
+        outcome = await store.transact([_build_write("a")])
+        self.assertEqual(outcome, tables.Committed())
 
     async def test_rate_limit_had_no_effect(self) -> None:
-        started = processes.open_processes(self)
-        standin = started.start_standin("table", writes_per_s=1)
-        exchange = platform_http.Exchange(url=standin.url, timeout_s=1.0)
+        standin = self.started.start_standin("table", writes_per_s=1)
+        exchange = await self.open_exchange(standin)
         store = tables_http.build_tables(exchange)
         await store.transact([_build_write("a")])
         with self.assertRaises(errors.StoreUnavailableError):
             await store.transact([_build_write("b")])
         self.assertIsNone(await store.read_row("claims", "b"))
-        exchange.close()
 
 
-class ObjectsTest(unittest.IsolatedAsyncioTestCase):
+class ObjectsTest(PlatformCase):
     """Checks the object store."""
 
     async def test_keeps_objects_and_tells_outages(self) -> None:
-        started = processes.open_processes(self)
-        standin = started.start_standin("objects")
-        exchange = platform_http.Exchange(url=standin.url, timeout_s=1.0)
+        standin = self.started.start_standin("objects")
+        exchange = await self.open_exchange(standin)
         store = objects_http.build_objects(exchange)
         self.assertIsNone(await store.get_object("catalogue/1"))
         await store.put_object("catalogue/1", b"\x00{}")
@@ -198,48 +214,42 @@
         standin.kill()
         with self.assertRaises(errors.StoreUnavailableError):
             await store.get_object("catalogue/1")
-        exchange.close()
 
 
-class MembersTest(unittest.IsolatedAsyncioTestCase):
+class MembersTest(PlatformCase):
     """Checks the membership list read by its changes."""
 
     async def test_follows_targets_that_come_leave_and_go(self) -> None:
-        started = processes.open_processes(self)
-        listing = started.start_standin(
+        listing = self.started.start_standin(
             "members", lag_ms=50, heartbeat_ttl_ms=600
         )
+        exchange = await self.open_exchange(listing)
         targets = [
-            started.start_standin(
-                "service",
-                id=name,
-                members_url=listing.url,
-                heartbeat_ms=50,
+            self.started.start_standin(
+                "service", id=name, members_url=listing.url, heartbeat_ms=50
             )
             for name in ("s1", "s2")
         ]
-        exchange = platform_http.Exchange(url=listing.url, timeout_s=1.0)
-        read_members = members_http.build_read_members(exchange, "perth")
-
-        async def wait_for(expected: dict[str, members.State]) -> None:
-            async with asyncio.timeout(10):
-                while True:
-                    found = await read_members()
-                    states = {x.id: x.state for x in found.instances}
-                    if states == expected:
-                        return
-                    await asyncio.sleep(0.02)
-
+        self.read_members = members_http.build_read_members(exchange, "perth")
         live, leaving = members.State.LIVE, members.State.LEAVING
-        await wait_for({"s1": live, "s2": live})
+        await self._wait_for({"s1": live, "s2": live})
         targets[0].set_faults(leaving=True)
-        await wait_for({"s1": leaving, "s2": live})
+        await self._wait_for({"s1": leaving, "s2": live})
         targets[0].terminate()
-        self.assertEqual(targets[0].wait(), 0)
-        await wait_for({"s2": live})
+        self.assertEqual(await asyncio.to_thread(targets[0].wait), 0)
+        await self._wait_for({"s2": live})
         targets[1].kill()
-        await wait_for({})
-        exchange.close()
+        await self._wait_for({})
+
+    async def _wait_for(self, expected: dict[str, members.State]) -> None:
+        """Waits until the list shows just these instances."""
+        async with asyncio.timeout(_LISTED_S):
+            while True:
+                found = await self.read_members()
+                states = {item.id: item.state for item in found.instances}
+                if states == expected:
+                    return
+                await asyncio.sleep(_POLL_S)
 
 
 if __name__ == "__main__":
