--- a/tests/test_embed_claims.py
+++ b/tests/test_embed_claims.py
@@ -1,31 +1,18 @@
 """Tests of the example that uses the claims alone."""
 
-import importlib.util
-import pathlib
-import types
 import typing
 import unittest
 
 from mothpass.core import errors
 from mothpass.core import results
-
-_FOLDER = pathlib.Path(__file__).resolve().parent.parent / "examples" / "embed"
-
-
-def _load(name: str) -> types.ModuleType:
-    """Loads an example, which is no part of a package."""
-    found = importlib.util.spec_from_file_location(name, _FOLDER / f"{name}.py")
-    assert found is not None and found.loader is not None
-    module = importlib.util.module_from_spec(found)
-    found.loader.exec_module(module)
-    return module
+from tests import embed_examples
 
 
 class ClaimsOnceTest(unittest.TestCase):
     """Pays through the example."""
 
     def setUp(self) -> None:
-        self.example: typing.Any = _load("claims_once")
+        self.example: typing.Any = embed_examples.load("claims_once")
         self.rows = self.example.Rows()
         self.paid: list[bytes] = []
 
