--- a/mothpass/programs/mothpass_spec.py
+++ b/mothpass/programs/mothpass_spec.py
@@ -1,7 +1,9 @@
 """The program mothpass-spec: checks the specifications of the protocols."""
 
 import importlib
+import pkgutil
 import sys
+import types
 
 import cleo.application
 import cleo.commands.command
@@ -9,9 +11,21 @@
 from cleo.io.inputs import argv_input
 import msgspec
 
+import spec
 from spec import results
 
-MODELS = ("claims", "catalogue")
+
+def find_models() -> dict[str, types.ModuleType]:
+    """Returns the modules of spec that check models, by name.
+
+    These are the ones with a function ``run``.
+    """
+    found: dict[str, types.ModuleType] = {}
+    for item in pkgutil.iter_modules(spec.__path__):
+        module = importlib.import_module(f"spec.{item.name}")
+        if hasattr(module, "run"):
+            found[item.name] = module
+    return found
 
 
 class CheckCommand(cleo.commands.command.Command):
@@ -22,7 +36,7 @@
     arguments = [
         cleo.helpers.argument(
             "names",
-            f"Models to check, of {', '.join(MODELS)}; all by default.",
+            "Models to check; all by default.",
             optional=True,
             multiple=True,
         )
@@ -40,15 +54,18 @@
             0 if every model holds in all its states and every mutant is
             refuted, 1 if not, 2 for a name that is no model.
         """
-        names = self.argument("names") or list(MODELS)
-        unknown = [name for name in names if name not in MODELS]
+        models = find_models()
+        names = self.argument("names") or list(models)
+        unknown = [name for name in names if name not in models]
         if unknown:
-            self.line_error(f"no model named {', '.join(unknown)}")
+            self.line_error(
+                f"no model named {', '.join(unknown)}; "
+                f"there are {', '.join(models)}"
+            )
             return 2
         checked: list[results.SpecResult] = []
         for name in names:
-            module = importlib.import_module(f"spec.{name}")
-            for item in module.run():
+            for item in models[name].run():
                 checked.append(item)
                 self._print(item)
         return 0 if all(map(results.is_passed, checked)) else 1
