--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -26,9 +26,10 @@
 
 COLD_ASKS_PER_S_AT_GATE = 20.0
 COLD_ASK_INTERVAL_S = 0.25
-TELLS_PER_S = 4.0
-TELLS_BURST = 8.0
-TIGHT_ROOM = 4
+LOST_TOLD_S = 2.0
+TELLS_PER_S = 6.0
+TELLS_BURST = 12.0
+TIGHT_ROOM = 8
 WAIT_S = 0.1
 RETRY_AFTER_MS = 1000
 CALL_LIMIT_MS = 600_000
@@ -319,6 +320,26 @@
         counts = {x.id: x.tell_count() for x in self.targets.values()}
         return {name: count for name, count in counts.items() if count}
 
+    def list_lost(self, *, now: float) -> dict[str, str]:
+        """Returns the boot ids, by target, that were just found dead.
+
+        They go out with the counts, so that a daemon without a call there
+        does not take the target's next start for the warm one before.
+        """
+        since = now - LOST_TOLD_S
+        return {
+            item.id: item.lost_boot_id
+            for item in self.targets.values()
+            if item.lost_at > since
+        }
+
+    def record_lost(self, lost: abc.Mapping[str, str], *, now: float) -> None:
+        """Takes in what another daemon has found dead, by ``list_lost``."""
+        for target_id, boot_id in lost.items():
+            target = self.targets.get(target_id)
+            if target is not None and target.boot_id == boot_id:
+                target.doubt_boot(now)
+
     def record_counts(
         self, daemon_id: str, counts: abc.Mapping[str, int], *, now: float
     ) -> None:
@@ -335,9 +356,8 @@
             return
         known_at = self._peers.known_at()
         for target in self.targets.values():
-            target.record_counts(
-                self._peers.total(target.id), known_at=known_at
-            )
+            others = self._peers.total(target.id)
+            target.record_counts(others, known_at=known_at)
         self._refresh()
 
     def finish_call(
@@ -361,7 +381,8 @@
             permit: The permit it was started with.
             boot_id: Boot id that came with the answer, if one came.
         """
-        self._give_back(permit)
+        answered = outcome is targets.Outcome.ANSWERED
+        self._give_back(permit, answered=answered)
         target = self.targets.get(target_id)
         if target is None:
             return
@@ -372,6 +393,8 @@
                 target_id, first_token_ms=first_token_ms, now=now
             )
         target.finish_call(outcome, now)
+        if target.lost_at == now:
+            self._tell_now(now)
 
     def bound(self, name: str) -> int:
         """Returns the load that no warm target of a model may exceed."""
@@ -550,7 +573,7 @@
     def _check_permit(
         self, target: targets.Target, permit: gates.Permit, now: float
     ) -> bool:
-        if now >= permit.dispatch_by or permit.boot_id != target.boot_id:
+        if not gates.may_dispatch(permit, boot_id=target.boot_id, now=now):
             return False
         if permit.source is gates.Source.RESERVE:
             return self._reserves.start(permit)
@@ -558,9 +581,11 @@
         target.ask_after = now
         return True
 
-    def _give_back(self, permit: gates.Permit | None) -> None:
+    def _give_back(
+        self, permit: gates.Permit | None, *, answered: bool = False
+    ) -> None:
         if permit is not None and permit.source is gates.Source.RESERVE:
-            self._reserves.release(permit)
+            self._reserves.release(permit, answered=answered)
 
     def _is_busy(self, target: targets.Target) -> bool:
         """Tells whether calls have to wait at a target."""
--- a/mothpass/daemon/control_parts.py
+++ b/mothpass/daemon/control_parts.py
@@ -6,8 +6,11 @@
 
 import msgspec
 
+from mothpass.adapters import peer_datagrams
 from mothpass.adapters import peer_links
+from mothpass.adapters import peer_messages
 from mothpass.adapters import peer_transport
+from mothpass.adapters import peers_pb2
 from mothpass.core import catalogue
 from mothpass.core import count_reports
 from mothpass.core import digests
@@ -25,6 +28,7 @@
 from mothpass.daemon import platform
 from mothpass.daemon import settings
 from mothpass.ports import members
+from mothpass.ports import peers
 from mothpass.ports import targets
 
 
@@ -108,7 +112,22 @@
         find_start=needs.find_start,
         call_limit_ms=routing.CALL_LIMIT_MS,
     )
-    started_ms = int(time.time() * 1000)
+    started_ms = _read_wall_ms()
+
+    def send_counts(
+        addresses: abc.Iterable[str], report: count_reports.CountReport
+    ) -> None:
+        datagrams.send_counts(addresses, report)
+
+    def send_batch(address: str, batch: peers.Batch) -> None:
+        message = peer_messages.encode_batch(batch)
+        if not datagrams.send_batch(address, message):
+            links.send_batch_soon(address, message)
+
+    def accept_batch(address: str, message: peers_pb2.Batch) -> None:
+        del address
+        exchanged.accept_batch(peer_messages.decode_batch(message))
+
     exchanged = exchange.Exchange(
         own_id=own_id,
         operators_address=chosen.operators.address,
@@ -117,14 +136,23 @@
         router=needs.router,
         suspects=needs.suspects,
         catalogues=needs.catalogues,
-        find_link=links.get,
+        send_batch=send_batch,
+        send_counts=send_counts,
         monotonic=time.monotonic,
     )
-    needs.router.tell_now = exchanged.send_batches
+    datagrams = peer_datagrams.Datagrams(
+        key=chosen.peers.key,
+        accept_counts=exchanged.accept_counts,
+        accept_batch=accept_batch,
+        traffic=traffic,
+        wall_ms=_read_wall_ms,
+    )
+    needs.router.tell_now = exchanged.tell_counts
     feed = GateFeed(gates=gates, router=needs.router)
 
     def take_members(listing: members.Members) -> None:
         exchanged.set_members(listing)
+        datagrams.keep(item.address for item in listing.instances)
         needs.on_members(listing)
 
     def run_tick() -> None:
@@ -137,6 +165,7 @@
 
     parts = control.Parts(
         catalogues=needs.catalogues,
+        datagrams=datagrams,
         exchange=exchanged,
         gates=gates,
         leasing=leasing.Leasing(
@@ -176,6 +205,10 @@
     )
 
 
+def _read_wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 def _build_membership(
     chosen: settings.Settings,
     needs: Needs,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,11 +1,13 @@
 """Tests for mothpass.daemon.dispatch over scripted targets."""
 
 import asyncio
+import time
 import unittest
 
 from returns import result
 
 from mothpass.core import errors
+from mothpass.core import gates
 from mothpass.core import results
 from mothpass.core import suspects
 from mothpass.daemon import attempts
@@ -142,9 +144,16 @@
         refusal = await self._refuse(daemon_parts.make_call(deadline_ms=300))
         self.assertIs(refusal.ran, results.Ran.UNKNOWN)
 
+    async def test_sends_nothing_past_the_deadline(self) -> None:
+        refusal = await self._refuse(daemon_parts.make_call(deadline_ms=0))
+        self.assertIs(refusal.code, results.Code.DEADLINE_EXCEEDED)
+        self.assertIs(refusal.ran, results.Ran.NO)
+        self.assertEqual(self.scripted.opened, [])
+
     async def test_never_retries_past_the_deadline(self) -> None:
+        self.scripted.pause_s = 0.03
         self.scripted.streams = [[_UNREACHABLE]]
-        refusal = await self._refuse(daemon_parts.make_call(deadline_ms=0))
+        refusal = await self._refuse(daemon_parts.make_call(deadline_ms=20))
         self.assertIs(refusal.code, results.Code.DEADLINE_EXCEEDED)
         self.assertEqual(len(self.scripted.opened), 1)
 
@@ -195,11 +204,30 @@
         refusal = await self._refuse()
         self.assertIs(refusal.code, results.Code.REQUEST_QUARANTINED)
 
+    async def test_a_trial_is_given_back_only_once_it_has_ended(self) -> None:
+        self.daemon.suspects.record_death(
+            "boot",
+            [suspects.Running(fingerprint=99, position=3)],
+            now=time.monotonic(),
+        )
+        self.scripted.streams = [
+            [daemon_parts.make_batch(0), _LOST],
+            [daemon_parts.make_batch(0), daemon_parts.make_batch(1, last=1)],
+        ]
+        self.scripted.resumes = [[errors.AttemptUnknownError("boot")]]
+        with self.assertRaises(errors.AttemptUnknownError):
+            await self._read()
+        self.assertEqual(self.daemon.released, [])
+        self.daemon.restart_targets("second")
+        await self._read()
+        sources = [permit.source for permit in self.daemon.released]
+        self.assertEqual(sources, [gates.Source.TRIAL])
+
     async def test_a_connection_that_was_closed_accuses_nobody(self) -> None:
         self.scripted.streams = [[_LOST], [daemon_parts.make_batch(0, last=0)]]
         self.scripted.resumes = [[errors.AttemptUnknownError("boot")]]
         self.assertEqual(await self._read(), [0])
-        decision = self.daemon.suspects.check(99, now=0.0)
+        decision = self.daemon.suspects.check(99, now=time.monotonic())
         self.assertIs(decision.verdict, suspects.Verdict.CLEAR)
 
 
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -25,6 +25,7 @@
         cls.deployment = deployments.Deployment(started=started)
         cls.engine = cls.deployment.add_engine("e1")
         cls.daemon = cls.deployment.add_daemon("d1")
+        cls.deployment.wait_ready()
 
     def setUp(self) -> None:
         self.addCleanup(self.engine.clear_faults)
@@ -87,6 +88,23 @@
         outcome = self._ask("crossed whole answer", stream=False)
         self.assertIn(outcome.kind, (chats.Kind.WHOLE, chats.Kind.ERROR))
 
+    def test_idle_connections_that_went_silent_spoil_nothing(self) -> None:
+        for stream in (True, False):
+            with self.subTest(stream=stream):
+                self._ask("leaves an idle connection", stream)
+                self.engine.set_faults(silent=True)
+                outcome = self._ask(f"over a silent one {stream}", stream)
+                self.assertEqual(outcome.kind, chats.Kind.WHOLE, outcome)
+
+    def test_lost_answer_is_resumed_or_ends_in_an_error(self) -> None:
+        for stream in (True, False):
+            with self.subTest(stream=stream):
+                self.engine.set_faults(lose_answers=1)
+                outcome = self._ask(f"answer is lost {stream}", stream)
+                self.assertIn(
+                    outcome.kind, (chats.Kind.WHOLE, chats.Kind.ERROR)
+                )
+
     def test_paused_engine_delays_and_spoils_nothing(self) -> None:
         chat = chats.Chat(
             address=self.daemon.address, content="pause", max_tokens=50
@@ -112,6 +130,7 @@
             for position in _POSITIONS[:-1]
         ]
         daemon = deployment.add_daemon("d1")
+        deployment.wait_ready()
         for position in _POSITIONS[:-1]:
             fault = {"kind": "cut", "at": position, "count": 9}
             for engine in engines:
@@ -136,6 +155,7 @@
         self.deployment = deployments.Deployment(started=started)
         self.engine = self.deployment.add_engine("e1", token_us=20_000)
         self.daemon = self.deployment.add_daemon("d1")
+        self.deployment.wait_ready()
 
     def _start_chats(self, count: int) -> list[chats.Chat]:
         started = [
