--- a/tests/test_load_results.py
+++ b/tests/test_load_results.py
@@ -2,13 +2,14 @@
 
 import contextlib
 import io
-import json
 import pathlib
 import tempfile
 import unittest
 
 from cleo.io.inputs import string_input
+import msgspec
 
+from bench import measures
 from mothpass.load import comparison
 from mothpass.load import report
 from mothpass.load import samples
@@ -29,6 +30,7 @@
         "whole_ms": 30.0,
         "prompt_tokens": 100,
         "cached_tokens": 80,
+        "reusable_tokens": 90,
         "returning": True,
         **more,
     }
@@ -76,6 +78,7 @@
         path = self.write("a", [build_sample(), new, cut, other])
         summary = samples.summarize_file(path)
         self.assertEqual(summary.cache_reuse, 180 / 400)
+        self.assertEqual(summary.cache_reuse_of_best, 180 / 180)
 
     def test_histograms_by_team_and_class(self) -> None:
         slow = build_sample(team="lake", first_token_ms=1000.0)
@@ -194,16 +197,17 @@
 
     def test_page_shows_runs_side_by_side_and_the_bench(self) -> None:
         bench = self.folder / "bench"
-        measure = {
-            "measure": "skew <b>",
-            "value": 1.4,
-            "bound": 1.25,
-            "ok": False,
-            "baselines": {"random": 1.9},
-            "best": 1.0,
-            "seed": 1,
-        }
-        bench.write_text(f"some text\n{json.dumps(measure)}\n")
+        measure = measures.Measure(
+            measure="skew <b>",
+            value=1.4,
+            bound=1.25,
+            ok=False,
+            baselines={"random": 1.9},
+            best=1.0,
+            seed=1,
+        )
+        data = msgspec.json.encode(measure).decode()
+        bench.write_text(f"some text\n{data}\n")
         page = self.folder / "page.html"
         first, second = (
             self.write_run("now.jsonl"),
