--- a/bench/live_control.py
+++ b/bench/live_control.py
@@ -19,7 +19,9 @@
 WINDOW_S = 10.0
 BYTES_BOUND = 4000.0
 CORE_BOUND = 0.011
+ENGINES = 5
 REQUESTS_PER_S = 59
+LOAD_STREAMS = 112
 _BYTES_PER_MIB = 1 << 20
 
 
@@ -70,11 +72,41 @@
     base = _measure_idle(daemons=DAEMONS, targets=TARGETS, teams=10)
     yield _show("control bytes a second, idle", base.bytes_per_s, base)
     yield _show("control share of a core, idle", base.core_share, base)
+    yield _measure_loaded()
     for name, size in _SIZES.items():
         grown = _measure_idle(**size)
         yield _show(f"control bytes a second, idle, {name}", None, grown)
 
 
+def _measure_loaded() -> Figure:
+    """Returns the bytes to peers while callers send at the full rate."""
+    with contextlib.ExitStack() as stack:
+        addresses = [
+            live_fleet.start_engine(stack, number) for number in range(ENGINES)
+        ]
+        fleet = live_fleet.Fleet(
+            stack=stack, daemons=DAEMONS, targets=addresses
+        )
+        outcome = live_fleet.run_load(fleet, streams=LOAD_STREAMS)
+        shown = [
+            fleet.read_status(number)["control"] for number in range(DAEMONS)
+        ]
+    peer_bytes = sum(float(item["bytes_per_s"]) for item in shown)
+    messages = sum(float(item["messages_per_s"]) for item in shown)
+    rate = outcome.answers / outcome.seconds / DAEMONS
+    return Figure(
+        measure="control bytes a second to peers, under load",
+        value=round(peer_bytes / DAEMONS),
+        bound=None,
+        detail={
+            "messages_per_s": round(messages / DAEMONS, 1),
+            "requests_per_s": round(rate, 1),
+            "target_requests_per_s": REQUESTS_PER_S,
+            "broken": outcome.broken,
+        },
+    )
+
+
 _SIZES: dict[str, dict[str, int]] = {
     "4 daemons": {"daemons": 4, "targets": TARGETS, "teams": 10},
     "16 daemons": {"daemons": 16, "targets": TARGETS, "teams": 10},
--- a/bench/live_fleet.py
+++ b/bench/live_fleet.py
@@ -9,6 +9,9 @@
 import time
 import typing
 
+import msgspec
+
+from bench import live_client
 from mothpass.core import catalogue
 from tests import http_calls
 from tests import processes
@@ -20,6 +23,11 @@
 _REGION = "region-a"
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _SETTLE_S = 4.0
+_LOAD_TOKENS = 5
+# The status page shows the mean of the last minute, so that the load has to
+# last that long.
+_LOAD_WARM_S = 50.0
+_LOAD_WINDOW_S = 15.0
 _CALLERS_PORT = 18001
 _OPERATORS_PORT = 18002
 _PEERS_PORT = 18003
@@ -145,6 +153,41 @@
     return [str(item) for item in json.loads(popen.stdout.readline())]
 
 
+def start_engine(stack: contextlib.ExitStack, number: int) -> str:
+    """Starts an engine that serves calls, and returns its address."""
+    popen = subprocess.Popen(
+        [sys.executable, "-m", "bench.live_engine", "--id", f"target-{number}"],
+        cwd=_ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    stack.callback(popen.wait)
+    stack.callback(popen.kill)
+    assert popen.stdout is not None
+    return str(json.loads(popen.stdout.readline())["ready"])
+
+
+def run_load(fleet: Fleet, *, streams: int) -> live_client.Outcome:
+    """Sends short requests through all daemons for some seconds.
+
+    Args:
+        fleet: Daemons before engines that serve calls.
+        streams: Requests in flight at any moment.
+    """
+    addresses = ",".join(item.address for item in fleet.daemons)
+    command = [
+        *(sys.executable, "-m", "bench.live_client", "--key", KEY),
+        *("--addresses", addresses, "--model", MODEL),
+        *("--streams", str(streams), "--tokens", str(_LOAD_TOKENS)),
+        *("--warm-s", str(_LOAD_WARM_S), "--window-s", str(_LOAD_WINDOW_S)),
+    ]
+    output = subprocess.run(
+        command, cwd=_ROOT, stdout=subprocess.PIPE, text=True, check=True
+    ).stdout
+    line = output.strip().splitlines()[-1]
+    return msgspec.json.decode(line, type=live_client.Outcome)
+
+
 def build_catalogue(teams: int) -> dict[str, typing.Any]:
     """Returns a catalogue of one model and so many teams."""
     limits = {"in_flight": 100_000, "requests_per_s": 100_000, "queued": 10_000}
