Check the model of leases once

Cause: mothpass-spec finds spec.leases by its own run function, and spec.gates ran it too. Change: spec.gates gives its own two models only.

--- a/spec/gates.py
+++ b/spec/gates.py
@@ -16,7 +16,6 @@
 from mothpass.core import gates
 from mothpass.core import reserves
 from spec import frozen
-from spec import leases
 from spec import results
 from spec import runner
 
@@ -403,7 +402,7 @@
 
 
 def run() -> list[results.SpecResult]:
-    """Checks the gate and the lease, and that each guard is needed."""
+    """Checks the gate, and that each guard is needed."""
     handover = runner.check_model(
         "gates in turn",
         _build(Rules()),
@@ -414,4 +413,4 @@
         _build(Rules(scope=_RESTART)),
         {guard: _build(rules) for guard, rules in _RESTART_MUTANTS.items()},
     )
-    return [handover, restart, *leases.run()]
+    return [handover, restart]
