--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -28,6 +28,7 @@
 PEER_S = 0.001
 REPORT_INTERVAL_S = 1.0
 TICK_S = 0.25
+RESTART_S = 4.0
 ZONES = ("a", "b", "c")
 
 # Chooses for one daemon; the baselines replace Router.choose by their own.
@@ -49,6 +50,8 @@
         report_lag_s: Least and most age of a load report at a daemon.
         member_lag_s: Least and most age of a membership list at a daemon.
         cold: Whether all engines start cold.
+        falls_over: Whether a cold engine dies when it is pushed.
+        restart_s: Time that a dead engine takes to come up.
     """
 
     daemons: int = 8
@@ -62,6 +65,8 @@
     report_lag_s: tuple[float, float] = (0.75, 1.25)
     member_lag_s: tuple[float, float] = (0.5, 3.0)
     cold: bool = False
+    falls_over: bool = True
+    restart_s: float = RESTART_S
 
 
 class Sample(msgspec.Struct, frozen=True, kw_only=True):
@@ -155,7 +160,10 @@
         daemons: All daemons.
         table: The table service.
         samples: What became of each request that has ended.
-        denied_slots: Engines that the list shows as leaving.
+        leaving: Engines that the list shows as leaving.
+        gone: Engines that the list doesn't show.
+        hidden: Daemons that the list doesn't show.
+        watch: Called at each call of an engine, if set.
     """
 
     def __init__(
@@ -173,6 +181,8 @@
         self.samples: list[Sample] = []
         self.leaving: set[str] = set()
         self.gone: set[str] = set()
+        self.hidden: set[str] = set()
+        self.watch: abc.Callable[[Daemon, str], None] | None = None
         self.catalogue = make_catalogue(layout)
         self._choose: Choose | None = None
         self._reserve_only = reserve_only
@@ -186,6 +196,8 @@
                 cache_tokens=layout.cache_tokens,
                 cold_start=layout.cold_start,
                 cold=layout.cold,
+                falls_over=layout.falls_over,
+                restart_s=layout.restart_s,
             )
             for number in range(layout.engines)
         }
@@ -248,6 +260,10 @@
                 ),
             )
 
+    def find_zone(self, engine_id: str) -> str:
+        """Returns the availability zone of an engine."""
+        return ZONES[list(self.engines).index(engine_id) % len(ZONES)]
+
     def list_loads(self) -> list[int]:
         """Returns what each engine that is up carries at this moment."""
         return [item.in_flight for item in self.engines.values() if item.up]
@@ -261,7 +277,7 @@
         instances = [
             _make_instance(item.id, members.Role.DAEMON, number, False)
             for number, item in enumerate(self.daemons)
-            if not item.dead
+            if not item.dead and item.id not in self.hidden
         ]
         instances += [
             _make_instance(
@@ -304,16 +320,28 @@
         if daemon.dead or now < daemon.paused_until:
             return
         own = daemon.router.tell_counts(now=now)
+        lost = daemon.router.list_lost(now=now)
         for other in self.daemons:
             if other is not daemon and not other.dead:
                 daemon.control_sends += 1
                 self.loop.call_later(
                     PEER_S,
-                    lambda other=other: other.router.record_counts(  # type: ignore[misc]
-                        daemon.id, own, now=self.loop.now
+                    lambda other=other: self._take_counts(  # type: ignore[misc]
+                        other, daemon.id, own, lost
                     ),
                 )
 
+    def _take_counts(
+        self,
+        daemon: Daemon,
+        sender: str,
+        counts: dict[str, int],
+        lost: dict[str, str],
+    ) -> None:
+        now = self.loop.now
+        daemon.router.record_lost(lost, now=now)
+        daemon.router.record_counts(sender, counts, now=now)
+
     def _deliver(
         self, daemon: Daemon, records: list[targets.LoadRecord], now: float
     ) -> None:
@@ -452,6 +480,8 @@
             self.loop.call_later(0.0, lambda: self._route(request))
             return
         request.attempts += 1
+        if self.watch is not None:
+            self.watch(daemon, target_id)
         engine = self.engines[target_id]
         turn = request.turn
         work = engines.Work(
--- a/mothpass/daemon/placement.py
+++ b/mothpass/daemon/placement.py
@@ -21,6 +21,13 @@
 RETRY_AFTER_MS = 1000
 ROUTE_AGAIN_MS = 20
 
+_SURELY_ENDED = (
+    targets.Outcome.ANSWERED,
+    targets.Outcome.FAILED,
+    targets.Outcome.REFUSED,
+    targets.Outcome.UNREACHABLE,
+)
+
 # Asks the gates of a cold target for a permit until a deadline in monotonic
 # seconds; None where none was given.
 AcquirePermit = abc.Callable[
@@ -124,6 +131,8 @@
             alone=alone,
         )
         while True:
+            if self._clock() >= call.deadline:
+                raise errors.RefusalError(_refuse_late())
             chosen = await self._choose(call, request)
             if isinstance(chosen, Place):
                 return chosen
@@ -154,7 +163,7 @@
             boot_id=boot_id,
         )
         permit = place.permit
-        if permit is not None and permit.source is gates.Source.GATE:
+        if permit is not None and _may_release(permit, outcome):
             self._release(permit, outcome)
         self.wake()
 
@@ -170,11 +179,6 @@
             if len(queue):
                 self._serve(name)
 
-    def refuse_all(self, refusal: errors.Refusal) -> None:
-        """Refuses all that waits."""
-        for waiting in list(self._waiting.values()):
-            self._refuse(waiting, refusal)
-
     async def _choose(
         self, call: calls.Call, request: routing.RouteRequest
     ) -> Place | routing.AskPermit:
@@ -238,10 +242,11 @@
         """Asks for a permit and counts the call at the target."""
         permit = await self._acquire(ask, call.deadline)
         now = self._clock()
-        if now >= call.deadline:
-            raise errors.RefusalError(_refuse_late())
         if permit is None:
             return None
+        if now >= call.deadline:
+            self._release(permit, targets.Outcome.CANCELLED)
+            return None
         target = self._router.targets.get(ask.target_id)
         if target is None or not self._router.start_call(
             ask.target_id, permit=permit, now=now
@@ -330,6 +335,17 @@
             waiting.future.set_exception(errors.RefusalError(refusal))
 
 
+def _may_release(permit: gates.Permit, outcome: targets.Outcome) -> bool:
+    """Tells whether a permit goes back to its gate with the call's end.
+
+    That of a trial is kept where the call may still run at the target, since
+    another trial beside it could not be told from it if the target died.
+    """
+    if permit.source is gates.Source.TRIAL:
+        return outcome in _SURELY_ENDED
+    return permit.source is gates.Source.GATE
+
+
 def _refuse_late() -> errors.Refusal:
     return errors.Refusal(
         code=results.Code.DEADLINE_EXCEEDED,
