Show targets the team with the idempotency key; drop load reports of unknown age

Cause: two teams that choose the same key met at a service that tells calls apart by the key alone: one could have got the other's receipt. And an age of a load report past 4 s was told as 4 s, so that an old report could look young to a gate after a takeover. Ruled out: a header of its own for the team, which such a service ignores. Change: targets are shown <team>/<key>; ages are rounded up, and a report whose age no longer fits is dropped.

--- a/mothpass/core/digests.py
+++ b/mothpass/core/digests.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import math
 import struct
 
 import msgspec
@@ -80,7 +81,8 @@
 
     The top two bits are the phase, the next 14 running and queued calls
     together, held at 16,383, and the last byte the age of the figures at
-    ``now`` in units of 16 ms, held at 4,080 ms.
+    ``now`` in units of 16 ms, rounded up. From 4,080 ms on it is held there,
+    and the receiver drops the record: it could be of any age.
     """
     return b"".join(_pack_record(record, now) for record in records)
 
@@ -89,14 +91,14 @@
     calls = min(_MOST_CALLS, record.running + record.queued)
     phase = _PHASES.index(record.phase)
     age_ms = max(0.0, (now - record.measured_at) * 1000.0)
-    age = min(_MOST_AGE_UNITS, int(age_ms / _AGE_UNIT_MS))
+    age = min(_MOST_AGE_UNITS, math.ceil(age_ms / _AGE_UNIT_MS))
     return _ENTRY.pack((phase << _CALL_BITS) | calls, age)
 
 
 def unpack_loads(
     roster: Roster, loads: bytes, *, sent_at: float
 ) -> list[targets.LoadRecord]:
-    """Returns the records of a digest.
+    """Returns the records of a digest, but those that are too old.
 
     Args:
         roster: The roster that the digest refers to.
@@ -116,6 +118,8 @@
         _ENTRY.iter_unpack(loads),
         strict=True,
     ):
+        if age >= _MOST_AGE_UNITS:
+            continue
         phase = value >> _CALL_BITS
         if phase >= len(_PHASES):
             raise ValueError(f"no phase has number {phase}")
--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -299,6 +299,9 @@
 def _build_attempt(
     call: calls.Call, place: places.Place, attempt_id: str
 ) -> targets.Attempt:
+    key = call.idempotency_key
+    if key is not None:
+        key = targets.scope_key(team=call.team, idempotency_key=key)
     return targets.Attempt(
         id=attempt_id,
         target_id=place.target_id,
@@ -306,7 +309,7 @@
         path=call.path,
         body=call.body,
         priority=call.priority,
-        idempotency_key=call.idempotency_key,
+        idempotency_key=key,
         fencing=0 if place.permit is None else place.permit.fencing,
         deadline=call.deadline,
     )
--- a/mothpass/load/demonstration.py
+++ b/mothpass/load/demonstration.py
@@ -17,6 +17,7 @@
 from mothpass.load import recordings
 from mothpass.load import samples
 from mothpass.load import traffic
+from mothpass.ports import targets
 
 _ROUNDS = 2
 _PAYMENTS = 3
@@ -229,4 +230,7 @@
         )
     except errors.MothpassError:
         return None
-    return ledgers.count_runs(entries, call.service, call.idempotency_key)
+    key = targets.scope_key(
+        team=call.team, idempotency_key=call.idempotency_key
+    )
+    return ledgers.count_runs(entries, call.service, key)
--- a/mothpass/load/ledgers.py
+++ b/mothpass/load/ledgers.py
@@ -19,7 +19,8 @@
 
     Attributes:
         service: Name of the service.
-        key: Idempotency key, None without one.
+        key: Idempotency key with its team, as targets are shown it; None
+            without one.
     """
 
     service: str
@@ -35,7 +36,7 @@
 
     Attributes:
         service: Name of the service.
-        key: Idempotency key.
+        key: Idempotency key with its team, as targets are shown it.
         fate: What became of the request.
         ran: Whether it ran, as a refusal says.
     """
--- a/mothpass/load/running.py
+++ b/mothpass/load/running.py
@@ -19,6 +19,7 @@
 from mothpass.load import summaries
 from mothpass.load import traffic
 from mothpass.load import watching
+from mothpass.ports import targets
 
 _MS_PER_S = 1000.0
 
@@ -184,7 +185,9 @@
 def _build_told(item: traffic.Planned, result: clients.Result) -> ledgers.Told:
     return ledgers.Told(
         service=item.name,
-        key=item.idempotency_key,
+        key=targets.scope_key(
+            team=item.team, idempotency_key=item.idempotency_key
+        ),
         fate=result.verdict.fate,
         ran=result.verdict.ran,
     )
--- a/mothpass/ports/targets.py
+++ b/mothpass/ports/targets.py
@@ -6,6 +6,16 @@
 import msgspec
 
 
+def scope_key(*, team: str, idempotency_key: str) -> str:
+    """Returns the idempotency key that a target is shown.
+
+    A service may tell calls apart by their keys alone. With the team in front
+    two teams that choose the same key never get each other's result; names of
+    teams hold no ``/``.
+    """
+    return f"{team}/{idempotency_key}"
+
+
 class Attempt(msgspec.Struct, frozen=True, kw_only=True):
     """One try of a request at one target.
 
@@ -16,7 +26,8 @@
         path: Path of the HTTP request at the target.
         body: Body as it goes to the target, JSON.
         priority: 0 is the most urgent.
-        idempotency_key: Key of a call that may not be repeated.
+        idempotency_key: Key of a call that may not be repeated, as
+            ``scope_key`` gives it.
         fencing: Fencing number of the permit or claim, 0 without one.
         deadline: Monotonic seconds after which an answer is of no use.
     """
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -10,6 +10,7 @@
 
 MODEL = "advice"
 SERVICE = "chair-payment"
+TEAM = "victoria-harbour"
 TEAM_KEY = "victoria-harbour-test-key"
 ZONES = ("bc-west-a", "bc-west-b")
 _OPERATOR_TOKEN = "operator-token-of-the-tests"
@@ -233,7 +234,7 @@
         "target_in_flight": _TARGET_IN_FLIGHT,
     }
     team = {
-        "name": "victoria-harbour",
+        "name": TEAM,
         "key_sha256": [_hash(TEAM_KEY)],
         "uses": [MODEL, SERVICE],
     }
--- a/tests/payments.py
+++ b/tests/payments.py
@@ -72,7 +72,8 @@
     for service in services:
         answer = http_calls.call(service.address, "GET", "/v1/ledger")
         entries = typing.cast(list[dict[str, str]], answer.decode()["entries"])
-        count += sum(item["key"] == key for item in entries)
+        shown = f"{deployments.TEAM}/{key}"
+        count += sum(item["key"] == shown for item in entries)
     return count
 
 
--- a/tests/test_claims_live.py
+++ b/tests/test_claims_live.py
@@ -83,7 +83,8 @@
         entries = typing.cast(
             list[dict[str, object]], ledger.decode()["entries"]
         )
-        return sum(entry["key"] == self.key for entry in entries)
+        shown = f"{deployments.TEAM}/{self.key}"
+        return sum(entry["key"] == shown for entry in entries)
 
     def check_refused(
         self, answer: http_calls.Answer, name: str, ran: str
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -66,6 +66,21 @@
         (digest,) = self._list_digests(now=10.0)
         self.assertEqual(len(digest.loads), 300)
 
+    def test_a_report_too_old_for_its_age_to_be_told_is_dropped(self) -> None:
+        old = _make_record("e1", received_at=5.0)
+        self.sender.set_own([old, _make_record("e2")], now=10.0)
+        self._pass_rosters()
+        (digest,) = self._list_digests(now=10.0)
+        (record,) = self.receiver.accept_digest(digest, now=50.0)
+        self.assertEqual(record.target_id, "e2")
+
+    def test_an_age_is_never_told_too_young(self) -> None:
+        self.sender.set_own([_make_record("e1", received_at=9.99)], now=10.0)
+        self._pass_rosters()
+        (digest,) = self._list_digests(now=10.0)
+        (record,) = self.receiver.accept_digest(digest, now=50.0)
+        self.assertLessEqual(record.measured_at, 49.99)
+
     def test_time_at_a_relay_adds_to_the_age(self) -> None:
         self.sender.set_own([_make_record("e1")], now=10.0)
         (digest,) = self._list_digests(now=10.5)
