--- a/bench/live_control.py
+++ b/bench/live_control.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from bench import live_figures
 from bench import live_fleet
 from bench import live_usage
 
@@ -25,22 +26,6 @@
 _BYTES_PER_MIB = 1 << 20
 
 
-class Figure(msgspec.Struct, kw_only=True):
-    """One figure, printed as a line of JSON.
-
-    Attributes:
-        measure: Name, with the unit.
-        value: What was measured.
-        bound: What it is held against, None for none.
-        detail: Other figures of the same run.
-    """
-
-    measure: str
-    value: float
-    bound: float | None
-    detail: dict[str, float]
-
-
 class Cost(msgspec.Struct, frozen=True, kw_only=True):
     """Mean cost of a daemon over a window.
 
@@ -67,7 +52,7 @@
         return tcp_per_s + self.peer_bytes_per_s
 
 
-def measure() -> abc.Iterator[Figure]:
+def measure() -> abc.Iterator[live_figures.Figure]:
     """Yields the cost at today's size and its slopes."""
     base = _measure_idle(daemons=DAEMONS, targets=TARGETS, teams=10)
     yield _show("control bytes a second, idle", base.bytes_per_s, base)
@@ -78,7 +63,7 @@
         yield _show(f"control bytes a second, idle, {name}", None, grown)
 
 
-def _measure_loaded() -> Figure:
+def _measure_loaded() -> live_figures.Figure:
     """Returns the bytes to peers while callers send at the full rate."""
     with contextlib.ExitStack() as stack:
         addresses = [
@@ -94,7 +79,7 @@
     peer_bytes = sum(float(item["bytes_per_s"]) for item in shown)
     messages = sum(float(item["messages_per_s"]) for item in shown)
     rate = outcome.answers / outcome.seconds / DAEMONS
-    return Figure(
+    return live_figures.Figure(
         measure="control bytes a second to peers, under load",
         value=round(peer_bytes / DAEMONS),
         bound=None,
@@ -117,12 +102,12 @@
 }
 
 
-def _show(name: str, value: float | None, cost: Cost) -> Figure:
+def _show(name: str, value: float | None, cost: Cost) -> live_figures.Figure:
     bounds = {
         "control bytes a second, idle": BYTES_BOUND,
         "control share of a core, idle": CORE_BOUND,
     }
-    return Figure(
+    return live_figures.Figure(
         measure=name,
         value=round(cost.bytes_per_s if value is None else value, 4),
         bound=bounds.get(name),
--- a/bench/live_data_path.py
+++ b/bench/live_data_path.py
@@ -8,18 +8,16 @@
 
 from collections import abc
 import contextlib
-import json
-import os
 import pathlib
 import subprocess
 import sys
-import time
-import urllib.request
 
 import msgspec
 
 from bench import live_client
-from mothpass.core import catalogue
+from bench import live_figures
+from bench import live_fleet
+from bench import live_usage
 from tests import processes
 
 STREAMS = 560
@@ -27,26 +25,10 @@
 ENGINES = 2
 FIRST_TOKEN_BOUND_MS = 5.0
 CORE_BOUND = 1.0
-_KEY = "live-measure-team-key"
-_TOKEN = "live-measure-operator-token"
+# Far above what the load can reach, so that no call waits.
+_SKEW = 10.0
+_BYTES_PER_MB = 1_000_000
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-
-
-class Figure(msgspec.Struct, kw_only=True):
-    """One figure, printed as a line of JSON.
-
-    Attributes:
-        measure: Name, with the unit.
-        value: What was measured.
-        bound: What it is held against, None for none.
-        detail: Other figures of the same run.
-    """
-
-    measure: str
-    value: float
-    bound: float | None
-    detail: dict[str, float]
 
 
 class _Run(msgspec.Struct, kw_only=True):
@@ -57,13 +39,16 @@
     resident_mb: float
 
 
-def measure() -> abc.Iterator[Figure]:
+def measure() -> abc.Iterator[live_figures.Figure]:
     """Yields the figures of the data path."""
     with contextlib.ExitStack() as stack:
-        running = processes.Processes()
-        stack.callback(running.close)
-        engines = [_start_engine(stack, x) for x in range(ENGINES)]
-        daemon = _start_daemon(running, engines)
+        engines = [
+            live_fleet.start_engine(stack, number) for number in range(ENGINES)
+        ]
+        fleet = live_fleet.Fleet(
+            stack=stack, daemons=1, targets=engines, skew_multiple=_SKEW
+        )
+        daemon = fleet.daemons[0]
         direct = _run_load(engines, STREAMS // 2, None)
         half = _run_load([daemon.address], STREAMS // 2, daemon)
         full = _run_load([daemon.address], STREAMS, daemon)
@@ -71,9 +56,9 @@
     yield _show_added(direct, half)
 
 
-def _show_cost(full: _Run) -> Figure:
+def _show_cost(full: _Run) -> live_figures.Figure:
     tokens_per_s = full.outcome.tokens / full.outcome.seconds
-    return Figure(
+    return live_figures.Figure(
         measure="daemon core share at the relayed rate",
         value=round(full.core_share, 3),
         bound=CORE_BOUND,
@@ -90,10 +75,10 @@
     )
 
 
-def _show_added(direct: _Run, half: _Run) -> Figure:
+def _show_added(direct: _Run, half: _Run) -> live_figures.Figure:
     with_daemon = _quantile(half.outcome.first_token_ms, 95)
     without = _quantile(direct.outcome.first_token_ms, 95)
-    return Figure(
+    return live_figures.Figure(
         measure="time added to a first token at half load, p95, ms",
         value=round(with_daemon - without, 2),
         bound=FIRST_TOKEN_BOUND_MS,
@@ -116,117 +101,6 @@
     return round(ordered[(len(ordered) - 1) * percent // 100], 2)
 
 
-def _start_engine(stack: contextlib.ExitStack, number: int) -> str:
-    """Starts an engine and returns its address."""
-    popen = subprocess.Popen(
-        [sys.executable, "-m", "bench.live_engine", "--id", f"engine-{number}"],
-        cwd=_ROOT,
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    stack.callback(popen.wait)
-    stack.callback(popen.kill)
-    assert popen.stdout is not None
-    return str(json.loads(popen.stdout.readline())["ready"])
-
-
-def _start_daemon(
-    running: processes.Processes, engines: list[str]
-) -> processes.Process:
-    """Starts a daemon that knows the engines, and its catalogue."""
-    instances = [
-        {
-            "id": f"engine-{number}",
-            "role": "engine",
-            "state": "live",
-            "address": address,
-            "availability_zone": "zone-a",
-            "serves": ["live"],
-        }
-        for number, address in enumerate(engines)
-    ]
-    tables = running.start_standin("table")
-    objects = running.start_standin("objects")
-    members = running.start_standin("members", lag_ms=0, instances=instances)
-    operators = processes.find_free_address()
-    daemon = running.launch_daemon(
-        {
-            "instance": {
-                "id": "live-daemon",
-                "region": "region-a",
-                "availability_zone": "zone-a",
-                "slot": 0,
-                "slots": 1,
-            },
-            "callers": {"address": processes.find_free_address()},
-            "operators": {
-                "address": operators,
-                "token_sha256": [catalogue.hash_key(_TOKEN)],
-            },
-            "peers": {
-                "address": processes.find_free_address(),
-                "key": "live-measure-peer-key",
-            },
-            "platform": {
-                "tables_url": tables.url,
-                "objects_url": objects.url,
-                "members_url": members.url,
-            },
-        }
-    )
-    processes.wait_until(lambda: _put_catalogue(operators), daemon)
-    processes.wait_until(lambda: processes.is_ready(daemon), daemon)
-    time.sleep(2.0)
-    return daemon
-
-
-def _put_catalogue(operators: str) -> bool:
-    """Sends the catalogue; returns whether it was accepted."""
-    limits = {"in_flight": 10_000, "requests_per_s": 10_000, "queued": 10_000}
-    entries = {
-        "classes": [{"name": "chat", "priority": 1, "deadline_ms": 600_000}],
-        "models": [
-            {
-                "name": "live",
-                "owner": "measure",
-                "class": "chat",
-                "limits": limits,
-                "target_in_flight": 10_000,
-                "skew_multiple": 10.0,
-                "cold_start": {
-                    "in_flight": 1,
-                    "answers_per_step": 1,
-                    "warm_in_flight": 1,
-                },
-            }
-        ],
-        "services": [],
-        "teams": [
-            {
-                "name": "team",
-                "owner": "measure",
-                "class": "chat",
-                "limits": limits,
-                "key_sha256": [catalogue.hash_key(_KEY)],
-                "uses": ["live"],
-            }
-        ],
-        "availability_zones": [{"name": "zone-a", "region": "region-a"}],
-    }
-    body = {"base_version": 0, "author": "measure", "catalogue": entries}
-    request = urllib.request.Request(
-        f"http://{operators}/v1/catalogue",
-        data=json.dumps(body).encode(),
-        headers={"Authorization": f"Bearer {_TOKEN}"},
-        method="PUT",
-    )
-    try:
-        with urllib.request.urlopen(request, timeout=5) as answer:
-            return bool(answer.status == 200)
-    except OSError:
-        return False
-
-
 def _run_load(
     addresses: list[str], streams: int, daemon: processes.Process | None
 ) -> _Run:
@@ -234,7 +108,7 @@
     command = [
         *(sys.executable, "-m", "bench.live_client"),
         *("--addresses", ",".join(addresses)),
-        *("--key", _KEY, "--streams", str(streams)),
+        *("--key", live_fleet.KEY, "--streams", str(streams)),
     ]
     with subprocess.Popen(
         command, cwd=_ROOT, stdout=subprocess.PIPE, text=True
@@ -257,17 +131,11 @@
     """Returns the processor time of a process so far, in seconds."""
     if daemon is None:
         return 0.0
-    path = pathlib.Path(f"/proc/{daemon.popen.pid}/stat")
-    fields = path.read_text(encoding="utf-8").rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+    return live_usage.read_usage(daemon.popen.pid).processor_s
 
 
 def _read_resident_mb(daemon: processes.Process | None) -> float:
-    """Returns the memory that a process has resident, in megabytes."""
+    """Returns the resident memory of a process, in MB."""
     if daemon is None:
         return 0.0
-    path = pathlib.Path(f"/proc/{daemon.popen.pid}/status")
-    for line in path.read_text(encoding="utf-8").splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
+    return live_usage.read_usage(daemon.popen.pid).memory_bytes / _BYTES_PER_MB
--- a/bench/live_fleet.py
+++ b/bench/live_fleet.py
@@ -59,6 +59,7 @@
         daemons: int,
         targets: list[str],
         teams: int = 10,
+        skew_multiple: float = 1.25,
     ) -> None:
         """Starts all and waits until every daemon is ready.
 
@@ -67,6 +68,7 @@
             daemons: Count of daemons.
             targets: Addresses of the targets; ids are ``target-<number>``.
             teams: Count of teams of the catalogue.
+            skew_multiple: Bound of the model.
         """
         self._running = processes.Processes()
         stack.callback(self._running.close)
@@ -86,7 +88,7 @@
         self.operators: list[str] = []
         for number in range(daemons):
             self._start_daemon(number, daemons)
-        entries = build_catalogue(teams)
+        entries = build_catalogue(teams, skew_multiple)
         processes.wait_until(
             lambda: put_catalogue(self.operators[0], 0, entries),
             self.daemons[0],
@@ -188,14 +190,14 @@
     return msgspec.json.decode(line, type=live_client.Outcome)
 
 
-def build_catalogue(teams: int) -> dict[str, typing.Any]:
+def build_catalogue(teams: int, skew_multiple: float) -> dict[str, typing.Any]:
     """Returns a catalogue of one model and so many teams."""
     limits = {"in_flight": 100_000, "requests_per_s": 100_000, "queued": 10_000}
     entry = {"owner": "measure", "class": "chat", "limits": limits}
     model = entry | {
         "name": MODEL,
         "target_in_flight": 10_000,
-        "skew_multiple": 1.25,
+        "skew_multiple": skew_multiple,
         "cold_start": {
             "in_flight": 4,
             "answers_per_step": 1,
