--- a/mothpass/control/statuses.py
+++ b/mothpass/control/statuses.py
@@ -148,7 +148,7 @@
                 ",".join(target.serves),
                 _describe_state(target),
                 f"{target.load}/{target.bound}",
-                _show(target.cold_allowance),
+                _show(gate.cold_allowance),
                 _show(gate.gate),
                 gate.gate_fencing,
                 _show(target.report_age_ms),
