Test whole answers over the platform's protocol; look into broken connections

Cause: a request whose connections were cut twice was taken for one that crashes targets, though they lived. Change: a target counts as dead only if it refuses a new connection right after. Stand-ins of the store and of targets speak the published protocol, faults included; 24 tests.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -47,6 +47,7 @@
         reason: What happened, for logs.
         status: Status of the answer, 0 for none.
         is_reached: Whether the target can be reached, as far as is known.
+        is_cut: Whether the target broke off the connection.
         head: Head of an answer that wasn't delivered.
         body: Its body.
     """
@@ -55,6 +56,7 @@
     reason: str = ""
     status: int = 0
     is_reached: bool = True
+    is_cut: bool = False
     head: relay.AnswerHead | None = None
     body: bytes = b""
 
@@ -101,6 +103,7 @@
             wait until the deadline.
         fresh: Whether it needs a new connection.
         on_sent: Called when the request is written.
+        on_event: Called with the id of each event that was handed on.
     """
 
     request: relay.Request
@@ -110,6 +113,7 @@
     silence_s: float | None
     fresh: bool
     on_sent: abc.Callable[[], None]
+    on_event: abc.Callable[[int], None]
 
 
 class Sender:
@@ -142,12 +146,13 @@
         except errors.TargetUnreachableError as error:
             return Outcome(end=End.NOT_RUN, reason=str(error))
         except errors.TargetAnswerLostError as error:
-            is_silent = exchange is not None and not exchange.answered
+            is_cut = not connection.is_open()
             return Outcome(
                 end=End.BROKEN if delivery.is_streaming else End.LOST,
                 reason=str(error),
+                is_reached=is_cut or exchange is None or exchange.answered,
                 # A kept connection that the target closes shows nothing.
-                is_reached=is_kept or not is_silent,
+                is_cut=is_cut and not is_kept,
             )
         finally:
             self._pool.give_back(address, connection, idle_s=idle_s)
@@ -201,29 +206,21 @@
                 status=head.status,
                 is_reached=not head.is_other_target,
             )
-        is_success = 200 <= head.status < 300
         if delivery.is_streaming:
             # A stream goes on with a stream or not at all.
             return Outcome(end=End.BROKEN, reason=f"status {head.status}")
-        if is_success and not head.is_signed:
-            return Outcome(end=End.LOST, reason="answer without a signature")
-        if is_success or 300 <= head.status < 500:
-            if head.fate is relay.Fate.UNKNOWN:
-                return Outcome(
-                    end=End.LOST,
-                    reason="status that doesn't say whether it ran",
-                )
-            delivery.note_first()
-            delivery.client.write_answer(head.status, head.headers, body)
-            return Outcome(end=End.DELIVERED, status=head.status)
-        end = End.LOST if head.fate is relay.Fate.UNKNOWN else End.FAILED
-        return Outcome(
-            end=end,
-            reason=f"status {head.status}",
-            status=head.status,
-            head=head,
-            body=body,
-        )
+        fault = _find_fault(head)
+        if fault is not None:
+            return Outcome(
+                end=fault,
+                reason=f"status {head.status}",
+                status=head.status,
+                head=head,
+                body=body,
+            )
+        delivery.note_first()
+        delivery.client.write_answer(head.status, head.headers, body)
+        return Outcome(end=End.DELIVERED, status=head.status)
 
     async def _pass_stream(
         self,
@@ -246,6 +243,7 @@
             if data:
                 _start_stream(head, delivery)
                 await delivery.client.write_part(data)
+                attempt.on_event(delivery.position or 0)
             if is_last:
                 break
         if splitter.has_rest or exchange.ends_with_connection:
@@ -284,6 +282,15 @@
     return b"".join(parts)
 
 
+def _find_fault(head: relay.AnswerHead) -> End | None:
+    """Returns how an attempt ended whose answer isn't to be delivered yet."""
+    if head.fate is relay.Fate.UNKNOWN:
+        return End.LOST
+    if 200 <= head.status < 300 and not head.is_signed:
+        return End.LOST
+    return End.FAILED if head.status >= 500 else None
+
+
 def _is_event_stream(head: relay.AnswerHead) -> bool:
     return any(
         name == b"content-type" and value.lower().startswith(_EVENT_STREAM)
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -19,6 +19,7 @@
 from mothpass.core import target_table
 from mothpass.ports import relay
 from mothpass.relay import attempts
+from mothpass.relay import deaths as deaths_module
 from mothpass.relay import metrics as metrics_module
 
 # How often a request without a place looks for one again.
@@ -36,7 +37,6 @@
 LEAST_PLAIN_SILENCE_S = 0.25
 # Sends that end without a run, before the request is refused.
 MOST_REFUSED_SENDS = 4
-_PAST_ALL_POSITIONS = 1 << 30
 MOST_URGENCY = 9
 
 _logger = logging.getLogger("mothpass.requests")
@@ -108,27 +108,21 @@
 
 
 class Forwarder:
-    """Answers the requests of clients.
-
-    Attributes:
-        running: Fingerprints and positions of the own attempts by target.
-    """
+    """Answers the requests of clients."""
 
     __slots__ = (
         "_budgets",
         "_chooser",
         "_count_daemons",
+        "_deaths",
         "_find_routes",
         "_make_budget",
         "_metrics",
-        "_on_death",
         "_random",
         "_read_request",
         "_sender",
-        "_suspects",
         "_targets",
         "_write_request",
-        "running",
     )
 
     def __init__(
@@ -140,7 +134,7 @@
         sender: attempts.Sender,
         make_budget: abc.Callable[[], repeat_budget.RepeatBudget],
         count_daemons: abc.Callable[[], int],
-        suspicions: suspects.Suspects,
+        deaths: deaths_module.Deaths,
         metrics: metrics_module.Metrics,
         read_request: relay.ReadRequest,
         write_request: relay.WriteRequest,
@@ -154,12 +148,11 @@
         self._make_budget = make_budget
         self._budgets: dict[str, repeat_budget.RepeatBudget] = {}
         self._count_daemons = count_daemons
-        self._suspects = suspicions
+        self._deaths = deaths
         self._metrics = metrics
         self._read_request = read_request
         self._write_request = write_request
         self._random = source
-        self.running: dict[str, dict[int, Progress]] = {}
 
     async def handle(
         self,
@@ -215,7 +208,7 @@
             body=request.body,
         )
         now = asyncio.get_running_loop().time()
-        if self._suspects.is_quarantined(fingerprint, now=now):
+        if self._deaths.suspicions.is_quarantined(fingerprint, now=now):
             return _refuse(
                 results.Code.RETRIES_EXHAUSTED,
                 "crashes targets",
@@ -273,7 +266,7 @@
         )
         if not admitted.route.is_repeatable:
             return False
-        if self._suspects.is_quarantined(
+        if self._deaths.suspicions.is_quarantined(
             admitted.fingerprint, now=asyncio.get_running_loop().time()
         ):
             return False
@@ -331,20 +324,22 @@
             silence_s=self._find_silence(admitted, progress),
             fresh=not admitted.route.is_repeatable or progress.sends > 0,
             on_sent=lambda: target.sends.record(loop.time()),
+            on_event=lambda position: self._deaths.progress(
+                target, admitted.fingerprint, position
+            ),
         )
         progress.tried.add(target.id)
         progress.sends += 1
         target.in_flight += 1
-        running = self.running.setdefault(target.id, {})
-        running[admitted.fingerprint] = progress
+        self._deaths.start(target, admitted.fingerprint)
         if admitted.prompt_key is not None:
             self._chooser.memory.record(admitted.prompt_key, target.id, now)
         try:
             outcome = await self._sender.send(attempt, progress.delivery)
+            self._note_outcome(admitted, target, outcome)
         finally:
             target.in_flight -= 1
-            running.pop(admitted.fingerprint, None)
-        self._note_outcome(admitted, progress, target, outcome)
+            self._deaths.end(target, admitted.fingerprint)
         event_log.log(
             _logger,
             "attempt",
@@ -364,33 +359,20 @@
     def _note_outcome(
         self,
         admitted: Admitted,
-        progress: Progress,
         target: target_table.Target,
         outcome: attempts.Outcome,
     ) -> None:
         """Takes in what an attempt shows of its target."""
-        now = asyncio.get_running_loop().time()
         self._metrics.count("attempts", end=outcome.end.value)
         if outcome.end is attempts.End.DELIVERED:
             target.record_success()
-            self._suspects.record_progress(
-                admitted.fingerprint, _PAST_ALL_POSITIONS, now=now
-            )
-            return
-        if not outcome.is_reached:
-            target.record_failure(now)
-        is_broken = outcome.end in (attempts.End.LOST, attempts.End.BROKEN)
-        if is_broken and admitted.prompt_key is not None:
-            # A target that died has this request in flight and others.
-            started = target.entry.started_at_ms
-            running = suspects.Running(
-                fingerprint=admitted.fingerprint,
-                position=progress.delivery.position or 0,
+            self._deaths.progress(
+                target, admitted.fingerprint, deaths_module.PAST_ALL_POSITIONS
             )
-            if outcome.reason.startswith("connection lost"):
-                self._suspects.record_death(
-                    f"{target.id}/{started}", [running], now=now
-                )
+        elif not outcome.is_reached:
+            target.record_failure(asyncio.get_running_loop().time())
+        elif outcome.is_cut:
+            self._deaths.look_into(target)
 
     def _may_repeat(self, admitted: Admitted) -> bool:
         budget = self._find_budget(admitted.service.name)
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -128,6 +128,11 @@
         """Keeps the transport to send by."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
 
+    def close(self) -> None:
+        """Sends and receives no more."""
+        if self._transport is not None:
+            self._transport.close()
+
     def error_received(self, exc: Exception) -> None:
         """Logs that the network refused a datagram; the next may pass."""
         _logger.debug("datagram refused: %s", exc)
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -25,6 +25,7 @@
 from mothpass.ports import relay
 from mothpass.ports import replicas as replica_ports
 from mothpass.relay import attempts
+from mothpass.relay import deaths
 from mothpass.relay import forwarding
 from mothpass.relay import gossip
 from mothpass.relay import metrics as metrics_module
@@ -171,7 +172,7 @@
             sender=attempts.Sender(pool=pool, read_head=ports.read_answer_head),
             make_budget=self._make_budget,
             count_daemons=lambda: len(self._gossip.list_sharers()),
-            suspicions=self._suspects,
+            deaths=deaths.Deaths(pool=pool, suspicions=self._suspects),
             metrics=self._metrics,
             read_request=ports.read_request,
             write_request=ports.write_request,
@@ -242,9 +243,17 @@
             self._clients.close_idle()
             await asyncio.sleep(gossip.TICK_S)
         event_log.log(_logger, "stopped", cut=len(self._clients.connections))
+        await self.close()
+
+    async def close(self) -> None:
+        """Ends at once; what is running is cut."""
+        for server in self._servers:
+            server.close()
+        self._gossip.close()
         self._clients.abort()
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         self._pool.close()
 
     def _peer_address(self, host: str) -> str:
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the relay over the platform's protocol, against stand-ins."""
--- /dev/null
+++ b/tests/platform/fleet.py
@@ -0,0 +1,200 @@
+"""Daemons of the relay before stand-ins of the platform, in one loop."""
+
+import asyncio
+import itertools
+import unittest
+
+from mothpass.platform import __main__ as platform_main
+from mothpass.relay import service as service_module
+from mothpass.relay import settings as settings_module
+from tests.platform import store_standin
+from tests.platform import target_standin
+from tests.platform import wire
+
+HOST = "shop.example"
+KEY = "key-of-red"
+_ports = itertools.count(21_000, 4)
+_ids = itertools.count(1)
+
+
+def make_route(name: str, kind: str, **fields: object) -> dict[str, object]:
+    """Returns a route ``/NAME/`` of the operator's document."""
+    route: dict[str, object] = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 300,
+        "priority": 1,
+        "service": "plain",
+        "maxAttempts": 2,
+        "authExempt": False,
+        "sessionAffinity": False,
+        "streamResume": False,
+        "gapAimMs": 500,
+    }
+    return route | fields
+
+
+def make_document(version: int = 1) -> dict[str, object]:
+    """Returns a document with routes of each kind."""
+    chat: dict[str, object] = {"service": "models", "sessionAffinity": True}
+    return {
+        "version": version,
+        "routes": [
+            make_route("read", "idempotent"),
+            make_route("pay", "non_idempotent", maxAttempts=1),
+            make_route("chat", "stream", streamResume=True, **chat),
+            make_route("once", "stream", maxAttempts=1, **chat),
+            make_route("open", "idempotent", authExempt=True),
+        ],
+        "services": [
+            {"name": "plain", "healthPath": "/health", "maxConns": 50},
+            {
+                "name": "models",
+                "healthPath": "/health",
+                "maxConns": 50,
+                "coldStartS": 3.0,
+                "coldPerS": 10.0,
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 10_000,
+            "headerTimeoutMs": 500,
+            "idleTimeoutMs": 2000,
+        },
+        "tenants": [{"name": "red", "apiKeys": [KEY], "priority": 2}],
+    }
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Base of tests: a store, two targets of each service, daemons."""
+
+    daemons = 1
+
+    async def asyncSetUp(self) -> None:
+        self.store = store_standin.Store()
+        await self.store.open()
+        self.addCleanup(self.store.close)
+        self.plain = [await self.add_target("plain") for _ in range(2)]
+        self.models = [await self.add_target("models") for _ in range(2)]
+        self.document = make_document()
+        self.store.put("op", "config", self.document)
+        self.services: list[service_module.Service] = []
+        self.addresses: list[str] = []
+        self._base = next(_ports)
+        for number in range(self.daemons):
+            await self.add_daemon(number)
+
+    async def asyncTearDown(self) -> None:
+        for service in self.services:
+            await service.close()
+
+    async def add_target(
+        self, service: str, **fields: object
+    ) -> target_standin.Target:
+        """Opens a target and registers it."""
+        target = target_standin.Target(f"i-{next(_ids):08x}")
+        await target.open()
+        self.addCleanup(target.close)
+        entry = target.encode_entry(service, **fields)
+        self.store.put("servers", target.id, entry)
+        return target
+
+    def script_all(
+        self,
+        targets: list[target_standin.Target],
+        *scripts: target_standin.Script,
+    ) -> None:
+        """Lets targets run these in order, whichever is asked, then well."""
+        order = list(scripts)
+
+        async def run(
+            target: target_standin.Target,
+            request: wire.Request,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            script = order.pop(0) if order else target_standin.answer_well
+            await script(target, request, writer)
+
+        for target in targets:
+            target.answer = run
+
+    async def add_daemon(self, number: int, store: str = "") -> None:
+        """Starts a daemon and waits until it is ready."""
+        host = f"127.0.1.{number + 1}"
+        settings = settings_module.Settings(
+            id=f"front-{number}",
+            availability_zone="zone-a",
+            address=host,
+            clients=f"{host}:{self._base}",
+            health=f"{host}:{self._base + 1}",
+            peer_ports=(self._base + 2, self._base + 2),
+            seeds=[f"127.0.1.1:{self._base + 3}"],
+            store=store or self.store.address,
+            metrics_port=self._base + 3,
+            grace_s=4.0,
+        )
+        service = platform_main.build_service(settings)
+        await service.start()
+        self.services.append(service)
+        self.addresses.append(settings.clients)
+        await self.wait_until_ready(settings.health)
+
+    async def wait_until_ready(self, address: str) -> None:
+        """Waits until a daemon says that it is ready."""
+        for _ in range(200):
+            client = await wire.Client.connect(address)
+            client.send("GET", "/-/readiness", {"Host": address})
+            answer = await client.read()
+            client.close()
+            if answer.status == 200:
+                return
+            await asyncio.sleep(0.02)
+        self.fail("a daemon isn't ready")
+
+    def make_headers(self, **fields: str) -> dict[str, str]:
+        """Returns the headers of a client's request with a new id."""
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": f"{next(_ids):016x}",
+            "Deadline-Ms": "3000",
+            "Authorization": f"Bearer {KEY}",
+        }
+        return headers | {
+            name.replace("_", "-"): value for name, value in fields.items()
+        }
+
+    def make_chat_headers(self, **fields: str) -> dict[str, str]:
+        """Returns the headers of a model request."""
+        return self.make_headers(
+            Model="m",
+            Token_Count="120,40",
+            Prompt_Prefix="aa:80,bb:30,cc:10",
+            **fields,
+        )
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        daemon: int = 0,
+    ) -> wire.Answer:
+        """Makes one request over a connection of its own."""
+        client = await wire.Client.connect(self.addresses[daemon])
+        client.send(method, path, headers or self.make_headers(), body)
+        answer = await client.read()
+        client.close()
+        return answer
+
+    async def wait_for(self, is_so: object, timeout_s: float = 5.0) -> None:
+        """Waits until a condition holds."""
+        assert callable(is_so)
+        async with asyncio.timeout(timeout_s):
+            # What the stand-ins note has no event to wait for.
+            while not is_so():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/platform/target_standin.py
@@ -0,0 +1,267 @@
+"""A stand-in of a model runner or plain service, with faults to order."""
+
+import asyncio
+from collections import abc
+import contextlib
+
+from tests.platform import wire
+
+SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
+EVENTS = 4
+
+
+class Target:
+    """Answers requests as it is told and keeps a ledger of them.
+
+    Attributes:
+        id: Id under which it is registered.
+        address: ``ip:port`` once it is open.
+        requests: Requests that arrived, in order.
+        runs: Ids of the requests that it ran, in order.
+        ended: Ids of the runs whose connection closed before their end.
+        script: Handles the next requests, first to last; then ``answer``.
+    """
+
+    def __init__(self, target_id: str) -> None:
+        self.id = target_id
+        self.address = ""
+        self.requests: list[wire.Request] = []
+        self.runs: list[str] = []
+        self.ended: list[str] = []
+        self.script: list[Script] = []
+        self.answer: Script = answer_well
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self, host: str = "127.0.0.1") -> None:
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+
+    def close(self) -> None:
+        """Stops listening and resets all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def encode_entry(self, service: str, **fields: object) -> dict[str, object]:
+        """Returns the entry under which it registers."""
+        entry: dict[str, object] = {
+            "service": service,
+            "addr": self.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": 1,
+            "born": 1000,
+        }
+        return entry | fields
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        with contextlib.suppress(
+            OSError, asyncio.IncompleteReadError, asyncio.CancelledError
+        ):
+            while (request := await wire.read_request(reader)) is not None:
+                self.requests.append(request)
+                script = self.script.pop(0) if self.script else self.answer
+                await self._run(script, request, reader, writer)
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _run(
+        self,
+        script: "Script",
+        request: wire.Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Runs a script until it ends or the caller closes."""
+        work = asyncio.ensure_future(script(self, request, writer))
+        while not work.done():
+            await asyncio.wait([work], timeout=0.01)
+            if reader.at_eof() and not work.done():
+                work.cancel()
+                self.ended.append(request.headers.get("attempt-id", ""))
+                break
+        with contextlib.suppress(asyncio.CancelledError):
+            await work
+
+
+Script = abc.Callable[
+    [Target, wire.Request, asyncio.StreamWriter], abc.Awaitable[None]
+]
+
+
+def make_headers(request: wire.Request) -> dict[str, str]:
+    """Returns the headers with which a target signs its answers."""
+    return {
+        "Attempt-Id": request.headers["attempt-id"],
+        "Server-Seal": SIGNATURE,
+    }
+
+
+def make_event(number: int) -> bytes:
+    """Returns an event of a stream, the same at each target."""
+    return b"id: %d\ndata: part %d\n\n" % (number, number)
+
+
+async def answer_well(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Runs the request: a stream for model requests, else a short body."""
+    if "prompt-prefix" in request.headers:
+        await stream(EVENTS)(target, request, writer)
+        return
+    target.runs.append(request.headers["attempt-id"])
+    wire.write_answer(writer, 200, make_headers(request), b"done")
+
+
+def start_stream(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> int:
+    """Writes the head of a stream; returns the number of its first event."""
+    target.runs.append(request.headers["attempt-id"])
+    headers = make_headers(request)
+    headers["Content-Type"] = "text/event-stream"
+    headers["Transfer-Encoding"] = "chunked"
+    writer.write(wire.encode_head(200, headers))
+    return int(request.headers.get("last-event-id", "-1")) + 1
+
+
+def stream(events: int, *, pause_s: float = 0.0) -> Script:
+    """Returns a script that streams events and ends well."""
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        for number in range(start_stream(target, request, writer), events):
+            wire.write_chunk(writer, make_event(number))
+            await asyncio.sleep(pause_s)
+        wire.write_chunk(writer, b"")
+
+    return run
+
+
+def break_stream(events: int, rest: bytes = b"") -> Script:
+    """Returns a script that breaks off after events and part of one."""
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        for number in range(start_stream(target, request, writer), events):
+            wire.write_chunk(writer, make_event(number))
+        if rest:
+            wire.write_chunk(writer, rest)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    return run
+
+
+def mute_stream(events: int) -> Script:
+    """Returns a script that goes silent after events."""
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        for number in range(start_stream(target, request, writer), events):
+            wire.write_chunk(writer, make_event(number))
+        await asyncio.sleep(3600)
+
+    return run
+
+
+def refuse(status: int, headers: dict[str, str]) -> Script:
+    """Returns a script that refuses without running the request."""
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        del target, request
+        wire.write_answer(writer, status, headers, b"")
+
+    return run
+
+
+def fail(status: int) -> Script:
+    """Returns a script that runs the request and answers with a failure."""
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        target.runs.append(request.headers["attempt-id"])
+        wire.write_answer(writer, status, make_headers(request), b"failed")
+
+    return run
+
+
+async def lose_answer(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Runs the request and resets the connection."""
+    target.runs.append(request.headers["attempt-id"])
+    await asyncio.sleep(0.02)
+    writer.transport.abort()
+
+
+async def hang(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Runs the request and never answers."""
+    del writer
+    target.runs.append(request.headers["attempt-id"])
+    await asyncio.sleep(3600)
+
+
+async def answer_twice(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Answers well, and then once more."""
+    await answer_well(target, request, writer)
+    wire.write_answer(writer, 200, make_headers(request), b"again")
+
+
+async def answer_another_first(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Writes the late answer of another request before the right one."""
+    headers = make_headers(request) | {"Attempt-Id": "somebody-else"}
+    wire.write_answer(writer, 200, headers, b"not yours")
+    await answer_well(target, request, writer)
+
+
+async def answer_garbage(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Runs the request and writes bytes that are no answer."""
+    target.runs.append(request.headers["attempt-id"])
+    writer.write(b"\x00\x01 garbage \r\n\r\n")
+
+
+async def answer_short(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Runs the request and breaks off within the body."""
+    target.runs.append(request.headers["attempt-id"])
+    headers = make_headers(request) | {"Content-Length": "100"}
+    writer.write(wire.encode_head(200, headers) + b"only a part")
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    writer.close()
+
+
+async def answer_unframed(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Answers with a body that ends with the connection."""
+    target.runs.append(request.headers["attempt-id"])
+    writer.write(wire.encode_head(200, make_headers(request)) + b"to the end")
+    await writer.drain()
+    writer.close()
--- /dev/null
+++ b/tests/platform/test_whole_answers.py
@@ -0,0 +1,207 @@
+"""Clients get whole answers, their own, and no request runs too often."""
+
+import asyncio
+
+from tests.platform import fleet
+from tests.platform import target_standin
+from tests.platform import wire
+
+
+class PlainAnswersTest(fleet.FleetTest):
+    """Requests whose answer is one body."""
+
+    def count_runs(self) -> int:
+        """Returns the runs at all plain targets."""
+        return sum(len(target.runs) for target in self.plain)
+
+    async def test_answer_and_signature_are_handed_on(self) -> None:
+        headers = self.make_headers(Odd="kept")
+        answer = await self.call("POST", "/pay/1?x=%20", headers, b"body")
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
+        self.assertEqual(
+            answer.headers["server-seal"], target_standin.SIGNATURE
+        )
+        [seen] = [item for target in self.plain for item in target.requests]
+        self.assertEqual(
+            (seen.method, seen.url, seen.body),
+            ("POST", "/pay/1?x=%20", b"body"),
+        )
+        self.assertEqual(seen.headers["tenant"], "red")
+        self.assertEqual(seen.headers["odd"], "kept")
+        self.assertNotIn("authorization", seen.headers)
+        self.assertLessEqual(int(seen.headers["deadline-ms"]), 3000)
+
+    async def test_headers_that_the_relay_sets_are_not_taken_from_clients(
+        self,
+    ) -> None:
+        forged = {
+            "Tenant": "blue",
+            "Hold": "1",
+            "Pin-Ms": "9",
+            "Kv-From": "x",
+            "Kv-Backup": "x",
+            "Connection": "odd",
+            "Odd": "1",
+        }
+        await self.call("GET", "/read/1", self.make_headers() | forged)
+        [seen] = [item for target in self.plain for item in target.requests]
+        self.assertEqual(seen.headers["tenant"], "red")
+        for name in ("hold", "pin-ms", "kv-from", "kv-backup", "odd"):
+            self.assertNotIn(name, seen.headers)
+
+    async def test_payment_whose_answer_is_lost_runs_once(self) -> None:
+        self.script_all(self.plain, target_standin.lose_answer)
+        answer = await self.call("POST", "/pay/1", body=b"x")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.count_runs(), 1)
+
+    async def test_payment_that_was_refused_may_run_elsewhere(self) -> None:
+        self.script_all(
+            self.plain, target_standin.refuse(503, {"Not-Run": "1"})
+        )
+        answer = await self.call("POST", "/pay/1", body=b"x")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.count_runs(), 1)
+
+    async def test_503_without_its_word_is_no_promise(self) -> None:
+        self.script_all(self.plain, target_standin.fail(503))
+        answer = await self.call("POST", "/pay/1", body=b"x")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.count_runs(), 1)
+
+    async def test_read_whose_answer_is_lost_is_sent_again(self) -> None:
+        self.script_all(self.plain, target_standin.lose_answer)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual((answer.status, self.count_runs()), (200, 2))
+
+    async def test_no_more_runs_than_the_route_allows(self) -> None:
+        self.script_all(self.plain, *[target_standin.lose_answer] * 4)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual((answer.status, self.count_runs()), (502, 2))
+
+    async def test_failure_of_a_target_keeps_its_status(self) -> None:
+        self.script_all(self.plain, *[target_standin.fail(500)] * 2)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual((answer.status, answer.body), (500, b"failed"))
+        self.assertIn("server-seal", answer.headers)
+
+    async def test_bytes_that_are_no_answer_reach_no_client(self) -> None:
+        for script in (
+            target_standin.answer_garbage,
+            target_standin.answer_short,
+        ):
+            with self.subTest(script=script.__name__):
+                self.script_all(self.plain, script)
+                answer = await self.call("POST", "/pay/1", body=b"x")
+                self.assertEqual(answer.status, 502)
+                self.assertNotIn("server-seal", answer.headers)
+
+    async def test_late_answer_of_another_request_is_passed_over(self) -> None:
+        self.script_all(self.plain, target_standin.answer_another_first)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
+
+    async def test_second_answer_goes_to_nobody(self) -> None:
+        self.script_all(self.plain, target_standin.answer_twice)
+        for _ in range(6):
+            answer = await self.call("GET", "/read/1")
+            self.assertEqual((answer.status, answer.body), (200, b"done"))
+
+    async def test_body_that_ends_with_the_connection_is_framed(self) -> None:
+        self.script_all(self.plain, target_standin.answer_unframed)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual(answer.body, b"to the end")
+        self.assertTrue(answer.is_whole)
+
+    async def test_silent_target_is_given_up_for_another(self) -> None:
+        self.script_all(self.plain, target_standin.hang)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual(answer.status, 200)
+
+    async def test_final_answer_is_due_at_the_deadline(self) -> None:
+        self.script_all(self.plain, target_standin.hang)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        headers = self.make_headers(Deadline_Ms="400")
+        answer = await self.call("POST", "/pay/1", headers, b"x")
+        self.assertIn(answer.status, (502, 504))
+        self.assertAlmostEqual(loop.time() - started, 0.4, delta=0.15)
+
+    async def test_run_ends_when_its_client_leaves(self) -> None:
+        self.script_all(self.plain, target_standin.hang)
+        client = await wire.Client.connect(self.addresses[0])
+        client.send("POST", "/pay/1", self.make_headers(), b"x")
+        await self.wait_for(lambda: self.count_runs() == 1)
+        client.close()
+        await self.wait_for(
+            lambda: any(target.ended for target in self.plain), 0.5
+        )
+
+    async def test_dead_target_costs_no_run(self) -> None:
+        self.plain[0].close()
+        for _ in range(4):
+            answer = await self.call("POST", "/pay/1", body=b"x")
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.plain[1].runs), 4)
+
+    async def test_other_target_at_the_address_is_passed_by(self) -> None:
+        self.script_all(
+            self.plain, target_standin.refuse(421, {"Instance-Id": "i-other"})
+        )
+        answer = await self.call("POST", "/pay/1", body=b"x")
+        self.assertEqual((answer.status, self.count_runs()), (200, 1))
+
+
+class StreamsTest(fleet.FleetTest):
+    """Requests whose answer is a stream of events."""
+
+    async def test_stream_arrives_whole(self) -> None:
+        answer = await self.call("POST", "/chat/1", self.make_chat_headers())
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body, _make_stream(target_standin.EVENTS))
+
+    async def test_broken_stream_goes_on_at_another_target(self) -> None:
+        broken = target_standin.break_stream(2, b"id: 2\nda")
+        self.script_all(self.models, broken)
+        answer = await self.call("POST", "/chat/1", self.make_chat_headers())
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body, _make_stream(target_standin.EVENTS))
+        self.assertEqual([len(target.runs) for target in self.models], [1, 1])
+
+    async def test_stream_that_breaks_too_often_is_cut_visibly(self) -> None:
+        broken = target_standin.break_stream(1)
+        self.script_all(self.models, broken, target_standin.break_stream(2))
+        answer = await self.call("POST", "/chat/1", self.make_chat_headers())
+        self.assertEqual(answer.body, _make_stream(2))
+        self.assertFalse(answer.is_whole)
+
+    async def test_mute_stream_goes_on_and_its_first_run_ends(self) -> None:
+        self.script_all(self.models, target_standin.mute_stream(2))
+        answer = await self.call("POST", "/chat/1", self.make_chat_headers())
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body, _make_stream(target_standin.EVENTS))
+        self.assertEqual(sum(len(item.ended) for item in self.models), 1)
+
+    async def test_stream_that_may_not_go_on_is_cut_visibly(self) -> None:
+        self.script_all(self.models, target_standin.break_stream(2))
+        answer = await self.call("POST", "/once/1", self.make_chat_headers())
+        self.assertEqual(answer.body, _make_stream(2))
+        self.assertFalse(answer.is_whole)
+        self.assertEqual(sum(len(item.runs) for item in self.models), 1)
+
+    async def test_client_resumes_after_its_last_event(self) -> None:
+        headers = self.make_chat_headers(Last_Event_Id="1")
+        answer = await self.call("POST", "/chat/1", headers)
+        self.assertEqual(
+            answer.body,
+            target_standin.make_event(2) + target_standin.make_event(3),
+        )
+
+    async def test_prompt_returns_to_the_same_target(self) -> None:
+        for _ in range(6):
+            await self.call("POST", "/chat/1", self.make_chat_headers())
+        self.assertIn(6, [len(target.runs) for target in self.models])
+
+
+def _make_stream(events: int) -> bytes:
+    return b"".join(target_standin.make_event(item) for item in range(events))
