--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -85,7 +85,11 @@
 
 
 class Service:
-    """One daemon."""
+    """One daemon.
+
+    Attributes:
+        state: What it believes.
+    """
 
     __slots__ = (
         "_away_at",
@@ -102,9 +106,9 @@
         "_servers",
         "_settings",
         "_started_ms",
-        "_state",
         "_suspects",
         "_tasks",
+        "state",
     )
 
     def __init__(
@@ -128,7 +132,7 @@
         self._settings = settings
         self._ports = ports
         self._pool = pool
-        self._state = state
+        self.state = state
         self._metrics = metrics_module.Metrics()
         self._suspects = suspects.Suspects(own_id=settings.id)
         self._started_ms = int(time.time() * 1000)
@@ -152,7 +156,7 @@
                 accept=accept,
                 must_read=self._must_read,
                 has_backing=self._gossip.has_follower,
-                is_settled=self._is_settled,
+                is_settled=self.is_settled,
             )
             for name, accept in (
                 (ports.operator_table, state.take_operator_rows),
@@ -256,11 +260,15 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._pool.close()
 
+    def find_peers(self) -> list[str]:
+        """Returns the ids of the daemons that are heard."""
+        return [peer.beat.id for peer in self._gossip.list_live()]
+
     def _peer_address(self, host: str) -> str:
         return f"{host}:{self._settings.peer_ports[0]}"
 
     def _find_limits(self) -> route_table.RequestLimits:
-        routes = self._state.routes
+        routes = self.state.routes
         return _FIRST_LIMITS if routes is None else routes.limits
 
     def _make_budget(self) -> repeat_budget.RepeatBudget:
@@ -276,7 +284,7 @@
 
     def _allows_cold(self, target: target_table.Target) -> bool:
         """Tells whether a cold target may get one more request of ours."""
-        routes = self._state.routes
+        routes = self.state.routes
         service = routes and routes.services.get(target.entry.service)
         if not service or service.cold_per_s <= 0:
             return True
@@ -300,7 +308,7 @@
             for item in self._replicas.values()
         )
 
-    def _is_settled(self) -> bool:
+    def is_settled(self) -> bool:
         """Tells whether entries that are missing are gone.
 
         The store was away if no daemon reached it; one that turns away only
@@ -314,7 +322,7 @@
 
     def _is_ready(self) -> bool:
         versions = [replica.version for replica in self._replicas.values()]
-        is_informed = self._state.routes is not None and all(versions)
+        is_informed = self.state.routes is not None and all(versions)
         return is_informed and not self._is_leaving
 
     def _make_beat(self, peers: list[str]) -> gossip.Beat:
@@ -330,7 +338,7 @@
             },
             counts={
                 target.id: target.in_flight
-                for target in self._state.targets.targets.values()
+                for target in self.state.targets.targets.values()
                 if target.in_flight
             },
             reaches_store=self._reaches_store(),
@@ -427,7 +435,7 @@
             self._gossip.tick()
             if not self._follows_store() and not self._gossip.has_follower():
                 self._away_at = asyncio.get_running_loop().time()
-            self._state.drop_lapsed()
+            self.state.drop_lapsed()
 
     async def _keep_house(self) -> None:
         while True:
--- /dev/null
+++ b/tests/platform/test_state_in_force.py
@@ -0,0 +1,251 @@
+"""What operators and targets put in force reaches each daemon in time."""
+
+import asyncio
+
+from mothpass.core import target_table
+from mothpass.relay import gossip
+from mothpass.relay import state as state_module
+from tests.platform import fleet
+from tests.platform import store_standin
+from tests.platform import wire
+
+
+class RoutesTest(fleet.FleetTest):
+    """Routes and keys of the operator's document."""
+
+    async def test_unknown_routes_and_keys_are_refused(self) -> None:
+        answer = await self.call("GET", "/nowhere/1")
+        self.assertEqual(answer.status, 404)
+        headers = self.make_headers(Authorization="Bearer wrong")
+        answer = await self.call("GET", "/read/1", headers)
+        self.assertEqual(answer.status, 401)
+        answer = await self.call("GET", "/open/1", headers)
+        self.assertEqual(answer.status, 200)
+
+    async def test_longest_prefix_decides(self) -> None:
+        routes = self.document["routes"]
+        assert isinstance(routes, list)
+        routes.append(
+            fleet.make_route(
+                "deep", "idempotent", prefix="/read/deep/", service="models"
+            )
+        )
+        self.document["version"] = 5
+        self.store.put("op", "config", self.document)
+        await self.wait_for_version(5)
+        await self.call("GET", "/read/deep/1")
+        await self.call("GET", "/read/deep")
+        self.assertEqual(sum(len(item.runs) for item in self.models), 1)
+        self.assertEqual(sum(len(item.runs) for item in self.plain), 1)
+
+    async def test_older_version_never_comes_back(self) -> None:
+        newer = fleet.make_document(version=9) | {"tenants": []}
+        self.store.put("op", "config", newer)
+        await self.wait_for_version(9)
+        self.store.put("op", "config", fleet.make_document(version=3))
+        await asyncio.sleep(0.3)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual(answer.status, 401)
+
+    async def test_document_with_faults_changes_nothing(self) -> None:
+        self.store.put("op", "config", b'{"version": 7, "routes": 3}')
+        await asyncio.sleep(0.2)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual(answer.status, 200)
+
+    async def test_history_that_is_gone_is_read_anew(self) -> None:
+        self.store.forgets = True
+        self.store.put("op", "config", fleet.make_document(version=2))
+        await self.wait_for_version(2)
+
+    async def test_closed_zone_gets_nothing(self) -> None:
+        away = await self.add_target("plain", zone="zone-b")
+        self.store.put("op", "evacuate/zone-a", {})
+        await self.wait_for(
+            lambda: self.state.targets.closed_zones == {"zone-a"}
+        )
+        for _ in range(4):
+            await self.call("GET", "/read/1")
+        self.assertEqual(len(away.runs), 4)
+        self.store.remove("op", "evacuate/zone-a")
+        await self.wait_for(lambda: not self.state.targets.closed_zones)
+
+    @property
+    def state(self) -> state_module.State:
+        """State of the first daemon."""
+        return self.services[0].state
+
+    async def wait_for_version(self, version: int) -> None:
+        """Waits until the first daemon has a version in force."""
+
+        def is_in_force() -> bool:
+            routes = self.state.routes
+            return routes is not None and routes.version == version
+
+        await self.wait_for(is_in_force, 2.0)
+
+
+class EntriesTest(fleet.FleetTest):
+    """Entries under which targets register."""
+
+    async def test_draining_and_removed_targets_get_nothing(self) -> None:
+        first, second = self.plain
+        entry = first.encode_entry("plain", state="draining")
+        self.store.put("servers", first.id, entry)
+        await self.wait_for(
+            lambda: self.find_target(first.id).entry.is_draining
+        )
+        for _ in range(4):
+            await self.call("GET", "/read/1")
+        self.assertEqual((len(first.runs), len(second.runs)), (0, 4))
+        self.store.remove("servers", second.id)
+        await self.wait_for(lambda: second.id not in self.targets)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+
+    async def test_torn_entries_are_passed_over(self) -> None:
+        for number, raw in enumerate(
+            (b"", b"{", b'{"service": 3}', b'{"service":"plain","addr":"x"}')
+        ):
+            self.store.put("servers", f"torn-{number}", raw)
+        unknown = self.plain[0].encode_entry("plain", state="odd")
+        self.store.put("servers", self.plain[0].id, unknown)
+        await self.wait_for(lambda: self.plain[0].id not in self.targets)
+        answer = await self.call("GET", "/read/1")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.targets), 3)
+
+    async def test_target_that_starts_again_holds_nothing(self) -> None:
+        first = self.models[0]
+        known = self.find_target(first.id)
+        entry = first.encode_entry("models", born=2000, coldLeftMs=3000)
+        self.store.put("servers", first.id, entry)
+        await self.wait_for(lambda: self.find_target(first.id) is not known)
+        now = asyncio.get_running_loop().time()
+        self.assertTrue(self.find_target(first.id).is_cold(now))
+
+    async def test_removal_after_an_outage_is_held(self) -> None:
+        self.store.status = 503
+        await self.wait_for(lambda: not self.services[0].is_settled(), 8.0)
+        self.store.remove("servers", self.plain[0].id)
+        self.store.status = 0
+        await asyncio.sleep(1.0)
+        self.assertIn(self.plain[0].id, self.targets)
+        await self.wait_for(lambda: self.plain[0].id not in self.targets, 4.0)
+
+    @property
+    def targets(self) -> dict[str, object]:
+        """Targets that the first daemon knows."""
+        return dict(self.services[0].state.targets.targets)
+
+    def find_target(self, target_id: str) -> target_table.Target:
+        """Returns a target as the first daemon knows it."""
+        return self.services[0].state.targets.targets[target_id]
+
+
+class PeersTest(fleet.FleetTest):
+    """Daemons that hand on what the store tells only some of them."""
+
+    daemons = 2
+
+    async def test_daemon_that_the_store_turns_away_learns_of_keys(
+        self,
+    ) -> None:
+        other = store_standin.Store()
+        await other.open()
+        self.addCleanup(other.close)
+        other.status = 503
+        await self.add_daemon(2, other.address)
+        answer = await self.call("GET", "/read/1", daemon=2)
+        self.assertEqual(answer.status, 200)
+        self.document |= {"version": 2, "tenants": []}
+        self.store.put("op", "config", self.document)
+        await asyncio.sleep(1.0)
+        answer = await self.call("GET", "/read/1", daemon=2)
+        self.assertEqual(answer.status, 401)
+
+    async def test_daemons_count_each_other_s_work(self) -> None:
+        await self.wait_for(
+            lambda: all(len(item.find_peers()) == 1 for item in self.services)
+        )
+
+    async def test_few_daemons_follow_the_store(self) -> None:
+        for number in range(2, gossip.READERS + 3):
+            await self.add_daemon(number)
+        await asyncio.sleep(gossip.QUIET_S + 5.0)
+        self.store.calls.clear()
+        await asyncio.sleep(2.0)
+        before = len(self.store.calls)
+        self.store.put("op", "config", fleet.make_document(version=2))
+        await asyncio.sleep(0.5)
+        followers = (len(self.store.calls) - before) / 2
+        self.assertLessEqual(followers, gossip.READERS)
+        for service in self.services:
+            routes = service.state.routes
+            assert routes is not None
+            self.assertEqual(routes.version, 2)
+
+
+class ShutdownTest(fleet.FleetTest):
+    """A graceful end."""
+
+    async def test_stop_answers_what_runs_and_closes_connections(self) -> None:
+        client = await wire.Client.connect(self.addresses[0])
+        client.send("GET", "/read/1", self.make_headers())
+        answer = await client.read()
+        self.assertNotIn("connection", answer.headers)
+        stopping = asyncio.ensure_future(self.services[0].stop())
+        await asyncio.sleep(0.1)
+        client.send("GET", "/read/2", self.make_headers())
+        answer = await client.read()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["connection"], "close")
+        self.assertTrue(await client.is_closed())
+        late = await self.call("GET", "/read/3")
+        self.assertEqual(late.status, 200)
+        await stopping
+
+
+class ClientLimitsTest(fleet.FleetTest):
+    """Requests that clients may not send."""
+
+    async def test_limits_are_held(self) -> None:
+        long = self.make_headers(Long="x" * 5000)
+        cases = (
+            ("GET", "/read/1", long, b"", 431),
+            ("POST", "/pay/1", self.make_headers(), b"x" * 10_001, 413),
+        )
+        for method, path, headers, body, status in cases:
+            with self.subTest(status=status):
+                answer = await self.call(method, path, headers, body)
+                self.assertEqual(answer.status, status)
+
+    async def test_smuggled_request_runs_nowhere(self) -> None:
+        client = await wire.Client.connect(self.addresses[0])
+        head = (
+            f"POST /pay/1 HTTP/1.1\r\nHost: {fleet.HOST}\r\n"
+            f"Authorization: Bearer {fleet.KEY}\r\nAttempt-Id: outer\r\n"
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "0\r\n\r\nGET /read/9 HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        client.write(head.encode())
+        answer = await client.read()
+        self.assertEqual(answer.status, 400)
+        self.assertEqual([item.runs for item in self.plain], [[], []])
+
+    async def test_connections_stay_open_for_further_requests(self) -> None:
+        client = await wire.Client.connect(self.addresses[0])
+        for _ in range(3):
+            client.send("GET", "/read/1", self.make_headers())
+            self.assertEqual((await client.read()).status, 200)
+
+    async def test_chunked_body_is_passed_on_whole(self) -> None:
+        client = await wire.Client.connect(self.addresses[0])
+        headers = self.make_headers(Transfer_Encoding="chunked")
+        client.send("POST", "/pay/1", headers)
+        client.write(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        self.assertEqual((await client.read()).status, 200)
+        [seen] = [item for target in self.plain for item in target.requests]
+        self.assertEqual(seen.body, b"abcde")
+        self.assertNotIn("transfer-encoding", seen.headers)
