--- a/mothpass/core/target_choice.py
+++ b/mothpass/core/target_choice.py
@@ -75,7 +75,7 @@
         *,
         key: str | None,
         avoided: abc.Container[str],
-        can_fetch: bool,
+        sources: abc.Sequence[target_table.Target],
         now: float,
     ) -> Choice | None:
         """Returns where a request goes, None where no target may take it now.
@@ -84,7 +84,8 @@
             usable: Targets of the service that may get work.
             key: Key of the prompt, None where it shares none.
             avoided: Ids of targets that failed this request.
-            can_fetch: Whether targets fetch prompt memory from each other.
+            sources: Targets that prompt memory may be fetched from; none
+                where the service can't.
             now: Monotonic seconds.
         """
         allowed = [
@@ -103,7 +104,9 @@
             return None
         if key is None:
             return Choice(target=self._choose_least_loaded(pool, now))
-        return self._choose_by_prompt(pool, usable, key, can_fetch, now)
+        chosen = self._choose_by_prompt(pool, usable, key)
+        source = self._find_source(chosen, sources, key, now)
+        return Choice(target=chosen, source=source)
 
     def _choose_least_loaded(
         self, pool: list[target_table.Target], now: float
@@ -121,44 +124,41 @@
         pool: list[target_table.Target],
         usable: abc.Sequence[target_table.Target],
         key: str,
-        can_fetch: bool,
-        now: float,
-    ) -> Choice:
-        by_id = {target.id: target for target in usable}
-        ranked = [
-            by_id[name] for name in preference.rank_names(key.encode(), by_id)
-        ]
+    ) -> target_table.Target:
         loads = {target.id: self._count_load(target) for target in usable}
-        mean = sum(loads.values()) / len(loads)
-        limit = _SPILL_MULTIPLE * mean + _SPILL_EXTRA
-        open_ids = {target.id for target in pool}
-        ranked_pool = [target for target in ranked if target.id in open_ids]
-        chosen = next(
-            (item for item in ranked_pool if loads[item.id] < limit), None
-        )
-        if chosen is None:
-            chosen = min(pool, key=lambda target: loads[target.id])
-        source = None
-        if can_fetch:
-            source = self._find_source(chosen, ranked, by_id, key, now)
-        return Choice(target=chosen, source=source)
+        limit = _SPILL_MULTIPLE * sum(loads.values()) / len(loads)
+        limit += _SPILL_EXTRA
+        for target in _rank_targets(key, pool):
+            if loads[target.id] < limit:
+                return target
+        return min(pool, key=lambda target: loads[target.id])
 
     def _find_source(
         self,
         chosen: target_table.Target,
-        ranked: list[target_table.Target],
-        by_id: dict[str, target_table.Target],
+        sources: abc.Sequence[target_table.Target],
         key: str,
         now: float,
     ) -> target_table.Target | None:
         """Returns who else probably holds the prompt, if the chosen doesn't."""
         holders = self.memory.list_holders(key, now)
-        if chosen.id in holders:
+        if not sources or chosen.id in holders:
             return None
-        known = [by_id[item] for item in holders if item in by_id]
-        for target in [*known, *ranked]:
-            if target is chosen or target.is_paused(now):
-                continue
-            if target in known or now - target.first_seen > _SOURCE_AGE_S:
+        by_id = {target.id: target for target in sources}
+        for holder in holders:
+            target = by_id.get(holder)
+            if target is not None and not target.is_paused(now):
+                return target
+        for target in _rank_targets(key, sources):
+            is_known = now - target.first_seen > _SOURCE_AGE_S
+            if target is not chosen and is_known and not target.is_paused(now):
                 return target
         return None
+
+
+def _rank_targets(
+    key: str, targets: abc.Sequence[target_table.Target]
+) -> list[target_table.Target]:
+    """Returns targets in the order in which a prompt prefers them."""
+    by_id = {target.id: target for target in targets}
+    return [by_id[name] for name in preference.rank_names(key.encode(), by_id)]
--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -179,13 +179,17 @@
             and target.entry.availability_zone not in closed
         ]
 
-    def is_usable(self, target: Target) -> bool:
-        """Tells whether a target that was chosen before may still get work."""
-        return (
-            not target.is_gone
-            and not target.entry.is_draining
-            and target.entry.availability_zone not in self.closed_zones
-        )
+    def list_sources(self, service: str) -> list[Target]:
+        """Returns the targets that others may fetch prompt memory from.
+
+        One that is draining still holds its memory until it leaves.
+        """
+        closed = self.closed_zones
+        return [
+            target
+            for target in self._by_service.get(service, ())
+            if target.entry.availability_zone not in closed
+        ]
 
     def _add(self, target: Target) -> None:
         self.targets[target.id] = target
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -282,11 +282,16 @@
         while True:
             now = loop.time()
             usable = self._targets.list_usable(admitted.service.name)
+            sources = (
+                self._targets.list_sources(admitted.service.name)
+                if admitted.service.can_fetch
+                else []
+            )
             choice = self._chooser.choose(
                 usable,
                 key=admitted.prompt_key,
                 avoided=progress.tried,
-                can_fetch=admitted.service.can_fetch,
+                sources=sources,
                 now=now,
             )
             if choice is not None:
