Assume three daemons before a cold target; test the shared bounds

Cause: two daemons that don't hear each other sent 28 requests a second where a cold target bears 20 (test_sum_stays_within_the_bound_though_views_differ). Change: the part of one daemon is at most a third of what is planned; daemons count for it for 60 s after they were last heard. The test passes.

--- a/mothpass/core/cold_rates.py
+++ b/mothpass/core/cold_rates.py
@@ -14,6 +14,8 @@
 # Part of the bound that all daemons plan to use. The rest is for requests
 # that bunch on their way and for daemons that this one does not know of.
 _PLANNED_SHARE = 0.7
+# A daemon that sees nobody may be cut off from a fleet that goes on.
+_LEAST_DAEMONS = 3
 
 
 def compute_allowance(
@@ -28,7 +30,7 @@
         bound_per_s: What the target bears from all daemons together.
     """
     planned = math.floor(bound_per_s * _PLANNED_SHARE)
-    each, rest = divmod(planned, max(1, len(daemon_ids)))
+    each, rest = divmod(planned, max(_LEAST_DAEMONS, len(daemon_ids)))
     if each:
         return each
     ranked = preference.rank_names(target_id.encode(), daemon_ids)
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -25,7 +25,7 @@
 LOST_S = 2.0
 # Bound on its share of cold targets for longer, as it may be cut off only
 # from this daemon.
-SHARE_MEMORY_S = 30.0
+SHARE_MEMORY_S = 60.0
 # Addresses of daemons never heard are tried for this long after a start.
 GREETING_S = 10.0
 LIMIT_BYTES = 8192
