--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -351,6 +351,7 @@
             request_id=admitted.request.id,
             target=target.id,
             source=None if source is None else source.id,
+            prompt=admitted.prompt_key,
             in_flight=target.in_flight,
             routes_version=admitted.version,
             send=progress.sends,
