Let requests wait for places in fair order, and refuse what can't be served

Load: more work than targets bear, for seconds. Change: core/waiting.py decides by the rate at which places become free; relay/places.py lets requests wait in the fair queue by urgency and team, each no longer than half of its time left.

--- a/mothpass/core/fairness.py
+++ b/mothpass/core/fairness.py
@@ -83,6 +83,10 @@
         """Sets the most requests that may wait; sheds none by itself."""
         self._capacity = capacity
 
+    def count_ahead(self, priority: int) -> int:
+        """Returns how many requests of a priority or above wait."""
+        return int(self._order.bisect_right((priority, float("inf"), 0)))
+
     def count_waiting(self, team: str) -> int:
         """Returns how many requests of a team wait."""
         return len(self._team_ids.get(team, ()))
--- a/mothpass/core/target_choice.py
+++ b/mothpass/core/target_choice.py
@@ -24,6 +24,9 @@
 # the counts of other daemons lag by a tick.
 _SPILL_MULTIPLE = 1.5
 _SPILL_EXTRA = 2.0
+# Requests for each slot of a target; a few that wait there keep it busy while
+# daemons hear of places that became free.
+_ROOM_MULTIPLE = 1.5
 # A target known for less than this is no source of prompt memory.
 _SOURCE_AGE_S = 4.0
 
@@ -91,7 +94,8 @@
         allowed = [
             target
             for target in usable
-            if not target.is_cold(now) or self._allows_cold(target)
+            if self._has_room(target)
+            and (not target.is_cold(now) or self._allows_cold(target))
         ]
         pool = [
             target
@@ -108,6 +112,14 @@
         source = self._find_source(chosen, sources, key, now)
         return Choice(target=chosen, source=source)
 
+    def _has_room(self, target: target_table.Target) -> bool:
+        """Tells whether a target bears one more request.
+
+        What is sent beyond that waits there out of order, or is refused.
+        """
+        slots = target.entry.slots
+        return slots <= 0 or self._count_load(target) < slots * _ROOM_MULTIPLE
+
     def _choose_least_loaded(
         self, pool: list[target_table.Target], now: float
     ) -> target_table.Target:
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -102,7 +102,6 @@
         silence_s: Time without a byte after which it is given up; None to
             wait until the deadline.
         fresh: Whether it needs a new connection.
-        on_sent: Called when the request is written.
         on_event: Called with the id of each event that was handed on.
     """
 
@@ -112,7 +111,6 @@
     deadline: float
     silence_s: float | None
     fresh: bool
-    on_sent: abc.Callable[[], None]
     on_event: abc.Callable[[int], None]
 
 
@@ -170,14 +168,12 @@
             return head.request_id == request_id
 
         silence = attempt.silence_s
-        exchange = connection.send(
+        return connection.send(
             attempt.data,
             silence_ms=None if silence is None else int(silence * 1000),
             deadline=attempt.deadline,
             accepts=accepts,
         )
-        attempt.on_sent()
-        return exchange
 
     async def _wait_for_head(
         self, attempt: Attempt, exchange: http_exchanges.Exchange
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -17,20 +17,19 @@
 from mothpass.core import suspects
 from mothpass.core import target_choice
 from mothpass.core import target_table
+from mothpass.core import waiting
 from mothpass.ports import relay
 from mothpass.relay import attempts
 from mothpass.relay import deaths as deaths_module
 from mothpass.relay import metrics as metrics_module
+from mothpass.relay import places
 
-# How often a request without a place looks for one again.
-WAIT_TICK_S = 0.02
-# Part of its time left that a request waits for a place before it is refused,
-# so that the client can still come back elsewhere.
-WAIT_SHARE = 0.25
-# Bounds of the time after which a refused client may come back.
-RETRY_AFTER_MS = (200, 900)
+# A request that crashes targets isn't welcome soon.
 QUARANTINE_RETRY_MS = 30_000
-NO_TARGET_RETRY_MS = 800
+# A daemon has read the routes within a second of its start.
+NO_ROUTES_RETRY_MS = 800
+# After a wait without a place.
+LATE_RETRY_MS = 200
 # A target that is silent for this long beside a stream's own aim is given up.
 STREAM_SILENCE_S = 1.0
 PLAIN_SILENCE_FACTOR = 2.0
@@ -112,16 +111,16 @@
 
     __slots__ = (
         "_budgets",
-        "_chooser",
         "_count_daemons",
         "_deaths",
         "_find_routes",
         "_make_budget",
+        "_memory",
         "_metrics",
+        "_places",
         "_random",
         "_read_request",
         "_sender",
-        "_targets",
         "_write_request",
     )
 
@@ -129,8 +128,8 @@
         self,
         *,
         find_routes: abc.Callable[[], route_table.RouteTable | None],
-        targets: target_table.TargetTable,
-        chooser: target_choice.Chooser,
+        placement: places.Places,
+        memory: prompts.PromptMemory,
         sender: attempts.Sender,
         make_budget: abc.Callable[[], repeat_budget.RepeatBudget],
         count_daemons: abc.Callable[[], int],
@@ -142,8 +141,8 @@
     ) -> None:
         """Keeps its parts."""
         self._find_routes = find_routes
-        self._targets = targets
-        self._chooser = chooser
+        self._places = placement
+        self._memory = memory
         self._sender = sender
         self._make_budget = make_budget
         self._budgets: dict[str, repeat_budget.RepeatBudget] = {}
@@ -185,7 +184,7 @@
         routes = self._find_routes()
         if routes is None:
             return _refuse(
-                results.Code.NO_CATALOGUE, "no routes yet", NO_TARGET_RETRY_MS
+                results.Code.NO_CATALOGUE, "no routes yet", NO_ROUTES_RETRY_MS
             )
         path = request.url.partition(b"?")[0].decode("latin-1")
         route = routes.find_route(request.host, path)
@@ -238,17 +237,19 @@
             own failure is to be handed on.
         """
         while True:
-            choice = await self._wait_for_place(admitted, progress)
-            if choice is None:
-                return self._refuse_unplaced(admitted, progress)
             if progress.sends and not self._may_repeat(admitted):
-                return _refuse_ended(progress, self._draw_retry_after())
+                return self._refuse_ended(admitted, progress)
+            choice = await self._take_place(admitted, progress)
+            if isinstance(choice, errors.Refusal):
+                if not progress.sends:
+                    return choice
+                return self._refuse_ended(admitted, progress)
             outcome = await self._attempt(admitted, progress, choice)
             progress.reason = outcome.reason
             if outcome.end is attempts.End.DELIVERED:
                 return None
             if not self._may_go_on(admitted, progress, outcome):
-                return _refuse_ended(progress, self._draw_retry_after())
+                return self._refuse_ended(admitted, progress)
 
     def _may_go_on(
         self,
@@ -272,36 +273,22 @@
             return False
         return progress.runs < admitted.route.max_attempts
 
-    async def _wait_for_place(
+    async def _take_place(
         self, admitted: Admitted, progress: Progress
-    ) -> target_choice.Choice | None:
+    ) -> target_choice.Choice | errors.Refusal:
         """Waits until a target may take the request."""
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        until = now + (admitted.deadline - now) * WAIT_SHARE
-        while True:
-            now = loop.time()
-            usable = self._targets.list_usable(admitted.service.name)
-            sources = (
-                self._targets.list_sources(admitted.service.name)
-                if admitted.service.can_fetch
-                else []
-            )
-            choice = self._chooser.choose(
-                usable,
+        return await self._places.take(
+            places.Asking(
+                request_id=admitted.request.id,
+                service=admitted.service.name,
                 key=admitted.prompt_key,
                 avoided=progress.tried,
-                sources=sources,
-                now=now,
+                can_fetch=admitted.service.can_fetch,
+                urgency=admitted.urgency,
+                team="" if admitted.team is None else admitted.team.name,
+                deadline=admitted.deadline,
             )
-            if choice is not None:
-                return choice
-            is_waiting_useful = any(
-                item.id not in progress.tried for item in usable
-            )
-            if not is_waiting_useful or now >= until:
-                return None
-            await asyncio.sleep(WAIT_TICK_S)
+        )
 
     async def _attempt(
         self,
@@ -328,22 +315,20 @@
             deadline=admitted.deadline,
             silence_s=self._find_silence(admitted, progress),
             fresh=not admitted.route.is_repeatable or progress.sends > 0,
-            on_sent=lambda: target.sends.record(loop.time()),
             on_event=lambda position: self._deaths.progress(
                 target, admitted.fingerprint, position
             ),
         )
         progress.tried.add(target.id)
         progress.sends += 1
-        target.in_flight += 1
         self._deaths.start(target, admitted.fingerprint)
         if admitted.prompt_key is not None:
-            self._chooser.memory.record(admitted.prompt_key, target.id, now)
+            self._memory.record(admitted.prompt_key, target.id, now)
         try:
             outcome = await self._sender.send(attempt, progress.delivery)
             self._note_outcome(admitted, target, outcome)
         finally:
-            target.in_flight -= 1
+            self._places.release(target)
             self._deaths.end(target, admitted.fingerprint)
         event_log.log(
             _logger,
@@ -414,24 +399,24 @@
             LEAST_PLAIN_SILENCE_S, PLAIN_SILENCE_FACTOR * route.latency_target_s
         )
 
-    def _draw_retry_after(self) -> int:
-        """Returns milliseconds, spread so that clients come back apart."""
-        return self._random.randint(*RETRY_AFTER_MS)
-
-    def _refuse_unplaced(
+    def _refuse_ended(
         self, admitted: Admitted, progress: Progress
-    ) -> errors.Refusal | None:
-        if progress.sends:
-            return _refuse_ended(progress, self._draw_retry_after())
-        usable = self._targets.list_usable(admitted.service.name)
-        if not usable:
-            return _refuse(
-                results.Code.NO_TARGET, "no target", NO_TARGET_RETRY_MS
+    ) -> errors.Refusal:
+        """Returns the refusal after the last attempt that may be made."""
+        if progress.runs:
+            return errors.Refusal(
+                code=results.Code.TARGET_FAILED,
+                ran=results.Ran.UNKNOWN,
+                message=progress.reason,
             )
+        retry_after_ms = waiting.draw_retry_after(
+            expected_s=0.0,
+            now=asyncio.get_running_loop().time(),
+            deadline=admitted.deadline,
+            source=self._random,
+        )
         return _refuse(
-            results.Code.OVERLOADED,
-            "targets bear no more now",
-            self._draw_retry_after(),
+            results.Code.RETRIES_EXHAUSTED, progress.reason, retry_after_ms
         )
 
     def _finish(
@@ -518,19 +503,6 @@
     )
 
 
-def _refuse_ended(progress: Progress, retry_after_ms: int) -> errors.Refusal:
-    """Returns the refusal after the last attempt that may be made."""
-    if not progress.runs:
-        return _refuse(
-            results.Code.RETRIES_EXHAUSTED, progress.reason, retry_after_ms
-        )
-    return errors.Refusal(
-        code=results.Code.TARGET_FAILED,
-        ran=results.Ran.UNKNOWN,
-        message=progress.reason,
-    )
-
-
 def _refuse_late(progress: Progress) -> errors.Refusal:
     """Returns the refusal of a request whose time is over."""
     if progress.sends > progress.refusals:
@@ -539,6 +511,4 @@
             ran=results.Ran.UNKNOWN,
             message="no answer in time",
         )
-    return _refuse(
-        results.Code.OVERLOADED, "no place in time", RETRY_AFTER_MS[0]
-    )
+    return _refuse(results.Code.OVERLOADED, "no place in time", LATE_RETRY_MS)
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -29,6 +29,7 @@
 from mothpass.relay import forwarding
 from mothpass.relay import gossip
 from mothpass.relay import metrics as metrics_module
+from mothpass.relay import places
 from mothpass.relay import replicas
 from mothpass.relay import settings as settings_module
 from mothpass.relay import state as state_module
@@ -100,6 +101,7 @@
         "_is_leaving",
         "_metrics",
         "_number",
+        "_places",
         "_pool",
         "_ports",
         "_replicas",
@@ -164,15 +166,19 @@
             )
         }
         source = random.Random()  # noqa: S311 - spreads load, no secret
+        chooser = target_choice.Chooser(
+            memory=memory,
+            count_load=self._count_load,
+            allows_cold=self._allows_cold,
+            source=source,
+        )
+        self._places = places.Places(
+            chooser=chooser, targets=state.targets, source=source
+        )
         self._forwarder = forwarding.Forwarder(
             find_routes=lambda: state.routes,
-            targets=state.targets,
-            chooser=target_choice.Chooser(
-                memory=memory,
-                count_load=self._count_load,
-                allows_cold=self._allows_cold,
-                source=source,
-            ),
+            placement=self._places,
+            memory=memory,
             sender=attempts.Sender(pool=pool, read_head=ports.read_answer_head),
             make_budget=self._make_budget,
             count_daemons=lambda: len(self._gossip.list_sharers()),
@@ -218,7 +224,8 @@
         for seed in settings.seeds or []:
             self._gossip.greet([self._peer_address(seed.rpartition(":")[0])])
         runs = [replica.run() for replica in self._replicas.values()]
-        runs += [self._tick(), self._keep_house(), self._register()]
+        runs += [self._tick(), self._serve_lines()]
+        runs += [self._keep_house(), self._register()]
         self._tasks = [loop.create_task(run) for run in runs]
         event_log.log(
             _logger,
@@ -437,6 +444,11 @@
                 self._away_at = asyncio.get_running_loop().time()
             self.state.drop_lapsed()
 
+    async def _serve_lines(self) -> None:
+        while True:
+            await asyncio.sleep(places.TICK_S)
+            self._places.tick()
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
