--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -33,8 +33,8 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def open(self, host: str = "127.0.0.1") -> None:
-        self._server = await asyncio.start_server(self._serve, host, 0)
+    async def open(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self._server = await asyncio.start_server(self._serve, host, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,112 @@
+"""Clients of the soak; they keep using a connection until it is gone."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+
+from tests.platform import fleet
+from tests.platform import wire
+from tests.soak import checkers
+
+DEADLINE_S = 3.0
+_PAUSE_S = 0.03
+_LEAVE_SHARE = 0.03
+# What a client waits beyond the deadline before it takes the answer for lost.
+_PATIENCE_S = 3.0
+
+
+class Clients:
+    """Sends requests of all kinds and notes what comes of them.
+
+    Attributes:
+        keys: Keys that the clients use.
+    """
+
+    def __init__(
+        self, *, addresses: list[str], history: checkers.History, seed: int
+    ) -> None:
+        self.keys: list[str] = []
+        self._addresses = addresses
+        self._history = history
+        self._random = random.Random(seed)
+        self._ids = itertools.count(1)
+        self._seed = seed
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Uses one connection after the other until it is told to stop."""
+        while not stop.is_set():
+            daemon = self._random.randrange(len(self._addresses))
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(1.0):
+                    client = await wire.Client.connect(self._addresses[daemon])
+                await self._use(client, daemon, stop)
+                client.close()
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _use(
+        self, client: wire.Client, daemon: int, stop: asyncio.Event
+    ) -> None:
+        while not stop.is_set():
+            answer = await self._ask(client, daemon)
+            if answer is None or not answer.is_whole:
+                return
+            if answer.headers.get("connection") == "close":
+                return
+            await asyncio.sleep(self._random.uniform(0, 2 * _PAUSE_S))
+
+    async def _ask(
+        self, client: wire.Client, daemon: int
+    ) -> wire.Answer | None:
+        """Makes one request; None where the client left before its answer."""
+        loop = asyncio.get_running_loop()
+        kinds = (checkers.PAY, checkers.READ, checkers.CHAT, checkers.ONCE)
+        kind = self._random.choice(kinds)
+        name = f"{self._seed:08x}{next(self._ids):08x}"
+        key = self._random.choice(self.keys)
+        now = loop.time()
+        sent = checkers.Sent(
+            id=name,
+            kind=kind,
+            key=key,
+            daemon=daemon,
+            at=now,
+            deadline=now + DEADLINE_S,
+        )
+        self._history.sent.append(sent)
+        method = "GET" if kind == checkers.READ else "POST"
+        body = b"" if method == "GET" else b"x" * 200
+        client.send(method, f"/{kind}/1", self._make_headers(sent), body)
+        if self._random.random() < _LEAVE_SHARE:
+            await asyncio.sleep(self._random.uniform(0, 0.1))
+            self._note(sent, wire.Answer())
+            return None
+        answer = await client.read(DEADLINE_S + _PATIENCE_S)
+        self._note(sent, answer)
+        return answer
+
+    def _make_headers(self, sent: checkers.Sent) -> dict[str, str]:
+        headers = {
+            "Host": fleet.HOST,
+            "Attempt-Id": sent.id,
+            "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "Authorization": f"Bearer {sent.key}",
+        }
+        if sent.kind in (checkers.CHAT, checkers.ONCE):
+            shared = self._random.randrange(6)
+            headers["Model"] = "m"
+            headers["Token-Count"] = "130,48"
+            headers["Prompt-Prefix"] = f"aa:80,b{shared}:40,{sent.id}:10"
+        return headers
+
+    def _note(self, sent: checkers.Sent, answer: wire.Answer) -> None:
+        self._history.answered.append(
+            checkers.Answered(
+                id=sent.id,
+                status=answer.status,
+                body=answer.body.decode("latin-1"),
+                is_whole=answer.is_whole,
+                is_signed="server-seal" in answer.headers,
+                at=asyncio.get_running_loop().time(),
+            )
+        )
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,75 @@
+"""Processes of the soak, started and ended by their own ids only."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+
+from tests.soak import checkers
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+class Child:
+    """One process that the soak started.
+
+    Attributes:
+        name: Name for logs.
+    """
+
+    def __init__(self, name: str, log: pathlib.Path) -> None:
+        self.name = name
+        self._log = log
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(
+        self, words: list[str], env: dict[str, str], *, pipes: bool
+    ) -> None:
+        """Starts the program."""
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *words,
+                stdout=asyncio.subprocess.PIPE if pipes else log,
+                stderr=log,
+                env=os.environ | env,
+                cwd=_ROOT,
+            )
+
+    @property
+    def stdout(self) -> asyncio.StreamReader:
+        """What the program writes, where it is piped."""
+        assert self._process is not None
+        assert self._process.stdout is not None
+        return self._process.stdout
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal, unless the process has ended."""
+        if self._process is not None and self._process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def end(self, number: signal.Signals, timeout_s: float = 10.0) -> int:
+        """Ends the process by a signal; kills it where that doesn't help."""
+        assert self._process is not None
+        self.send_signal(number)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                return await self._process.wait()
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGKILL)
+        return await self._process.wait()
+
+
+async def read_ledger(child: Child, history: checkers.History) -> None:
+    """Takes in the runs that a target writes down."""
+    while line := await child.stdout.readline():
+        try:
+            entry = json.loads(line)
+        except ValueError:
+            # The last line of a process that was killed while it wrote.
+            continue
+        history.ran.append(checkers.Ran(**entry))
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -3,6 +3,7 @@
 import ast
 from collections import abc
 import pathlib
+import re
 import unittest
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -20,6 +21,16 @@
     "statsd",
     "time",
 )
+# Headers, paths, tables, keys and variables of the users' platform. Headers of
+# the product's own protocol begin with X-.
+_PLATFORM_NAMES = re.compile(
+    r"(?<!x-)\b(attempt-id|deadline-ms)\b|server-seal|not-run|token-count"
+    r"|prompt-prefix|expect-(instance|version)|request-urgency|kv-(fetch|from)"
+    r"|kv-backup|pin-ms|rows-(tx|get|feed|parts)|blob-(put|get)|coldLeftMs"
+    r"|op/config|evacuate/|MOTHPASS_SETTINGS|innerPorts|budgetRatio"
+    r"|last-event-id|weight-versions|instance-id",
+    re.IGNORECASE,
+)
 # Packages whose own documentation imports names; the rule is about modules.
 _NAMES_ALLOWED_FROM = ("__future__",)
 
@@ -54,6 +65,30 @@
                         found.append(f"{path.name}:{line}: {full}")
         self.assertEqual(found, [])
 
+    def test_only_the_platform_folder_names_what_is_the_platform_s(
+        self,
+    ) -> None:
+        found = []
+        for path in _list_sources("mothpass"):
+            if path.parent.name == "platform":
+                continue
+            lines = path.read_text(encoding="utf-8").splitlines()
+            for number, line in enumerate(lines, 1):
+                if _PLATFORM_NAMES.search(line):
+                    found.append(f"{path.name}:{number}: {line.strip()}")
+        self.assertEqual(found, [])
+
+    def test_the_platform_folder_decides_nothing(self) -> None:
+        """Only the entry point may know the relay and its settings."""
+        found = []
+        for path in _list_sources("mothpass/platform"):
+            for line, module, name in _list_imports(path):
+                full = f"{module}.{name}" if name else module
+                is_entry = path.name == "__main__.py"
+                if full.startswith("mothpass.relay") and not is_entry:
+                    found.append(f"{path.name}:{line}: {full}")
+        self.assertEqual(found, [])
+
     def test_modules_are_imported_not_names(self) -> None:
         found = []
         for folder in _SOURCES:
