--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -128,7 +128,10 @@
             changed = [row for row in page.rows if self._put_row(row)]
         self.version = max(self.version, page.version)
         if changed or not self.content_version:
-            self.content_version = page.version
+            # The same at all daemons that have taken in the same changes,
+            # unlike the versions of the store's answers.
+            versions = [row.version for row in changed]
+            self.content_version = max(self.content_version, 1, *versions)
             self._accept(changed, self._is_settled())
             self._on_change(self)
 
