Let one daemon in ten follow the store, and spread the fetches of the others

Change: max(3, n/10) readers, a lost store is told at once, fetches go to any peer that has the change, spread over up to 0.3 s, four tries.

--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -35,8 +35,11 @@
 # Addresses of daemons never heard are tried for this long after a start.
 GREETING_S = 10.0
 LIMIT_BYTES = 8192
-# Daemons that follow the store; the others take changes from them.
+# Daemons that follow the store; the others take changes from them. In a large
+# fleet it is one in ten, as the store may turn a third of them away and a
+# reader's link bears some ten copies of the routes in a second.
 READERS = 3
+DAEMONS_PER_READER = 10
 # Suspicions are told for this long after a change.
 SUSPICION_TOLD_S = 5.0
 
@@ -217,7 +220,17 @@
             peer.beat.id for peer in self.list_live() if peer.beat.reaches_store
         ]
         ranked = preference.rank_names(b"readers", [self._id, *able])
-        return self._id in ranked[:READERS]
+        readers = max(READERS, len(ranked) // DAEMONS_PER_READER)
+        return self._id in ranked[:readers]
+
+    def find_newer(self, table: str, version: int) -> Peer | None:
+        """Returns any daemon whose copy of a table is newer, if one is."""
+        newer = [
+            peer
+            for peer in self.list_live()
+            if peer.beat.versions.get(table, 0) > version
+        ]
+        return self._random.choice(newer) if newer else None
 
     def has_follower(self) -> bool:
         """Tells whether another daemon follows the store now."""
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -14,7 +14,7 @@
 # The same where peers reach the store and hand its changes on.
 BACKED_RETRY_S = 1.5
 # A daemon that only follows its peers looks whether it must read by itself.
-IDLE_CHECK_S = 0.3
+IDLE_CHECK_S = 0.1
 # Removals remembered for peers; more than a fleet's releases of some minutes.
 MOST_REMOVED = 500
 
@@ -214,6 +214,8 @@
                 version=self.version,
                 reason=str(error),
             )
+            # Peers read in place of this daemon.
+            self._on_change(self)
 
     def _note_success(self) -> None:
         if not self.is_store_reached:
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -48,7 +48,13 @@
 EXIT_MARGIN_S = 0.4
 HOUSEKEEPING_S = 1.0
 PEERS_TABLE = "daemons"
-PEER_FETCH_S = 1.0
+# A copy takes milliseconds; a peer that is cut off or busy is left for
+# another while the change can still be in force in time.
+PEER_FETCH_S = 0.6
+FETCH_TRIES = 4
+# A fleet of 75 spreads its fetches over 0.3 s.
+SPREAD_PER_DAEMON_S = 0.004
+MOST_SPREAD_S = 0.3
 # Copies that a daemon hands on at once. A peer that is turned away takes it
 # from another, so that a change spreads in rounds over links of 5 Mbit/s.
 MOST_HANDED = 4
@@ -109,6 +115,7 @@
         "_places",
         "_pool",
         "_ports",
+        "_random",
         "_replicas",
         "_servers",
         "_settings",
@@ -151,6 +158,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[asyncio.AbstractServer] = []
         source = random.Random()  # noqa: S311 - spreads load, no secret
+        self._random = source
         self._gossip = gossip.Gossip(
             own_id=settings.id,
             address=self._peer_address(settings.address),
@@ -367,7 +375,7 @@
 
     def _tell_change(self, replica: replicas.Replica) -> None:
         """Tells the peers at once what they can't know from the store."""
-        if replica.is_following and replica.is_store_reached:
+        if replica.is_following:
             self._gossip.send_now(self._gossip.make_beat())
 
     def _take_beat(self, peer: gossip.Peer) -> None:
@@ -381,17 +389,30 @@
                 continue
             if name not in self._fetching:
                 self._fetching.add(name)
-                task = loop.create_task(self._fetch_from(peer, replica))
+                task = loop.create_task(self._catch_up(replica))
                 task.add_done_callback(functools.partial(self._end_fetch, name))
 
     def _end_fetch(self, name: str, task: asyncio.Task[None]) -> None:
         del task
         self._fetching.discard(name)
 
+    async def _catch_up(self, replica: replicas.Replica) -> None:
+        """Takes the newer rows of a table from peers that have them."""
+        for _ in range(FETCH_TRIES):
+            # Spread over time and peers, so that no link is filled by all.
+            fleet = len(self._gossip.list_live())
+            spread_s = min(MOST_SPREAD_S, fleet * SPREAD_PER_DAEMON_S)
+            await asyncio.sleep(self._random.uniform(0.0, spread_s))
+            peer = self._gossip.find_newer(
+                replica.name, replica.content_version
+            )
+            if peer is None:
+                return
+            await self._fetch_from(peer, replica)
+
     async def _fetch_from(
         self, peer: gossip.Peer, replica: replicas.Replica
     ) -> None:
-        """Takes the newer rows of a table from a peer."""
         url = f"{_PEER_PATH}{replica.name}?{replica.content_version}"
         request = f"GET {url} HTTP/1.1\r\nhost: {peer.address}\r\n\r\n"
         deadline = asyncio.get_running_loop().time() + PEER_FETCH_S
