--- a/mothpass/core/repeat_budget.py
+++ b/mothpass/core/repeat_budget.py
@@ -27,11 +27,15 @@
             extra: Repeats allowed besides, by the whole fleet.
             window_s: Length of the window in seconds.
         """
-        self._ratio = ratio
-        self._extra = extra
+        self.set_limits(ratio=ratio, extra=extra)
         self._requests = windows.SlidingCount(window_s=window_s)
         self._repeats = windows.SlidingCount(window_s=window_s)
 
+    def set_limits(self, *, ratio: float, extra: float) -> None:
+        """Changes what the fleet may send again; see ``__init__``."""
+        self._ratio = ratio
+        self._extra = extra
+
     def record_request(self, now: float) -> None:
         """Counts a request that a client sent."""
         self._requests.record(now)
--- a/mothpass/platform/store.py
+++ b/mothpass/platform/store.py
@@ -54,6 +54,10 @@
         self._address = address
         self._pool = pool
 
+    def set_address(self, address: str) -> None:
+        """Calls the store at another ``ip:port`` from now on."""
+        self._address = address
+
     async def read_table(self, table: str) -> replicas.Page:
         """See ``replicas.ReadTable``."""
         rows: list[replicas.Row] = []
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -153,6 +153,11 @@
         self._write_request = write_request
         self._random = source
 
+    def set_repeat_limits(self, *, ratio: float, extra: float) -> None:
+        """Changes what the fleet may send again to each service."""
+        for budget in self._budgets.values():
+            budget.set_limits(ratio=ratio, extra=extra)
+
     async def handle(
         self,
         head: relay.ClientHead,
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -272,6 +272,31 @@
         event_log.log(_logger, "stopped", cut=len(self._clients.connections))
         await self.close()
 
+    def reload(self, settings: settings_module.Settings) -> None:
+        """Takes settings that have changed.
+
+        Addresses at which the daemon listens stay until its next start.
+        """
+        old = self._settings
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(old, name)
+        ]
+        self._settings = msgspec.structs.replace(
+            settings,
+            id=old.id,
+            address=old.address,
+            clients=old.clients,
+            health=old.health,
+            peer_ports=old.peer_ports,
+            metrics_port=old.metrics_port,
+        )
+        self._forwarder.set_repeat_limits(
+            ratio=settings.repeat_ratio, extra=settings.repeat_extra
+        )
+        event_log.log(_logger, "settings_reloaded", changed=changed)
+
     async def close(self) -> None:
         """Ends at once; what is running is cut."""
         for server in self._servers:
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -137,7 +137,10 @@
             metrics_port=self._base + 3,
             grace_s=4.0,
         )
-        service = platform_main.build_service(settings)
+        pool = platform_main.build_pool()
+        service = platform_main.build_service(
+            settings, pool, platform_main.build_store(settings, pool)
+        )
         await service.start()
         self.services.append(service)
         self.addresses.append(settings.clients)
--- /dev/null
+++ b/tests/platform/test_program.py
@@ -0,0 +1,99 @@
+"""The program as a process: settings, signals and logs."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+_WAIT_S = 10.0
+_BASE_PORT = 20_900
+
+
+def make_settings(**fields: object) -> dict[str, object]:
+    """Returns settings of a daemon whose store is away."""
+    settings: dict[str, object] = {
+        "id": "front-1",
+        "availability_zone": "zone-a",
+        "address": "127.0.5.1",
+        "clients": f"127.0.5.1:{_BASE_PORT}",
+        "health": f"127.0.5.1:{_BASE_PORT + 1}",
+        "peer_ports": [_BASE_PORT + 2, _BASE_PORT + 5],
+        "store": "127.0.5.1:9",
+        "grace_s": 1.0,
+        "metrics_port": _BASE_PORT + 3,
+    }
+    return settings | fields
+
+
+class ProgramTest(unittest.TestCase):
+    """Starts the program with a settings file."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "settings.json"
+        self.log = pathlib.Path(folder.name) / "log"
+
+    def start(self) -> subprocess.Popen[bytes]:
+        """Starts the program."""
+        with self.log.open("wb") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "mothpass.platform"],
+                cwd=_ROOT,
+                env=os.environ | {"MOTHPASS_SETTINGS": str(self.path)},
+                stdout=log,
+            )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def read_events(self) -> list[dict[str, object]]:
+        """Returns the lines that it has logged."""
+        lines = self.log.read_text(encoding="utf-8").splitlines()
+        return [json.loads(line) for line in lines]
+
+    def wait_for_event(self, name: str) -> dict[str, object]:
+        """Waits until a line is logged."""
+        until = time.monotonic() + _WAIT_S
+        while time.monotonic() < until:
+            for event in self.read_events():
+                if event["event"] == name:
+                    return event
+            time.sleep(0.02)
+        raise AssertionError(f"no {name} in {self.read_events()}")
+
+    def test_settings_with_faults_are_named_with_their_paths(self) -> None:
+        self.path.write_text('{"id": 3, "odd": 1}', encoding="utf-8")
+        self.assertEqual(self.start().wait(_WAIT_S), 2)
+        [event] = self.read_events()
+        self.assertEqual(event["event"], "settings_rejected")
+        self.assertIn("$.id", str(event["reason"]))
+        self.assertIn("$.odd: unknown field", str(event["reason"]))
+
+    def test_settings_that_change_are_taken_with_and_without_a_signal(
+        self,
+    ) -> None:
+        self.path.write_text(json.dumps(make_settings()), encoding="utf-8")
+        process = self.start()
+        self.wait_for_event("started")
+        self.wait_for_event("store_lost")
+        changed = make_settings(cold_slack=9.0)
+        self.path.write_text(json.dumps(changed), encoding="utf-8")
+        event = self.wait_for_event("settings_reloaded")
+        self.assertEqual(event["changed"], ["cold_slack"])
+        self.path.write_text("{", encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        self.wait_for_event("settings_rejected")
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(_WAIT_S), 0)
+        self.wait_for_event("stopped")
+
+
+if __name__ == "__main__":
+    unittest.main()
