--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -9,6 +9,7 @@
 import collections
 from collections import abc
 import http
+import logging
 import typing
 
 import httptools
@@ -18,6 +19,12 @@
 from mothpass.core import route_table
 from mothpass.ports import relay
 
+_logger = logging.getLogger("mothpass.listener")
+_INTERNAL = errors.Refusal(
+    code=results.Code.INTERNAL,
+    ran=results.Ran.UNKNOWN,
+    message="internal error",
+)
 # Requests read ahead on one connection before reading pauses.
 _MOST_QUEUED = 8
 _BACKLOG = 2048
@@ -358,6 +365,11 @@
     async def _serve(self, head: relay.ClientHead, body: bytes) -> None:
         try:
             await self._listener.handle(head, body, self)
+        except Exception:  # noqa: BLE001 - the client must get an answer
+            _logger.exception("request_failed")
+            if not self.has_answered:
+                # Whether it ran is unknown here, so that this isn't a refusal.
+                self.write_refusal(_INTERNAL)
         finally:
             self._task = None
             if self._chunked or not self.has_answered:
