--- a/mothpass/platform/__main__.py
+++ b/mothpass/platform/__main__.py
@@ -18,6 +18,7 @@
 from mothpass.platform import members
 from mothpass.platform import store as store_module
 from mothpass.platform import targets
+from mothpass.relay import ports as ports_module
 from mothpass.relay import service as service_module
 from mothpass.relay import settings as settings_module
 from mothpass.relay import state as state_module
@@ -114,7 +115,7 @@
         decode_entry=members.decode_entry,
         forget_target=memory.forget_target,
     )
-    ports = service_module.Ports(
+    ports = ports_module.Ports(
         operator_table=catalogue.TABLE,
         target_table=members.TABLE,
         read_table=store.read_table,
--- a/tests/platform/test_state_in_force.py
+++ b/tests/platform/test_state_in_force.py
@@ -127,7 +127,9 @@
 
     async def test_removal_after_an_outage_is_held(self) -> None:
         self.store.status = 503
-        await self.wait_for(lambda: not self.services[0].is_settled(), 8.0)
+        await self.wait_for(
+            lambda: not self.services[0].sharing.is_settled(), 8.0
+        )
         self.store.remove("servers", self.plain[0].id)
         self.store.status = 0
         await asyncio.sleep(1.0)
@@ -167,7 +169,9 @@
 
     async def test_daemons_count_each_other_s_work(self) -> None:
         await self.wait_for(
-            lambda: all(len(item.find_peers()) == 1 for item in self.services)
+            lambda: all(
+                len(item.sharing.find_peers()) == 1 for item in self.services
+            )
         )
 
     async def test_few_daemons_follow_the_store(self) -> None:
