--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -5,8 +5,6 @@
 import logging
 import random
 
-import msgspec
-
 from mothpass.adapters import event_log
 from mothpass.adapters import relay_listener
 from mothpass.core import errors
@@ -14,20 +12,16 @@
 from mothpass.core import repeat_budget
 from mothpass.core import results
 from mothpass.core import route_table
-from mothpass.core import suspects
 from mothpass.core import target_choice
 from mothpass.core import target_table
 from mothpass.core import waiting
 from mothpass.ports import relay
+from mothpass.relay import admission
 from mothpass.relay import attempts
 from mothpass.relay import deaths as deaths_module
 from mothpass.relay import metrics as metrics_module
 from mothpass.relay import places
 
-# A request that crashes targets isn't welcome soon.
-QUARANTINE_RETRY_MS = 30_000
-# A daemon has read the routes within a second of its start.
-NO_ROUTES_RETRY_MS = 800
 # After a wait without a place.
 LATE_RETRY_MS = 200
 # A target that is silent for this long beside a stream's own aim is given up.
@@ -38,43 +32,10 @@
 ATTEMPT_MARGIN_S = 0.25
 # Sends that end without a run, before the request is refused.
 MOST_REFUSED_SENDS = 4
-MOST_URGENCY = 9
 
 _logger = logging.getLogger("mothpass.requests")
 
 
-class Admitted(msgspec.Struct, frozen=True, kw_only=True):
-    """A request that may be sent to targets.
-
-    Attributes:
-        request: The request.
-        route: Its route.
-        service: Its service.
-        team: Team of its key, None where the route needs none.
-        prompt_key: Key of its prompt, None where it shares none.
-        fingerprint: Names requests with the same content and client.
-        version: Version of the routes that decided.
-        deadline: Monotonic seconds at which its final answer is due.
-    """
-
-    request: relay.Request
-    route: route_table.Route
-    service: route_table.Service
-    team: route_table.Team | None
-    prompt_key: str | None
-    fingerprint: int
-    version: int
-    deadline: float
-
-    @property
-    def urgency(self) -> int:
-        """0 is the most urgent."""
-        priority = self.route.priority
-        if self.team is not None and self.team.priority is not None:
-            priority = self.team.priority
-        return max(0, min(MOST_URGENCY, priority))
-
-
 class Progress:
     """What became of a request so far.
 
@@ -115,10 +76,10 @@
     """Answers the requests of clients."""
 
     __slots__ = (
+        "_admission",
         "_budgets",
         "_count_daemons",
         "_deaths",
-        "_find_routes",
         "_make_budget",
         "_memory",
         "_metrics",
@@ -132,7 +93,7 @@
     def __init__(
         self,
         *,
-        find_routes: abc.Callable[[], route_table.RouteTable | None],
+        admit: admission.Admission,
         placement: places.Places,
         memory: prompts.PromptMemory,
         sender: attempts.Sender,
@@ -145,7 +106,7 @@
         source: random.Random,
     ) -> None:
         """Keeps its parts."""
-        self._find_routes = find_routes
+        self._admission = admit
         self._places = placement
         self._memory = memory
         self._sender = sender
@@ -171,11 +132,14 @@
     ) -> None:
         """Answers one request; see ``relay_listener.Handle``."""
         request = self._read_request(head, body)
-        admitted = self._admit(request)
+        admitted = self._admission.admit(request)
         if isinstance(admitted, errors.Refusal):
             self._log_end(request, None, None, admitted.code, admitted.message)
             client.write_refusal(admitted)
             return
+        self._find_budget(admitted.service.name).record_request(
+            asyncio.get_running_loop().time()
+        )
         delivery = attempts.Delivery(client=client, position=request.position)
         progress = Progress(delivery=delivery)
         try:
@@ -190,55 +154,8 @@
             raise
         self._finish(admitted, progress, refusal)
 
-    def _admit(self, request: relay.Request) -> Admitted | errors.Refusal:
-        routes = self._find_routes()
-        if routes is None:
-            return _refuse(
-                results.Code.NO_CATALOGUE, "no routes yet", NO_ROUTES_RETRY_MS
-            )
-        path = request.url.partition(b"?")[0].decode("latin-1")
-        route = routes.find_route(request.host, path)
-        if route is None or not route.shares:
-            return _refuse(results.Code.NOT_FOUND, "no such route", None)
-        team = None
-        if route.needs_key:
-            team = routes.find_team(request.key)
-            if team is None:
-                return _refuse(
-                    results.Code.UNAUTHENTICATED, "unknown key", None
-                )
-        prompt_key = prompts.find_key(request.prompt)
-        split_key = (prompt_key or request.id).encode()
-        name = route.pick_service(split_key)
-        service = routes.services.get(name) or _make_unknown_service(name)
-        fingerprint = suspects.compute_fingerprint(
-            team=request.key or "",
-            name=f"{request.host}{path}",
-            body=request.body,
-        )
-        now = asyncio.get_running_loop().time()
-        if self._deaths.suspicions.is_quarantined(fingerprint, now=now):
-            return _refuse(
-                results.Code.RETRIES_EXHAUSTED,
-                "crashes targets",
-                QUARANTINE_RETRY_MS,
-            )
-        self._find_budget(name).record_request(now)
-        return Admitted(
-            request=request,
-            route=route,
-            service=service,
-            team=team,
-            prompt_key=prompt_key,
-            fingerprint=fingerprint,
-            version=routes.version,
-            deadline=min(
-                request.deadline, request.arrived_at + route.timeout_s
-            ),
-        )
-
     async def _run(
-        self, admitted: Admitted, progress: Progress
+        self, admitted: admission.Admitted, progress: Progress
     ) -> errors.Refusal | None:
         """Makes attempts until one ends the request.
 
@@ -264,7 +181,7 @@
 
     def _may_go_on(
         self,
-        admitted: Admitted,
+        admitted: admission.Admitted,
         progress: Progress,
         outcome: attempts.Outcome,
     ) -> bool:
@@ -287,7 +204,7 @@
         return progress.runs < admitted.route.max_attempts
 
     async def _take_place(
-        self, admitted: Admitted, progress: Progress
+        self, admitted: admission.Admitted, progress: Progress
     ) -> target_choice.Choice | errors.Refusal:
         """Waits until a target may take the request."""
         return await self._places.take(
@@ -305,7 +222,7 @@
 
     async def _attempt(
         self,
-        admitted: Admitted,
+        admitted: admission.Admitted,
         progress: Progress,
         choice: target_choice.Choice,
     ) -> attempts.Outcome:
@@ -363,7 +280,7 @@
 
     def _note_outcome(
         self,
-        admitted: Admitted,
+        admitted: admission.Admitted,
         target: target_table.Target,
         outcome: attempts.Outcome,
     ) -> None:
@@ -383,7 +300,7 @@
         if outcome.is_cut:
             self._deaths.look_into(target)
 
-    def _may_repeat(self, admitted: Admitted) -> bool:
+    def _may_repeat(self, admitted: admission.Admitted) -> bool:
         budget = self._find_budget(admitted.service.name)
         now = asyncio.get_running_loop().time()
         may_repeat = budget.try_spend(self._count_daemons(), now)
@@ -404,7 +321,7 @@
         return budget
 
     def _find_silence(
-        self, admitted: Admitted, progress: Progress
+        self, admitted: admission.Admitted, progress: Progress
     ) -> float | None:
         """Returns the silence after which another target is tried."""
         route = admitted.route
@@ -418,7 +335,7 @@
         )
 
     def _refuse_ended(
-        self, admitted: Admitted, progress: Progress
+        self, admitted: admission.Admitted, progress: Progress
     ) -> errors.Refusal:
         """Returns the refusal after the last attempt that may be made."""
         if progress.runs:
@@ -433,13 +350,13 @@
             deadline=admitted.deadline,
             source=self._random,
         )
-        return _refuse(
+        return admission.refuse(
             results.Code.RETRIES_EXHAUSTED, progress.reason, retry_after_ms
         )
 
     def _finish(
         self,
-        admitted: Admitted,
+        admitted: admission.Admitted,
         progress: Progress,
         refusal: errors.Refusal | None,
     ) -> None:
@@ -462,17 +379,10 @@
             client.write_refusal(refusal)
         self._log_end(admitted.request, admitted, progress, code, message)
 
-    def _find_version(self, admitted: Admitted | None) -> int | None:
-        """Returns the version of the routes that decided."""
-        if admitted is not None:
-            return admitted.version
-        routes = self._find_routes()
-        return None if routes is None else routes.version
-
     def _log_end(
         self,
         request: relay.Request,
-        admitted: Admitted | None,
+        admitted: admission.Admitted | None,
         progress: Progress | None,
         code: results.Code,
         message: str,
@@ -498,7 +408,7 @@
             team=team,
             code=int(code),
             message=message,
-            routes_version=self._find_version(admitted),
+            routes_version=self._admission.find_version(admitted),
             sends=0 if progress is None else progress.sends,
             runs=0 if progress is None else progress.runs,
             reason="" if progress is None else progress.reason,
@@ -506,28 +416,6 @@
         )
 
 
-def _make_unknown_service(name: str) -> route_table.Service:
-    """Returns a service of which nothing but the name is known."""
-    return route_table.Service(
-        name=name,
-        max_connections=1,
-        cold_start_s=0.0,
-        cold_per_s=0.0,
-        can_fetch=False,
-    )
-
-
-def _refuse(
-    code: results.Code, message: str, retry_after_ms: int | None
-) -> errors.Refusal:
-    return errors.Refusal(
-        code=code,
-        ran=results.Ran.NO,
-        message=message,
-        retry_after_ms=retry_after_ms,
-    )
-
-
 def _refuse_late(progress: Progress) -> errors.Refusal:
     """Returns the refusal of a request whose time is over."""
     if progress.sends > progress.refusals:
@@ -536,4 +424,6 @@
             ran=results.Ran.UNKNOWN,
             message="no answer in time",
         )
-    return _refuse(results.Code.OVERLOADED, "no place in time", LATE_RETRY_MS)
+    return admission.refuse(
+        results.Code.OVERLOADED, "no place in time", LATE_RETRY_MS
+    )
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -18,6 +18,7 @@
 from mothpass.core import target_choice
 from mothpass.core import target_table
 from mothpass.ports import relay
+from mothpass.relay import admission
 from mothpass.relay import attempts
 from mothpass.relay import deaths
 from mothpass.relay import forwarding
@@ -120,7 +121,10 @@
             chooser=chooser, targets=state.targets, source=source
         )
         self._forwarder = forwarding.Forwarder(
-            find_routes=lambda: state.routes,
+            admit=admission.Admission(
+                find_routes=lambda: state.routes,
+                suspicions=self.sharing.suspicions,
+            ),
             placement=self._places,
             memory=memory,
             sender=attempts.Sender(pool=pool, read_head=ports.read_answer_head),
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -95,7 +95,9 @@
         self._daemons = [
             Daemon(number, base, folder) for number in range(daemons)
         ]
-        self._target_ports = itertools.count(30_000 + seed % 500)
+        # Runs of other seeds may be played at the same time.
+        self._target_host = f"127.{1 + seed // 250 % 250}.{seed % 250}.1"
+        self._target_ports = itertools.count(20_000)
         self._backends: dict[str, Backend] = {}
         self._names = itertools.count(1)
         self._version = 1
@@ -181,7 +183,7 @@
     async def _add_backend(self, service: str) -> Backend:
         name = f"i-{next(self._names):08x}"
         backend = Backend(name, service, self._folder)
-        address = f"127.0.0.1:{next(self._target_ports)}"
+        address = f"{self._target_host}:{next(self._target_ports)}"
         backend.proxy = proxy.Proxy(address)
         await backend.proxy.open("127.0.0.1")
         seed = str(self._random.randrange(1 << 30))
