--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -33,6 +33,11 @@
 # Sends that end without a run, before the request is refused.
 MOST_REFUSED_SENDS = 4
 
+# An attempt whose client left, or whose request's time was over.
+_ABANDONED = attempts.Outcome(
+    end=attempts.End.LOST, reason="client left or deadline passed"
+)
+
 _logger = logging.getLogger("mothpass.requests")
 
 
@@ -255,27 +260,30 @@
         self._deaths.start(target, admitted.fingerprint)
         if admitted.prompt_key is not None:
             self._memory.record(admitted.prompt_key, target.id, now)
+        outcome = _ABANDONED
         try:
             outcome = await self._sender.send(attempt, progress.delivery)
             self._note_outcome(admitted, target, outcome)
         finally:
             self._places.release(target)
             self._deaths.end(target, admitted.fingerprint)
-        event_log.log(
-            _logger,
-            "attempt",
-            request_id=admitted.request.id,
-            target=target.id,
-            source=None if source is None else source.id,
-            prompt=admitted.prompt_key,
-            in_flight=target.in_flight,
-            routes_version=admitted.version,
-            send=progress.sends,
-            end=outcome.end.value,
-            status=outcome.status,
-            reason=outcome.reason,
-            ms=round((loop.time() - now) * 1000, 1),
-        )
+            if outcome is _ABANDONED and loop.time() >= admitted.deadline:
+                target.record_doubt(loop.time())
+            event_log.log(
+                _logger,
+                "attempt",
+                request_id=admitted.request.id,
+                target=target.id,
+                source=None if source is None else source.id,
+                prompt=admitted.prompt_key,
+                in_flight=target.in_flight,
+                routes_version=admitted.version,
+                send=progress.sends,
+                end=outcome.end.value,
+                status=outcome.status,
+                reason=outcome.reason,
+                ms=round((loop.time() - now) * 1000, 1),
+            )
         return outcome
 
     def _note_outcome(
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -125,8 +125,16 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         headers = self.make_headers(Deadline_Ms="400")
-        answer = await self.call("POST", "/pay/1", headers, b"x")
+        with self.assertLogs("mothpass.requests", "INFO") as self.logged:
+            answer = await self.call("POST", "/pay/1", headers, b"x")
+            await asyncio.sleep(0.05)
         self.assertEqual(answer.status, 504)
+        self.assertTrue(
+            any(
+                getattr(record, "fields", {}).get("end") == "lost"
+                for record in self.logged.records
+            )
+        )
         self.assertAlmostEqual(loop.time() - started, 0.4, delta=0.15)
 
     async def test_run_ends_when_its_client_leaves(self) -> None:
