Tell daemons that aren't heard less, not more

A full link loses datagrams, which filled it further: a metastable failure as the paper has them, an action that grows with the harm it does. Ruled out: processor time, size of datagrams, the store.

--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -32,6 +32,10 @@
 # Bound on its share of cold targets for longer, as it may be cut off only
 # from this daemon.
 SHARE_MEMORY_S = 60.0
+# Daemons that aren't heard are told this seldom, as they may be gone.
+GREET_PAUSE_S = 0.9
+# A change that can't wait for the next tick is told at once this often.
+TELL_PAUSE_S = 0.2
 # Addresses of daemons never heard are tried for this long after a start.
 GREETING_S = 10.0
 LIMIT_BYTES = 8192
@@ -97,12 +101,14 @@
     __slots__ = (
         "_address",
         "_greeted",
+        "_greeted_at",
         "_id",
         "_make_beat",
         "_on_beat",
         "_random",
         "_sent_at",
         "_sent_beat",
+        "_told_at",
         "_transport",
         "counts",
         "peers",
@@ -133,7 +139,9 @@
         self._random = source
         self._transport: asyncio.DatagramTransport | None = None
         self._greeted: dict[str, float] = {}
+        self._greeted_at = float("-inf")
         self._sent_at = float("-inf")
+        self._told_at = float("-inf")
         self._sent_beat: Beat | None = None
         self.peers: dict[str, Peer] = {}
         self.counts = peer_counts.PeerCounts()
@@ -240,9 +248,10 @@
         """Sends this daemon's state where that is due."""
         now = asyncio.get_running_loop().time()
         self._drop_lost(now)
-        live = self.list_live()
-        pause = max(TICK_S, len(live) / MOST_SENDS_PER_S)
-        if now - self._sent_at < pause * 0.9:
+        # The pause counts all that are known: if it followed those that are
+        # heard, a full link, which loses datagrams, would be filled further.
+        pause = max(TICK_S, len(self.peers) / MOST_SENDS_PER_S)
+        if now - self._sent_at < pause - TICK_S / 2:
             return
         beat = self.make_beat()
         last = self._sent_beat
@@ -252,7 +261,15 @@
         )
         if is_same and now - self._sent_at < QUIET_S:
             return
-        self.send_now(beat)
+        self._sent_at = now
+        self._send(beat)
+
+    def tell_now(self) -> None:
+        """Tells a change at once, unless one was just told."""
+        now = asyncio.get_running_loop().time()
+        if now - self._told_at >= TELL_PAUSE_S:
+            self._told_at = now
+            self._send(self.make_beat())
 
     def make_beat(self) -> Beat:
         """Returns this daemon's state as it is now."""
@@ -260,25 +277,36 @@
         named = self._random.sample(live, min(NAMED_PEERS, len(live)))
         return self._make_beat(named)
 
-    def send_now(self, beat: Beat) -> None:
-        """Sends a datagram to all daemons that are known."""
+    def _send(self, beat: Beat) -> None:
+        """Sends a datagram to the daemons that are known."""
         if self._transport is None or self._transport.is_closing():
             return
-        now = asyncio.get_running_loop().time()
-        self._sent_at = now
         self._sent_beat = beat
         data = msgspec.msgpack.encode(beat)
         if len(data) > LIMIT_BYTES:
             event_log.log(_logger, "datagram_too_long", bytes=len(data))
             return
+        for address in self._list_addresses():
+            host, _, port = address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
+
+    def _list_addresses(self) -> set[str]:
+        """Returns where to send; daemons that aren't heard are told less."""
+        now = asyncio.get_running_loop().time()
         addresses = {
             peer.address
             for peer in self.peers.values()
-            if now - peer.heard_at <= SHARE_MEMORY_S
+            if now - peer.heard_at <= LOST_S
         }
-        for address in addresses | self._greeted.keys():
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+        if now - self._greeted_at >= GREET_PAUSE_S:
+            self._greeted_at = now
+            addresses |= self._greeted.keys()
+            addresses |= {
+                peer.address
+                for peer in self.peers.values()
+                if now - peer.heard_at <= SHARE_MEMORY_S
+            }
+        return addresses
 
     def _drop_lost(self, now: float) -> None:
         known = {peer.address for peer in self.peers.values()}
--- a/mothpass/relay/sharing.py
+++ b/mothpass/relay/sharing.py
@@ -210,7 +210,7 @@
     def _tell_change(self, replica: replicas.Replica) -> None:
         """Tells the peers at once what they can't know from the store."""
         if replica.is_following:
-            self._gossip.send_now(self._gossip.make_beat())
+            self._gossip.tell_now()
 
     def _take_beat(self, peer: gossip.Peer) -> None:
         """Takes in a peer's state, and its tables where they are newer."""
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,116 @@
+"""Tests of how often daemons tell each other their state."""
+
+import asyncio
+import random
+import unittest
+
+import msgspec
+
+from mothpass.relay import gossip
+from tests import virtual_time
+
+_FLEET = 87
+
+
+class _CountingTransport:
+    """Counts datagrams in place of sending them."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[float, str]] = []
+
+    def is_closing(self) -> bool:
+        return False
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        del data
+        now = asyncio.get_running_loop().time()
+        self.sent.append((now, address[0]))
+
+
+class GossipTest(unittest.TestCase):
+    """One daemon of a large fleet, in virtual time."""
+
+    def setUp(self) -> None:
+        self.loop = virtual_time.VirtualLoop()
+        self.addCleanup(self.loop.close)
+        self.transport = _CountingTransport()
+        self.number = 0
+        self.gossip = gossip.Gossip(
+            own_id="front-0",
+            address="10.0.0.0:1",
+            make_beat=lambda peers: self.make_beat("front-0", peers),
+            on_beat=lambda _: None,
+            source=random.Random(1),
+        )
+        self.gossip.connection_made(self.transport)  # type: ignore[arg-type]
+
+    def make_beat(self, name: str, peers: list[str]) -> gossip.Beat:
+        """Returns a state that differs from the one before."""
+        self.number += 1
+        return gossip.Beat(
+            id=name,
+            started_ms=1,
+            number=self.number,
+            versions={},
+            counts={"i-1": self.number},
+            reaches_store=True,
+            follows_store=False,
+            is_leaving=False,
+            peers=peers,
+            suspicions=[],
+        )
+
+    def hear_all(self) -> None:
+        """Hears each other daemon of the fleet once."""
+        for number in range(1, _FLEET):
+            beat = self.make_beat(f"front-{number}", [])
+            data = msgspec.msgpack.encode(beat)
+            self.gossip.datagram_received(data, (f"10.0.0.{number}", 1))
+
+    async def tick(self, seconds: float, *, hears: bool) -> None:
+        """Lets time pass, in which the others are heard or not."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            if hears:
+                self.hear_all()
+            self.gossip.tick()
+            await asyncio.sleep(gossip.TICK_S)
+
+    def count_rate(self, since: float, until: float) -> float:
+        """Returns the datagrams a second of a span."""
+        sent = sum(1 for at, _ in self.transport.sent if since <= at < until)
+        return sent / (until - since)
+
+    def test_rate_is_bounded_while_all_are_heard(self) -> None:
+        self.loop.run_all(self.tick(5.0, hears=True))
+        rate = self.count_rate(0.0, 5.0)
+        self.assertLessEqual(rate, gossip.MOST_SENDS_PER_S * 1.1)
+        self.assertGreater(rate, gossip.MOST_SENDS_PER_S * 0.5)
+
+    def test_daemons_that_are_lost_are_told_less_and_not_more(self) -> None:
+        async def play() -> None:
+            await self.tick(1.0, hears=True)
+            await self.tick(9.0, hears=False)
+
+        self.loop.run_all(play())
+        rate = self.count_rate(5.0, 10.0)
+        self.assertLessEqual(rate, gossip.MOST_SENDS_PER_S * 1.1)
+        # They must still hear of this daemon, or nobody finds anybody again.
+        told = {host for at, host in self.transport.sent if at >= 5.0}
+        self.assertEqual(len(told), _FLEET - 1)
+
+    def test_changes_that_are_told_at_once_are_bounded_too(self) -> None:
+        async def play() -> None:
+            self.hear_all()
+            for _ in range(400):
+                self.gossip.tell_now()
+                await asyncio.sleep(0.01)
+
+        self.loop.run_all(play())
+        rate = self.count_rate(0.0, 4.0)
+        self.assertLessEqual(rate, gossip.MOST_SENDS_PER_S * 6)
+
+
+if __name__ == "__main__":
+    unittest.main()
