--- a/mothpass/adapters/http_pool.py
+++ b/mothpass/adapters/http_pool.py
@@ -48,6 +48,7 @@
         connection: http_exchanges.Connection,
         *,
         idle_s: float = IDLE_MS / 1000,
+        most_idle: int = IDLE_CONNECTIONS,
     ) -> None:
         """Ends the exchange; keeps the connection if it may be used again.
 
@@ -58,13 +59,16 @@
             address: ``ip:port``.
             connection: The connection.
             idle_s: Longest time in seconds after which it is used again.
+            most_idle: Most idle connections that are kept to the address.
         """
         if connection.await_end(
-            lambda: self.give_back(address, connection, idle_s=idle_s)
+            lambda: self.give_back(
+                address, connection, idle_s=idle_s, most_idle=most_idle
+            )
         ):
             return
         idle = self._idle.setdefault(address, [])
-        if not connection.finish() or len(idle) >= IDLE_CONNECTIONS:
+        if not connection.finish() or len(idle) >= most_idle:
             connection.close()
             return
         now = asyncio.get_running_loop().time()
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -102,6 +102,7 @@
         silence_s: Time without a byte after which it is given up; None to
             wait until the deadline.
         fresh: Whether it needs a new connection.
+        most_idle: Idle connections that may be kept to the target.
         on_event: Called with the id of each event that was handed on.
     """
 
@@ -111,6 +112,7 @@
     deadline: float
     silence_s: float | None
     fresh: bool
+    most_idle: int
     on_event: abc.Callable[[int], None]
 
 
@@ -153,7 +155,12 @@
                 is_cut=is_cut and not is_kept,
             )
         finally:
-            self._pool.give_back(address, connection, idle_s=idle_s)
+            self._pool.give_back(
+                address,
+                connection,
+                idle_s=idle_s,
+                most_idle=attempt.most_idle,
+            )
 
     def _start(
         self, attempt: Attempt, connection: http_exchanges.Connection
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -21,9 +21,8 @@
 from mothpass.relay import deaths as deaths_module
 from mothpass.relay import metrics as metrics_module
 from mothpass.relay import places
+from mothpass.relay import progress as progress_module
 
-# After a wait without a place.
-LATE_RETRY_MS = 200
 # A target that is silent for this long beside a stream's own aim is given up.
 STREAM_SILENCE_S = 1.0
 PLAIN_SILENCE_FACTOR = 2.0
@@ -41,42 +40,6 @@
 _logger = logging.getLogger("mothpass.requests")
 
 
-class Progress:
-    """What became of a request so far.
-
-    Attributes:
-        delivery: What its client has been sent.
-        tried: Ids of the targets that it was sent to.
-        runs: Sends after which it has run, or may have.
-        arrivals: Sends that reached a target, as far as is known.
-        refusals: Sends that showed that it didn't run.
-        failure: Last failure that a target answered.
-        reason: Why the last send ended.
-    """
-
-    __slots__ = (
-        "arrivals",
-        "delivery",
-        "failure",
-        "reason",
-        "refusals",
-        "runs",
-        "sends",
-        "tried",
-    )
-
-    def __init__(self, *, delivery: attempts.Delivery) -> None:
-        """Starts with nothing sent."""
-        self.delivery = delivery
-        self.tried: set[str] = set()
-        self.sends = 0
-        self.runs = 0
-        self.arrivals = 0
-        self.refusals = 0
-        self.failure: attempts.Outcome | None = None
-        self.reason = ""
-
-
 class Forwarder:
     """Answers the requests of clients."""
 
@@ -146,12 +109,12 @@
             asyncio.get_running_loop().time()
         )
         delivery = attempts.Delivery(client=client, position=request.position)
-        progress = Progress(delivery=delivery)
+        progress = progress_module.Progress(delivery=delivery)
         try:
             async with asyncio.timeout_at(admitted.deadline):
                 refusal = await self._run(admitted, progress)
         except TimeoutError:
-            refusal = _refuse_late(progress)
+            refusal = progress_module.refuse_late(progress)
         except asyncio.CancelledError:
             self._log_end(
                 request, admitted, progress, results.Code.CALLER_GONE, "left"
@@ -160,7 +123,7 @@
         self._finish(admitted, progress, refusal)
 
     async def _run(
-        self, admitted: admission.Admitted, progress: Progress
+        self, admitted: admission.Admitted, progress: progress_module.Progress
     ) -> errors.Refusal | None:
         """Makes attempts until one ends the request.
 
@@ -187,7 +150,7 @@
     def _may_go_on(
         self,
         admitted: admission.Admitted,
-        progress: Progress,
+        progress: progress_module.Progress,
         outcome: attempts.Outcome,
     ) -> bool:
         """Notes how an attempt ended; tells whether another may follow."""
@@ -209,7 +172,7 @@
         return progress.runs < admitted.route.max_attempts
 
     async def _take_place(
-        self, admitted: admission.Admitted, progress: Progress
+        self, admitted: admission.Admitted, progress: progress_module.Progress
     ) -> target_choice.Choice | errors.Refusal:
         """Waits until a target may take the request."""
         return await self._places.take(
@@ -228,7 +191,7 @@
     async def _attempt(
         self,
         admitted: admission.Admitted,
-        progress: Progress,
+        progress: progress_module.Progress,
         choice: target_choice.Choice,
     ) -> attempts.Outcome:
         loop = asyncio.get_running_loop()
@@ -251,6 +214,11 @@
             deadline=admitted.deadline + ATTEMPT_MARGIN_S,
             silence_s=self._find_silence(admitted, progress),
             fresh=not admitted.route.is_repeatable or progress.sends > 0,
+            # Half of what the target bears, in equal parts of all daemons.
+            most_idle=max(
+                1,
+                admitted.service.max_connections // 2 // self._count_daemons(),
+            ),
             on_event=lambda position: self._deaths.progress(
                 target, admitted.fingerprint, position
             ),
@@ -286,6 +254,14 @@
             )
         return outcome
 
+    def _count_idle_share(self, admitted: admission.Admitted) -> int:
+        """Returns the idle connections that may be kept to one target.
+
+        Half of what it bears, in equal parts of all daemons.
+        """
+        most = admitted.service.max_connections // 2
+        return max(1, most // max(1, self._count_daemons()))
+
     def _note_outcome(
         self,
         admitted: admission.Admitted,
@@ -329,7 +305,7 @@
         return budget
 
     def _find_silence(
-        self, admitted: admission.Admitted, progress: Progress
+        self, admitted: admission.Admitted, progress: progress_module.Progress
     ) -> float | None:
         """Returns the silence after which another target is tried."""
         route = admitted.route
@@ -343,7 +319,7 @@
         )
 
     def _refuse_ended(
-        self, admitted: admission.Admitted, progress: Progress
+        self, admitted: admission.Admitted, progress: progress_module.Progress
     ) -> errors.Refusal:
         """Returns the refusal after the last attempt that may be made."""
         if progress.runs:
@@ -365,7 +341,7 @@
     def _finish(
         self,
         admitted: admission.Admitted,
-        progress: Progress,
+        progress: progress_module.Progress,
         refusal: errors.Refusal | None,
     ) -> None:
         """Sends what is still due to the client and logs the end."""
@@ -391,7 +367,7 @@
         self,
         request: relay.Request,
         admitted: admission.Admitted | None,
-        progress: Progress | None,
+        progress: progress_module.Progress | None,
         code: results.Code,
         message: str,
     ) -> None:
@@ -422,16 +398,3 @@
             reason="" if progress is None else progress.reason,
             ms=round((now - request.arrived_at) * 1000, 1),
         )
-
-
-def _refuse_late(progress: Progress) -> errors.Refusal:
-    """Returns the refusal of a request whose time is over."""
-    if progress.sends > progress.refusals:
-        return errors.Refusal(
-            code=results.Code.OUTCOME_UNKNOWN,
-            ran=results.Ran.UNKNOWN,
-            message="no answer in time",
-        )
-    return admission.refuse(
-        results.Code.OVERLOADED, "no place in time", LATE_RETRY_MS
-    )
--- a/mothpass/relay/settings.py
+++ b/mothpass/relay/settings.py
@@ -18,7 +18,6 @@
         seeds: ``ip:port`` of daemons that were there before, maybe stale.
         store: ``ip:port`` of the platform's store.
         grace_s: Time between SIGTERM and SIGKILL.
-        drain_ms: Time for which a target that leaves still serves.
         repeat_ratio: Repeats for each request that the fleet may send.
         repeat_window_s: Window in which repeats are counted.
         repeat_extra: Repeats that the fleet may send besides.
@@ -36,7 +35,6 @@
     store: str
     seeds: list[str] | None = None
     grace_s: float = 8.0
-    drain_ms: float = 2000.0
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
     repeat_extra: float = 50.0
