--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -214,11 +214,7 @@
             deadline=admitted.deadline + ATTEMPT_MARGIN_S,
             silence_s=self._find_silence(admitted, progress),
             fresh=not admitted.route.is_repeatable or progress.sends > 0,
-            # Half of what the target bears, in equal parts of all daemons.
-            most_idle=max(
-                1,
-                admitted.service.max_connections // 2 // self._count_daemons(),
-            ),
+            most_idle=self._count_idle_share(admitted),
             on_event=lambda position: self._deaths.progress(
                 target, admitted.fingerprint, position
             ),
