--- a/mothpass/core/cold_rates.py
+++ b/mothpass/core/cold_rates.py
@@ -13,7 +13,7 @@
 
 # Part of the bound that all daemons plan to use. The rest is for requests
 # that bunch on their way and for daemons that this one does not know of.
-_PLANNED_SHARE = 0.7
+PLANNED_SHARE = 0.7
 # A daemon that sees nobody may be cut off from a fleet that goes on.
 _LEAST_DAEMONS = 3
 
@@ -29,7 +29,7 @@
         daemon_ids: All daemons seen of late, this one included.
         bound_per_s: What the target bears from all daemons together.
     """
-    planned = math.floor(bound_per_s * _PLANNED_SHARE)
+    planned = math.floor(bound_per_s * PLANNED_SHARE)
     each, rest = divmod(planned, max(_LEAST_DAEMONS, len(daemon_ids)))
     if each:
         return each
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -20,6 +20,8 @@
         status: Status with which calls are refused; 0 for none.
         is_silent: Whether calls get no answer.
         forgets: Whether feeds are told that the history is gone.
+        delay_s: Time that each answer takes.
+        loses_answers: Whether writes are done and their answers lost.
         calls: Paths of the calls that arrived.
     """
 
@@ -28,6 +30,8 @@
         self.status = 0
         self.is_silent = False
         self.forgets = False
+        self.delay_s = 0.0
+        self.loses_answers = False
         self.calls: list[str] = []
         self._rows: dict[tuple[str, str], Row] = {}
         self._log: list[tuple[str, Row]] = []
@@ -95,6 +99,7 @@
         self.calls.append(url.path)
         if self.is_silent:
             await asyncio.sleep(3600)
+        await asyncio.sleep(self.delay_s)
         if self.status:
             wire.write_answer(writer, self.status, {}, b"")
             return
@@ -109,6 +114,9 @@
                 value = base64.b64decode(item["value"])
                 self.put(item["table"], item["key"], value)
             body = {"ver": self._version, "nowMs": 0}
+            if self.loses_answers:
+                writer.transport.abort()
+                return
         else:
             status = 404
         wire.write_answer(writer, status, {}, json.dumps(body).encode())
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -20,6 +20,9 @@
         runs: Ids of the requests that it ran, in order.
         ended: Ids of the runs whose connection closed before their end.
         script: Handles the next requests, first to last; then ``answer``.
+        kept: Handles requests on a connection that was used before, None
+            for no difference.
+        connections: Connections that were opened to it.
     """
 
     def __init__(self, target_id: str) -> None:
@@ -30,6 +33,8 @@
         self.ended: list[str] = []
         self.script: list[Script] = []
         self.answer: Script = answer_well
+        self.kept: Script | None = None
+        self.connections = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -64,12 +69,17 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        self.connections += 1
+        is_kept = False
         with contextlib.suppress(
             OSError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
             while (request := await wire.read_request(reader)) is not None:
                 self.requests.append(request)
                 script = self.script.pop(0) if self.script else self.answer
+                if is_kept and self.kept is not None:
+                    script = self.kept
+                is_kept = True
                 await self._run(script, request, reader, writer)
         self._writers.discard(writer)
         writer.close()
@@ -221,6 +231,32 @@
     await asyncio.sleep(3600)
 
 
+async def crash(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Begins to run the request and dies of it."""
+    del writer
+    target.runs.append(request.headers["attempt-id"])
+    await asyncio.sleep(0.02)
+    target.close()
+
+
+async def reset(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Resets the connection without reading on."""
+    del target, request
+    writer.transport.abort()
+
+
+async def stay_silent(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Neither runs nor answers, as a connection that lost its other end."""
+    del target, request, writer
+    await asyncio.sleep(3600)
+
+
 async def answer_twice(
     target: Target, request: wire.Request, writer: asyncio.StreamWriter
 ) -> None:
--- /dev/null
+++ b/tests/platform/test_fleet_bounds.py
@@ -0,0 +1,198 @@
+"""Bounds and beliefs that all daemons hold together."""
+
+import asyncio
+
+from mothpass.core import cold_rates
+from tests.platform import fleet
+from tests.platform import store_standin
+from tests.platform import target_standin
+
+# The documents of the tests allow a cold target 10 requests a second.
+COLD_PER_S = 10.0
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5.0
+
+
+class SharedBoundsTest(fleet.FleetTest):
+    """Three daemons."""
+
+    daemons = 3
+
+    async def wait_for_peers(self) -> None:
+        """Waits until each daemon hears the others."""
+        await self.wait_for(
+            lambda: all(
+                len(item.sharing.find_peers()) == len(self.services) - 1
+                for item in self.services
+            )
+        )
+
+    async def test_cold_targets_get_no_more_than_they_bear(self) -> None:
+        await self.wait_for_peers()
+        for target in self.models:
+            entry = target.encode_entry("models", born=2000, coldLeftMs=9000)
+            self.store.put("servers", target.id, entry)
+        await asyncio.sleep(0.5)
+        loop = asyncio.get_running_loop()
+        arrivals: dict[str, list[float]] = {}
+
+        def note(target: target_standin.Target) -> target_standin.Script:
+            async def run(*args: object) -> None:
+                arrivals.setdefault(target.id, []).append(loop.time())
+                await target_standin.answer_well(*args)  # type: ignore[arg-type]
+
+            return run
+
+        for target in self.models:
+            target.answer = note(target)
+        calls = []
+        for number in range(240):
+            headers = self.make_chat_headers()
+            headers["Prompt-Prefix"] = f"aa:80,{number % 7:x}b:30,cc:10"
+            call = self.call("POST", "/chat/1", headers, b"x", number % 3)
+            calls.append(asyncio.ensure_future(call))
+            await asyncio.sleep(0.01)
+        answers = await asyncio.gather(*calls)
+        self.assertLessEqual({item.status for item in answers}, {200, 503})
+        bound = COLD_PER_S * COLD_OVERAGE + COLD_SLACK
+        self.assertTrue(arrivals)
+        for times in arrivals.values():
+            most = max(
+                sum(1 for other in times if 0 <= other - start < 1.0)
+                for start in times
+            )
+            self.assertLessEqual(most, bound)
+            self.assertGreater(most, bound * cold_rates.PLANNED_SHARE / 3)
+
+    async def test_request_that_kills_targets_is_stopped_everywhere(
+        self,
+    ) -> None:
+        await self.wait_for_peers()
+        more = [await self.add_target("models") for _ in range(4)]
+        targets = [*self.models, *more]
+        known = self.services[2].state.targets.targets
+        await self.wait_for(lambda: all(item.id in known for item in more))
+        for target in targets:
+            target.answer = target_standin.crash
+        for number in range(5):
+            headers = self.make_chat_headers()
+            daemon = number % 3
+            await self.call("POST", "/chat/kill", headers, b"kill", daemon)
+            await asyncio.sleep(0.4)
+        dead = sum(1 for target in targets if target.runs)
+        self.assertLessEqual(dead, 3)
+        for target in targets:
+            target.answer = target_standin.answer_well
+        other = await self.call(
+            "POST", "/chat/well", self.make_chat_headers(), b"well", 2
+        )
+        self.assertEqual(other.status, 200)
+
+    async def test_repeats_of_all_daemons_stay_within_the_budget(self) -> None:
+        await self.wait_for_peers()
+        for target in self.plain:
+            target.answer = target_standin.lose_answer
+        requests = 300
+        calls = [
+            self.call("GET", f"/read/{number}", daemon=number % 3)
+            for number in range(requests)
+        ]
+        for start in range(0, requests, 30):
+            await asyncio.gather(*calls[start : start + 30])
+        arrivals = sum(len(target.runs) for target in self.plain)
+        settings = self.services[0].settings
+        budget = settings.repeat_ratio * requests + settings.repeat_extra
+        repeats = arrivals - requests
+        self.assertLessEqual(repeats, budget)
+        self.assertGreater(repeats, budget / 3)
+
+    async def test_daemons_that_all_died_serve_again(self) -> None:
+        await self.wait_for_peers()
+        for service in self.services:
+            await service.close()
+        self.services.clear()
+        self.addresses.clear()
+        for number in range(self.daemons):
+            await self.add_daemon(number)
+        for number in range(self.daemons):
+            answer = await self.call("GET", "/read/1", daemon=number)
+            self.assertEqual(answer.status, 200)
+            chat = self.make_chat_headers()
+            answer = await self.call("POST", "/chat/1", chat, b"x", number)
+            self.assertTrue(answer.is_whole)
+
+
+class TurnedAwayTest(fleet.FleetTest):
+    """A daemon that the store turns away, beside two that it serves."""
+
+    daemons = 2
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.other = store_standin.Store()
+        await self.other.open()
+        self.addCleanup(self.other.close)
+        self.other.status = 503
+        await self.add_daemon(2, self.other.address)
+
+    async def test_evacuated_zone_gets_nothing(self) -> None:
+        away = await self.add_target("plain", zone="zone-b")
+        self.store.put("op", "evacuate/zone-a", {})
+        await asyncio.sleep(1.0)
+        for _ in range(4):
+            answer = await self.call("GET", "/read/1", daemon=2)
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(len(away.runs), 4)
+
+    async def test_draining_target_gets_nothing(self) -> None:
+        first, second = self.plain
+        entry = first.encode_entry("plain", state="draining")
+        self.store.put("servers", first.id, entry)
+        await asyncio.sleep(1.0)
+        for _ in range(4):
+            await self.call("GET", "/read/1", daemon=2)
+        self.assertEqual((len(first.runs), len(second.runs)), (0, 4))
+
+
+class StoreFaultsTest(fleet.FleetTest):
+    """A store that hangs, is slow or loses answers."""
+
+    daemons = 2
+
+    async def serve_and_change(self) -> None:
+        """Makes requests, then waits until a new version is in force."""
+        for number in range(self.daemons):
+            answer = await self.call("GET", "/read/1", daemon=number)
+            self.assertEqual(answer.status, 200)
+        self.store.is_silent = False
+        self.store.delay_s = 0.0
+        self.store.put("op", "config", fleet.make_document(version=7))
+        await self.wait_for(
+            lambda: all(
+                item.state.routes is not None and item.state.routes.version == 7
+                for item in self.services
+            ),
+            8.0,
+        )
+
+    async def test_silent_store_holds_up_nobody(self) -> None:
+        self.store.is_silent = True
+        self.store.put("op", "config", fleet.make_document(version=3))
+        await asyncio.sleep(1.0)
+        await self.serve_and_change()
+
+    async def test_slow_store_holds_up_nobody(self) -> None:
+        self.store.delay_s = 0.6
+        await asyncio.sleep(1.0)
+        await self.serve_and_change()
+
+    async def test_daemon_whose_registration_is_lost_is_found(self) -> None:
+        self.store.loses_answers = True
+        await self.add_daemon(2)
+        await self.wait_for(lambda: "front-2" in self.store.read("daemons"))
+        self.store.loses_answers = False
+        await self.wait_for(
+            lambda: all(
+                len(item.sharing.find_peers()) == 2 for item in self.services
+            )
+        )
