Notice within 1.3 s that the daemons that follow the store lost it

The store fell silent for five daemons, the three that followed it among them. Their calls hung for up to 5.5 s (4 s of waiting, 1.5 s beyond), and until then the four that still reached the store took the others for followers. Ruled out: the hand-on between peers (30 ms after the next read) and the choice of other readers (70 ms after the first loss was told). Tried first: short calls by all three readers. Change: one daemon, the watcher, keeps its calls for the operator's table to 0.6 s and takes silence of 0.7 s more for a loss. Those who hear that a daemon lost the store ask it once, beside the calls that may hang.

--- a/mothpass/core/windows.py
+++ b/mothpass/core/windows.py
@@ -19,12 +19,17 @@
 
     def record(self, now: float) -> None:
         """Counts one event."""
+        # Some counts are rarely asked for, and would grow without end.
+        self._drop_old(now)
         self._moments.append(now)
 
     def count(self, now: float) -> int:
         """Returns the events of the window that ends now."""
+        self._drop_old(now)
+        return len(self._moments)
+
+    def _drop_old(self, now: float) -> None:
         moments = self._moments
         oldest = now - self._window_s
         while moments and moments[0] <= oldest:
             moments.popleft()
-        return len(moments)
--- a/mothpass/platform/store.py
+++ b/mothpass/platform/store.py
@@ -12,11 +12,12 @@
 from mothpass.core import errors
 from mothpass.ports import replicas
 
-# The page allows 30 s; a connection may fall silent without a sign, so that
-# a call that is kept longer delays the notice of that.
-FOLLOW_WAIT_S = 4.0
-# Beyond what the store keeps a call waiting, for a store that is slow.
+# For a store that is slow: it answers in 4 ms, and on slow days in half a
+# second.
 ANSWER_TIMEOUT_S = 1.5
+# The same for feeds, beyond what the store keeps them waiting; a late notice
+# of a silent store delays changes.
+FEED_TIMEOUT_S = 0.7
 _PAGE_ROWS = 500
 _GONE = 410
 
@@ -67,7 +68,7 @@
             query = {"table": table, "part": "", "limit": str(_PAGE_ROWS)}
             if start:
                 query["from"] = start
-            page = _decode_rows(await self._get("/-/rows-get", query, 0.0))
+            page = _decode_rows(await self._get("/-/rows-get", query))
             rows += _convert_rows(page.rows)
             # What changed between two pages comes again with the changes
             # after the first one's version.
@@ -77,16 +78,16 @@
             start = page.rows[-1].key + "\0"
 
     async def follow_table(
-        self, table: str, after: int, waits: bool
+        self, table: str, after: int, wait_s: float
     ) -> replicas.Page | None:
         """See ``replicas.FollowTable``."""
-        kept_s = FOLLOW_WAIT_S if waits else 0.0
         query = {
             "table": table,
             "after": str(after),
-            "waitMs": str(int(kept_s * 1000)),
+            "waitMs": str(int(wait_s * 1000)),
         }
-        answer = await self._get("/-/rows-feed", query, kept_s)
+        timeout_s = wait_s + FEED_TIMEOUT_S
+        answer = await self._get("/-/rows-feed", query, timeout_s)
         if answer is None:
             return None
         page = _decode_rows(answer)
@@ -110,24 +111,27 @@
             "content-type: application/json\r\n"
             f"content-length: {len(body)}\r\n\r\n"
         )
-        await self._call(head.encode() + body, 0.0)
+        await self._call(head.encode() + body, ANSWER_TIMEOUT_S)
 
     async def _get(
-        self, path: str, query: dict[str, str], kept_s: float
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> bytes | None:
         """Returns an answer's body, None where the history is gone."""
         url = f"{path}?{parse.urlencode(query)}"
         head = f"GET {url} HTTP/1.1\r\nhost: {self._address}\r\n\r\n"
-        return await self._call(head.encode(), kept_s)
+        return await self._call(head.encode(), timeout_s)
 
-    async def _call(self, request: bytes, kept_s: float) -> bytes | None:
+    async def _call(self, request: bytes, timeout_s: float) -> bytes | None:
         now = asyncio.get_running_loop().time()
         try:
             status, body = await http_fetch.fetch(
                 self._pool,
                 self._address,
                 request,
-                deadline=now + kept_s + ANSWER_TIMEOUT_S,
+                deadline=now + timeout_s,
             )
         except errors.TargetUnreachableError as error:
             raise errors.StoreUnavailableError(str(error)) from error
--- a/mothpass/ports/replicas.py
+++ b/mothpass/ports/replicas.py
@@ -36,10 +36,10 @@
 # Reads a table whole. Raises errors.StoreUnavailableError.
 ReadTable = abc.Callable[[str], abc.Awaitable[Page]]
 
-# Returns the changes of a table after a version; waits for some if it is told
-# to. Returns None where the store no longer keeps what was asked for. Raises
-# errors.StoreUnavailableError.
-FollowTable = abc.Callable[[str, int, bool], abc.Awaitable[Page | None]]
+# Returns the changes of a table after a version; waits for some for so many
+# seconds at most. Returns None where the store no longer keeps what was asked
+# for. Raises errors.StoreUnavailableError or errors.StoreUnconfirmedError.
+FollowTable = abc.Callable[[str, int, float], abc.Awaitable[Page | None]]
 
 # Writes a row. Raises errors.StoreUnavailableError or
 # errors.StoreUnconfirmedError.
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -82,15 +82,24 @@
 
 
 class Peer:
-    """What is known of another daemon."""
+    """What is known of another daemon.
 
-    __slots__ = ("address", "beat", "heard_at")
+    Attributes:
+        address: ``ip:port`` that it sends from.
+        beat: Its newest datagram.
+        heard_at: Monotonic seconds at which that came.
+        has_just_lost_store: Whether that says that its call to the store
+            failed, and the one before it doesn't.
+    """
+
+    __slots__ = ("address", "beat", "has_just_lost_store", "heard_at")
 
     def __init__(self, *, address: str, beat: Beat, now: float) -> None:
         """Keeps the newest datagram."""
         self.address = address
         self.beat = beat
         self.heard_at = now
+        self.has_just_lost_store = False
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -186,6 +195,9 @@
             return
         elif now - peer.heard_at > LOST_S:
             event_log.log(_logger, "peer_regained", peer=beat.id)
+        peer.has_just_lost_store = (
+            peer.beat.reaches_store and not beat.reaches_store
+        )
         peer.address = address
         peer.beat = beat
         peer.heard_at = now
@@ -227,12 +239,20 @@
         if not reaches_store:
             # It goes on trying, and the others read in its place.
             return True
+        return self.ranks_below(self.count_readers())
+
+    def count_readers(self) -> int:
+        """Returns how many daemons follow the store."""
+        fleet = 1 + len(self.list_live())
+        return max(READERS, fleet // DAEMONS_PER_READER)
+
+    def ranks_below(self, number: int) -> bool:
+        """Tells whether this daemon is among the first that reach the store."""
         able = [
             peer.beat.id for peer in self.list_live() if peer.beat.reaches_store
         ]
         ranked = preference.rank_names(b"readers", [self._id, *able])
-        readers = max(READERS, len(ranked) // DAEMONS_PER_READER)
-        return self._id in ranked[:readers]
+        return self._id in ranked[:number]
 
     def find_newer(self, table: str, version: int) -> Peer | None:
         """Returns any daemon whose copy of a table is newer, if one is."""
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -39,6 +39,7 @@
     __slots__ = (
         "_accept",
         "_complete_since",
+        "_find_wait",
         "_follow",
         "_has_backing",
         "_is_settled",
@@ -62,6 +63,7 @@
         follow: replicas.FollowTable,
         accept: Accept,
         must_read: abc.Callable[[], bool],
+        find_wait: abc.Callable[[], float],
         has_backing: abc.Callable[[], bool],
         is_settled: abc.Callable[[], bool],
         on_change: abc.Callable[["Replica"], None],
@@ -75,6 +77,8 @@
             accept: Takes in what changed.
             must_read: Tells whether this daemon is one of those that follow
                 the store itself.
+            find_wait: Returns for how many seconds the store keeps a call
+                that waits for changes.
             has_backing: Tells whether peers follow the store.
             is_settled: Tells whether a row that is missing is gone, and not
                 just lapsed while the store was away.
@@ -94,6 +98,7 @@
         self._follow = follow
         self._accept = accept
         self._must_read = must_read
+        self._find_wait = find_wait
         self._has_backing = has_backing
         self._is_settled = is_settled
         self.is_following = True
@@ -117,6 +122,25 @@
                 is_backed = bool(self.version) and self._has_backing()
                 await asyncio.sleep(BACKED_RETRY_S if is_backed else RETRY_S)
 
+    async def check(self) -> None:
+        """Asks the store once for changes, beside a call that waits for them.
+
+        That call may hang without a sign.
+        """
+        if not self.version:
+            return
+        try:
+            page = await self._follow(self.name, self.version, 0.0)
+        except (
+            errors.StoreUnavailableError,
+            errors.StoreUnconfirmedError,
+        ) as error:
+            self._note_failure(error)
+            return
+        self._note_success()
+        if page is not None:
+            self.take_page(page)
+
     def take_page(self, page: replicas.Page) -> None:
         """Takes in rows of the store or of a peer, unless they are older."""
         if page.version < self.content_version:
@@ -159,9 +183,8 @@
             page = await self._read(self.name)
         else:
             # After an outage the answer must come at once, to show its end.
-            followed = await self._follow(
-                self.name, self.version, self.is_store_reached
-            )
+            wait_s = self._find_wait() if self.is_store_reached else 0.0
+            followed = await self._follow(self.name, self.version, wait_s)
             if followed is None:
                 event_log.log(
                     _logger, "history_gone", table=self.name, after=self.version
--- a/mothpass/relay/sharing.py
+++ b/mothpass/relay/sharing.py
@@ -36,6 +36,17 @@
 # from another, so that a change spreads in rounds over links of 5 Mbit/s.
 MOST_HANDED = 4
 _PEER_PATH = "/tables/"
+# For how long the store keeps the calls that wait for changes. A connection may
+# fall silent without a sign. One daemon, the watcher, notices that in time for
+# a change to be in force within 2 s, and others then ask once; calls are
+# priced, so that those of the other readers are longer.
+WATCH_WAIT_S = 0.6
+FOLLOW_WAIT_S = 4.0
+# Daemons that ask the store when one has lost it, as a multiple of its readers
+# and at least; a third of the fleet may be turned away.
+CHECKERS_PER_READER = 2
+LEAST_CHECKERS = 10
+CHECK_PAUSE_S = 1.0
 # A daemon that isn't registered yet tries again after this time.
 REGISTER_RETRY_S = 1.0
 
@@ -52,6 +63,8 @@
 
     __slots__ = (
         "_away_at",
+        "_checked_at",
+        "_checks",
         "_fetching",
         "_gossip",
         "_handing",
@@ -94,6 +107,8 @@
         self.is_leaving = False
         self._handing = 0
         self._away_at = float("-inf")
+        self._checked_at = float("-inf")
+        self._checks: set[asyncio.Task[None]] = set()
         self._fetching: set[str] = set()
         self._gossip = gossip.Gossip(
             own_id=settings.id,
@@ -109,13 +124,22 @@
                 follow=ports.follow_table,
                 accept=accept,
                 must_read=self._must_read,
+                find_wait=find_wait,
                 has_backing=self._gossip.has_follower,
                 is_settled=self.is_settled,
                 on_change=self._tell_change,
             )
-            for name, accept in (
-                (ports.operator_table, state.take_operator_rows),
-                (ports.target_table, state.take_target_rows),
+            for name, accept, find_wait in (
+                (
+                    ports.operator_table,
+                    state.take_operator_rows,
+                    self._find_watch_wait,
+                ),
+                (
+                    ports.target_table,
+                    state.take_target_rows,
+                    lambda: FOLLOW_WAIT_S,
+                ),
             )
         }
 
@@ -182,6 +206,23 @@
     def _must_read(self) -> bool:
         return self._gossip.is_reader(reaches_store=self._reaches_store())
 
+    def _find_watch_wait(self) -> float:
+        is_watcher = self._gossip.ranks_below(1)
+        return WATCH_WAIT_S if is_watcher else FOLLOW_WAIT_S
+
+    def _check_store(self) -> None:
+        """Asks the store once, as a daemon that follows it has lost it."""
+        loop = asyncio.get_running_loop()
+        checkers = CHECKERS_PER_READER * self._gossip.count_readers()
+        is_checker = self._gossip.ranks_below(max(LEAST_CHECKERS, checkers))
+        if not is_checker or loop.time() - self._checked_at < CHECK_PAUSE_S:
+            return
+        self._checked_at = loop.time()
+        for replica in self._replicas.values():
+            task = loop.create_task(replica.check())
+            self._checks.add(task)
+            task.add_done_callback(self._checks.discard)
+
     def _make_beat(self, peers: list[str]) -> gossip.Beat:
         self._number += 1
         now = asyncio.get_running_loop().time()
@@ -215,6 +256,8 @@
     def _take_beat(self, peer: gossip.Peer) -> None:
         """Takes in a peer's state, and its tables where they are newer."""
         loop = asyncio.get_running_loop()
+        if peer.has_just_lost_store:
+            self._check_store()
         if peer.beat.suspicions:
             self.suspicions.merge(peer.beat.suspicions, now=loop.time())
         for name, version in peer.beat.versions.items():
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -12,6 +12,21 @@
 Row = dict[str, typing.Any]
 
 
+class Door:
+    """An address of the store, which some daemons use.
+
+    Attributes:
+        address: ``ip:port``.
+        is_silent: Whether calls get no answer.
+        calls: Paths of the calls that arrived.
+    """
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.is_silent = False
+        self.calls: list[str] = []
+
+
 class Store:
     """Rows in memory, with faults to order.
 
@@ -37,16 +52,30 @@
         self._log: list[tuple[str, Row]] = []
         self._version = 0
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
 
     async def open(self, host: str = "127.0.0.1") -> None:
-        self._server = await asyncio.start_server(self._serve, host, 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{host}:{port}"
+        door = await self.open_door(host)
+        self.address = door.address
+
+    async def open_door(self, host: str = "127.0.0.1") -> Door:
+        """Opens one more address, with faults of its own."""
+        door = Door()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._serve(door, reader, writer)
+
+        server = await asyncio.start_server(serve, host, 0)
+        self._servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        door.address = f"{host}:{port}"
+        return door
 
     def close(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
 
     def put(self, table: str, key: str, value: object) -> None:
         """Writes a row: JSON, or bytes as they are."""
@@ -83,21 +112,25 @@
         self._changed = asyncio.Event()
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        door: Door,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         with contextlib.suppress(
             OSError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
             while (request := await wire.read_request(reader)) is not None:
-                await self._answer(request, writer)
+                await self._answer(door, request, writer)
         writer.close()
 
     async def _answer(
-        self, request: wire.Request, writer: asyncio.StreamWriter
+        self, door: Door, request: wire.Request, writer: asyncio.StreamWriter
     ) -> None:
         url = parse.urlsplit(request.url)
         self.calls.append(url.path)
-        if self.is_silent:
+        door.calls.append(url.path)
+        if self.is_silent or door.is_silent:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.delay_s)
         if self.status:
@@ -119,6 +152,8 @@
                 return
         else:
             status = 404
+        if self.is_silent or door.is_silent:
+            await asyncio.sleep(3600)
         wire.write_answer(writer, status, {}, json.dumps(body).encode())
 
     def _get(self, table: str) -> dict[str, object]:
--- a/tests/platform/test_fleet_bounds.py
+++ b/tests/platform/test_fleet_bounds.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mothpass.core import cold_rates
+from mothpass.relay import sharing
 from tests.platform import fleet
 from tests.platform import store_standin
 from tests.platform import target_standin
@@ -11,6 +12,8 @@
 COLD_PER_S = 10.0
 COLD_OVERAGE = 1.5
 COLD_SLACK = 5.0
+# A change is in force after this time at daemons that reach store or peers.
+CHANGE_IN_FORCE_S = 2.0
 
 
 class SharedBoundsTest(fleet.FleetTest):
@@ -154,6 +157,34 @@
         self.assertEqual((len(first.runs), len(second.runs)), (0, 4))
 
 
+class SilentReadersTest(fleet.FleetTest):
+    """A store that falls silent for just the daemons that follow it."""
+
+    daemons = 0
+
+    async def test_removed_key_is_in_force_in_time(self) -> None:
+        doors = []
+        for number in range(5):
+            door = await self.store.open_door()
+            doors.append(door)
+            await self.add_daemon(number, door.address)
+        # Each daemon follows the store until it hears enough others do.
+        await asyncio.sleep(sharing.FOLLOW_WAIT_S + 1.0)
+        for door in doors:
+            door.calls.clear()
+        await asyncio.sleep(sharing.FOLLOW_WAIT_S + 0.5)
+        readers = [door for door in doors if door.calls]
+        self.assertLess(len(readers), len(doors))
+        for door in readers:
+            door.is_silent = True
+        self.document |= {"version": 2, "tenants": []}
+        self.store.put("op", "config", self.document)
+        await asyncio.sleep(CHANGE_IN_FORCE_S)
+        for number in range(len(doors)):
+            answer = await self.call("GET", "/read/1", daemon=number)
+            self.assertEqual(answer.status, 401)
+
+
 class StoreFaultsTest(fleet.FleetTest):
     """A store that hangs, is slow or loses answers."""
 
