Keep prompts where they were read, by what all daemons know

Ruled out, weighed with the sheets' prices: copies of prompts made ahead. Targets without notice of their leaving (entry removed) as sources: some are dead, and a fetch from a dark address waits. Change: daemons tell each other which prompts their requests made targets read (at most 12 a datagram, each for 0.6 s, again after 8 s); a request goes to the holder with the least in flight below the limit, and only a prompt that nobody holds goes by its order. Targets in closed zones stay sources. Targets that were there before the daemon count as old enough to be sources at once. A belief lasts 60 s.

--- a/mothpass/core/prompts.py
+++ b/mothpass/core/prompts.py
@@ -6,11 +6,17 @@
 """
 
 import collections
+from collections import abc
 
 import msgspec
 
-# Keys remembered by one daemon; a key takes some 200 bytes.
+# Keys remembered by one daemon; a key takes some 300 bytes.
 MOST_KEYS = 4096
+# A read is told again after this time, as others forget it and datagrams are
+# lost.
+RETELL_S = 8.0
+# Reads kept to be told; one datagram carries fewer.
+MOST_NEWS = 64
 
 
 class Part(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,10 +38,26 @@
     return parts[-2].id if len(parts) > 1 else parts[0].id
 
 
+class Read(msgspec.Struct, frozen=True, array_like=True):
+    """A target has read the prompt of a key.
+
+    Attributes:
+        key: Key of the prompt.
+        target_id: Id of the target.
+    """
+
+    key: str
+    target_id: str
+
+
 class PromptMemory:
-    """Which targets have lately read the prompt of a key."""
+    """Which targets have lately read the prompt of a key.
 
-    __slots__ = ("_holders", "_lifetime_s")
+    Daemons tell each other what their requests made targets read, so that all
+    gather the requests of a key at the targets that hold its prompt.
+    """
+
+    __slots__ = ("_holders", "_lifetime_s", "_news", "_told_at")
 
     def __init__(self, *, lifetime_s: float) -> None:
         """Knows nothing.
@@ -48,14 +70,29 @@
         self._holders: collections.OrderedDict[str, dict[str, float]] = (
             collections.OrderedDict()
         )
+        # When each read was last told, by this daemon or another.
+        self._told_at: dict[Read, float] = {}
+        self._news: collections.deque[tuple[float, Read]] = collections.deque(
+            maxlen=MOST_NEWS
+        )
 
     def record(self, key: str, target_id: str, now: float) -> None:
-        """Notes that a target reads the prompt of a key."""
-        holders = self._holders.setdefault(key, {})
-        holders[target_id] = now
-        self._holders.move_to_end(key)
-        while len(self._holders) > MOST_KEYS:
-            self._holders.popitem(last=False)
+        """Notes that a request of this daemon is read by a target."""
+        read = Read(key, target_id)
+        self._put(read, now)
+        if now - self._told_at.get(read, float("-inf")) >= RETELL_S:
+            self._told_at[read] = now
+            self._news.append((now, read))
+
+    def merge(self, reads: abc.Iterable[Read], now: float) -> None:
+        """Takes in what other daemons tell."""
+        for read in reads:
+            self._put(read, now)
+            self._told_at[read] = now
+
+    def export(self, *, since: float) -> list[Read]:
+        """Returns the own reads that are news since a moment."""
+        return [read for at, read in self._news if at >= since]
 
     def list_holders(self, key: str, now: float) -> list[str]:
         """Returns the targets that probably hold a key, newest first."""
@@ -69,5 +106,14 @@
 
     def forget_target(self, target_id: str) -> None:
         """Drops a target that has lost its memory."""
-        for holders in self._holders.values():
-            holders.pop(target_id, None)
+        for key, holders in self._holders.items():
+            if holders.pop(target_id, None) is not None:
+                self._told_at.pop(Read(key, target_id), None)
+
+    def _put(self, read: Read, now: float) -> None:
+        self._holders.setdefault(read.key, {})[read.target_id] = now
+        self._holders.move_to_end(read.key)
+        while len(self._holders) > MOST_KEYS:
+            key, holders = self._holders.popitem(last=False)
+            for target_id in holders:
+                self._told_at.pop(Read(key, target_id), None)
--- a/mothpass/core/target_choice.py
+++ b/mothpass/core/target_choice.py
@@ -1,10 +1,11 @@
 """Chooses the target of a request among those that may take it.
 
 A request whose prompt others share goes where that prompt was read, as reading
-it again costs more than the request is worth. The order of targets for a
-prompt is the same at all daemons (rendezvous hashing). The load that this
+it again costs more than the request is worth. It stays there while targets
+come and go; only a prompt that nobody holds goes to the first in its order,
+which is the same at all daemons (rendezvous hashing). The load that this
 answers is a prompt that gets much of the traffic: it spills to the next in
-order once its target holds more than a multiple of the mean, counted over all
+order once its holders have more than a multiple of the mean, counted over all
 daemons, and the next fetches the memory instead of reading the prompt.
 
 Requests without such a prompt go to the target with the least in flight for
@@ -108,7 +109,7 @@
             return None
         if key is None:
             return Choice(target=self._choose_least_loaded(pool, now))
-        chosen = self._choose_by_prompt(pool, usable, key)
+        chosen = self._choose_by_prompt(pool, usable, key, now)
         source = self._find_source(chosen, sources, key, now)
         return Choice(target=chosen, source=source)
 
@@ -136,10 +137,16 @@
         pool: list[target_table.Target],
         usable: abc.Sequence[target_table.Target],
         key: str,
+        now: float,
     ) -> target_table.Target:
         loads = {target.id: self._count_load(target) for target in usable}
         limit = _SPILL_MULTIPLE * sum(loads.values()) / len(loads)
         limit += _SPILL_EXTRA
+        holders = set(self.memory.list_holders(key, now))
+        held = [item for item in pool if item.id in holders]
+        for target in sorted(held, key=lambda item: loads[item.id]):
+            if loads[target.id] < limit:
+                return target
         for target in _rank_targets(key, pool):
             if loads[target.id] < limit:
                 return target
--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -47,7 +47,8 @@
     Attributes:
         entry: What it says of itself.
         cold_until: Monotonic seconds up to which it is cold.
-        first_seen: Monotonic seconds at which it was first seen.
+        first_seen: Monotonic seconds at which it was first seen; minus
+            infinity if it was there before this daemon.
         heard_at: Monotonic seconds of the last byte that came from it.
         in_flight: Own attempts that it works on.
         is_gone: Whether it is no longer registered.
@@ -137,9 +138,16 @@
         self.closed_zones: frozenset[str] = frozenset()
         self._by_service: dict[str, list[Target]] = {}
 
-    def put(self, entry: Entry, now: float) -> bool:
+    def put(
+        self, entry: Entry, now: float, *, was_there_before: bool = False
+    ) -> bool:
         """Takes in what a target says of itself now.
 
+        Args:
+            entry: What it says.
+            now: Monotonic seconds.
+            was_there_before: Whether it may have been there for long.
+
         Returns:
             Whether this is a start that wasn't known before.
         """
@@ -147,7 +155,10 @@
         if target is None or _is_other_start(target.entry, entry):
             if target is not None:
                 self.remove(entry.id)
-            self._add(Target(entry=entry, now=now))
+            target = Target(entry=entry, now=now)
+            if was_there_before:
+                target.first_seen = float("-inf")
+            self._add(target)
             return True
         if entry.service != target.entry.service:
             self._by_service[target.entry.service].remove(target)
@@ -199,14 +210,10 @@
     def list_sources(self, service: str) -> list[Target]:
         """Returns the targets that others may fetch prompt memory from.
 
-        One that is draining still holds its memory until it leaves.
+        One that is draining or in a closed zone gets no requests, but still
+        holds its memory until it leaves.
         """
-        closed = self.closed_zones
-        return [
-            target
-            for target in self._by_service.get(service, ())
-            if target.entry.availability_zone not in closed
-        ]
+        return self._by_service.get(service, [])
 
     def _add(self, target: Target) -> None:
         self.targets[target.id] = target
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -14,6 +14,7 @@
 from mothpass.adapters import event_log
 from mothpass.core import peer_counts
 from mothpass.core import preference
+from mothpass.core import prompts
 from mothpass.core import suspects
 
 TICK_S = 0.1
@@ -25,6 +26,10 @@
 NAMED_PEERS = 3
 # Suspicions that a datagram carries, so that it stays within one packet.
 TOLD_SUSPICIONS = 8
+# Reads of prompts that a datagram carries, and for how long each is told: the
+# pause between the datagrams of a fleet of a hundred.
+TOLD_READS = 12
+READ_TOLD_S = 0.6
 # A daemon tells its state at least this often, though nothing changed.
 QUIET_S = 0.5
 # A daemon not heard of for this long is taken for gone.
@@ -67,6 +72,7 @@
         is_leaving: Whether it is shutting down.
         peers: Addresses of some of the daemons that it hears.
         suspicions: Requests that are suspected to crash targets.
+        reads: Prompts that its requests made targets read.
     """
 
     id: str
@@ -79,6 +85,7 @@
     is_leaving: bool
     peers: list[str]
     suspicions: list[suspects.Record]
+    reads: list[prompts.Read]
 
 
 class Peer:
@@ -279,8 +286,9 @@
         beat = self.make_beat()
         last = self._sent_beat
         is_same = last is not None and (
-            (last.counts, last.versions, last.suspicions, last.follows_store)
-            == (beat.counts, beat.versions, beat.suspicions, beat.follows_store)
+            (last.counts, last.versions, last.suspicions, last.reads)
+            == (beat.counts, beat.versions, beat.suspicions, beat.reads)
+            and last.follows_store == beat.follows_store
         )
         if is_same and now - self._sent_at < QUIET_S:
             return
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -32,9 +32,9 @@
 # Long enough for a connection to another zone, short enough to try another
 # target within the targets of the sheets.
 CONNECT_TIMEOUT_MS = 300
-# A target keeps a prompt for as long as its memory lasts; the sheets price
-# parts that are read again within 10 s.
-PROMPT_MEMORY_S = 20.0
+# A target keeps a prompt for as long as its memory lasts, which the engines of
+# the sheets do for a minute and more; a belief that is wrong costs one read.
+PROMPT_MEMORY_S = 60.0
 # Time for the balancer to send no more connections after a SIGTERM: it asks
 # each second, and two answers in a row must miss.
 LEAVE_S = 2.6
@@ -109,6 +109,7 @@
             ports=ports,
             pool=pool,
             state=state,
+            memory=memory,
             source=source,
         )
         chooser = target_choice.Chooser(
--- a/mothpass/relay/sharing.py
+++ b/mothpass/relay/sharing.py
@@ -14,6 +14,7 @@
 from mothpass.adapters import http_pool
 from mothpass.adapters import relay_listener
 from mothpass.core import errors
+from mothpass.core import prompts
 from mothpass.core import suspects
 from mothpass.core import target_table
 from mothpass.ports import relay
@@ -70,6 +71,7 @@
         "_handing",
         "_host",
         "_id",
+        "_memory",
         "_number",
         "_pool",
         "_port",
@@ -90,9 +92,11 @@
         ports: ports_module.Ports,
         pool: http_pool.Pool,
         state: state_module.State,
+        memory: prompts.PromptMemory,
         source: random.Random,
     ) -> None:
         """Wires the parts up; see ``service.Service``."""
+        self._memory = memory
         self._id = settings.id
         self._host = settings.address
         self._port = settings.peer_ports[0]
@@ -246,6 +250,9 @@
             suspicions=self.suspicions.export(
                 changed_since=now - gossip.SUSPICION_TOLD_S, now=now
             )[-gossip.TOLD_SUSPICIONS :],
+            reads=self._memory.export(since=now - gossip.READ_TOLD_S)[
+                -gossip.TOLD_READS :
+            ],
         )
 
     def _tell_change(self, replica: replicas.Replica) -> None:
@@ -260,6 +267,8 @@
             self._check_store()
         if peer.beat.suspicions:
             self.suspicions.merge(peer.beat.suspicions, now=loop.time())
+        if peer.beat.reads:
+            self._memory.merge(peer.beat.reads, loop.time())
         for name, version in peer.beat.versions.items():
             replica = self._replicas.get(name)
             if replica is None or version <= replica.content_version:
--- a/mothpass/relay/state.py
+++ b/mothpass/relay/state.py
@@ -103,6 +103,7 @@
                 self._take_removal(row.key, is_settled, now)
             else:
                 self._take_entry(row.key, row.value, now)
+        self.has_targets = True
 
     def drop_lapsed(self) -> None:
         """Removes the targets that didn't come back after an outage."""
@@ -151,7 +152,10 @@
             event_log.log(_logger, "entry_rejected", reason=str(error))
             self.targets.remove(key)
             return
-        if self.targets.put(entry, now):
+        is_new = self.targets.put(
+            entry, now, was_there_before=not self.has_targets
+        )
+        if is_new:
             self._forget_target(key)
         event_log.log(
             _logger,
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -57,6 +57,7 @@
                 "maxConns": 50,
                 "coldStartS": 3.0,
                 "coldPerS": 10.0,
+                "engine": {"kvBytes": 18432, "linkMbps": 550000},
             },
         ],
         "limits": {
--- a/tests/platform/test_state_in_force.py
+++ b/tests/platform/test_state_in_force.py
@@ -174,6 +174,42 @@
             )
         )
 
+    async def test_prompts_stay_where_another_daemon_sent_them(self) -> None:
+        await self.test_daemons_count_each_other_s_work()
+        keys = [f"{number}b" for number in range(8)]
+        for key in keys:
+            await self.send_chat(key, daemon=0)
+        more = [await self.add_target("models") for _ in range(4)]
+        known = self.services[1].state.targets.targets
+        await self.wait_for(lambda: all(item.id in known for item in more))
+        await asyncio.sleep(2 * gossip.TICK_S)
+        for key in keys:
+            await self.send_chat(key, daemon=1)
+        self.assertEqual([item.runs for item in more], [[]] * len(more))
+
+    async def send_chat(self, key: str, daemon: int) -> None:
+        """Makes a model request with a prompt."""
+        headers = self.make_chat_headers()
+        headers["Prompt-Prefix"] = f"aa:80,{key}:30,cc:10"
+        answer = await self.call("POST", "/chat/1", headers, b"x", daemon)
+        self.assertTrue(answer.is_whole)
+
+    async def test_closed_zone_still_hands_prompts_on(self) -> None:
+        away = await self.add_target("models", zone="zone-b")
+        targets = self.services[0].state.targets
+        await self.wait_for(lambda: away.id in targets.targets)
+        for number in range(8):
+            await self.send_chat(f"{number}b", daemon=0)
+        self.store.put("op", "evacuate/zone-a", {})
+        await self.wait_for(lambda: targets.closed_zones == {"zone-a"})
+        away.requests.clear()
+        for number in range(8):
+            await self.send_chat(f"{number}b", daemon=0)
+        self.assertEqual(len(away.requests), 8)
+        closed = {item.address for item in self.models}
+        sources = {item.headers.get("kv-fetch") for item in away.requests}
+        self.assertTrue(sources & closed)
+
     async def test_few_daemons_follow_the_store(self) -> None:
         for number in range(2, gossip.READERS + 3):
             await self.add_daemon(number)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -58,6 +58,7 @@
             is_leaving=False,
             peers=peers,
             suspicions=[],
+            reads=[],
         )
 
     def hear_all(self) -> None:
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -73,10 +73,12 @@
         )
         return self.count(target_id) - unseen
 
-    def run(self, pick: _Pick, *, per_s: float, seconds: float) -> None:
+    def run(
+        self, pick: _Pick, *, per_s: float, seconds: float, start: float = 0.0
+    ) -> None:
         """Sends requests at random moments."""
-        now = 0.0
-        while now < seconds:
+        now = start
+        while now < start + seconds:
             now += self._random.expovariate(per_s)
             while self._running and self._running[0][0] <= now:
                 self._running.popleft()
@@ -95,8 +97,17 @@
             self.requests += 1
 
 
-def make_picker(replay: Replay) -> _Pick:
-    """Returns the choice under test, one chooser a daemon."""
+def make_picker(
+    replay: Replay, *, records: bool = False, tells: bool = False
+) -> _Pick:
+    """Returns the choice under test, one chooser a daemon.
+
+    Args:
+        replay: The load.
+        records: Whether daemons remember what their requests made targets
+            read.
+        tells: Whether they tell the others.
+    """
     now_of = [0.0]
     choosers = []
     for daemon in range(_DAEMONS):
@@ -106,7 +117,7 @@
 
         choosers.append(
             target_choice.Chooser(
-                memory=prompts.PromptMemory(lifetime_s=20.0),
+                memory=prompts.PromptMemory(lifetime_s=60.0),
                 count_load=count,
                 allows_cold=lambda _: True,
                 source=random.Random(1),
@@ -119,11 +130,86 @@
             replay.targets, key=key, avoided=(), sources=[], now=now
         )
         assert choice is not None
+        memory = choosers[daemon].memory
+        if records:
+            memory.record(key, choice.target.id, now)
+        if tells:
+            for chooser in choosers:
+                chooser.memory.merge(memory.export(since=now), now)
         return choice.target
 
     return pick
 
 
+class HoldersTest(unittest.TestCase):
+    """Targets are added while the traffic goes on."""
+
+    def count_reads(
+        self, *, per_s: float, records: bool = False, tells: bool = False
+    ) -> int:
+        """Returns the prompts read again after targets were added."""
+        replay = Replay(seed=5, hot_share=0.0)
+        pick = make_picker(replay, records=records, tells=tells)
+        replay.run(pick, per_s=per_s, seconds=60)
+        before = replay.reads
+        replay.targets += [make_target(_TARGETS + n) for n in range(3)]
+        replay.run(pick, per_s=per_s, seconds=60, start=60.0)
+        return replay.reads - before
+
+    def test_prompts_stay_where_they_were_read(self) -> None:
+        by_order = self.count_reads(per_s=2)
+        # Three of eight prompts come first in the order of a new target.
+        self.assertGreater(by_order, 0.25 * _KEYS)
+        alone = self.count_reads(per_s=2, records=True)
+        told = self.count_reads(per_s=2, records=True, tells=True)
+        self.assertGreater(alone, 2 * told)
+        self.assertLess(told, 0.1 * _KEYS)
+
+    def test_new_targets_still_take_load_off_the_others(self) -> None:
+        by_order = self.count_reads(per_s=6)
+        told = self.count_reads(per_s=6, records=True, tells=True)
+        self.assertGreater(told, 0)
+        self.assertLess(told, 0.75 * by_order)
+
+
+class MemoryTest(unittest.TestCase):
+    """What is remembered and told of the prompts that targets hold."""
+
+    def setUp(self) -> None:
+        self.memory = prompts.PromptMemory(lifetime_s=60.0)
+
+    def test_read_is_told_once_and_again_before_others_forget(self) -> None:
+        self.memory.record("key", "i-1", 1.0)
+        self.memory.record("key", "i-1", 2.0)
+        self.assertEqual(
+            self.memory.export(since=1.0), [prompts.Read("key", "i-1")]
+        )
+        self.assertEqual(self.memory.export(since=1.5), [])
+        later = 1.0 + prompts.RETELL_S
+        self.memory.record("key", "i-1", later)
+        self.assertEqual(len(self.memory.export(since=later)), 1)
+
+    def test_read_that_another_told_is_not_told_again(self) -> None:
+        self.memory.merge([prompts.Read("key", "i-1")], 1.0)
+        self.memory.record("key", "i-1", 2.0)
+        self.assertEqual(self.memory.export(since=0.0), [])
+        self.assertEqual(self.memory.list_holders("key", 2.0), ["i-1"])
+
+    def test_target_that_lost_its_memory_holds_nothing(self) -> None:
+        self.memory.record("key", "i-1", 1.0)
+        self.memory.forget_target("i-1")
+        self.assertEqual(self.memory.list_holders("key", 1.0), [])
+        self.memory.record("key", "i-1", 1.5)
+        self.assertEqual(len(self.memory.export(since=1.5)), 1)
+
+    def test_keys_are_bounded(self) -> None:
+        for number in range(prompts.MOST_KEYS + 10):
+            self.memory.record(f"k{number}", "i-1", 1.0)
+        self.assertEqual(self.memory.list_holders("k0", 1.0), [])
+        newest = f"k{prompts.MOST_KEYS + 9}"
+        self.assertEqual(self.memory.list_holders(newest, 1.0), ["i-1"])
+
+
 class PlacementTest(unittest.TestCase):
     """Prompts that many requests share, some of them hot."""
 
