Fetch prompts from true holders, pass over busy readers, bound load over all

The bound counts the targets of a closed zone, which hold nothing; ours took the mean of those that may get work. Cause 2: kept requests with the holders of a prompt. Daemons count and tell the tokens that targets have yet to read; one with more than 20,000 is passed over. A torn log line no longer spoils the next. Fields that nobody read are gone (Load, Route.gap_target_s and has_affinity, kv_bytes).

--- a/mothpass/adapters/event_log.py
+++ b/mothpass/adapters/event_log.py
@@ -33,6 +33,7 @@
             rate=LINES_PER_S, burst=BURST_LINES, now=time.monotonic()
         )
         self._dropped = 0
+        self._is_torn = False
 
     def emit(self, record: logging.LogRecord) -> None:
         """Writes one line, or counts it as dropped."""
@@ -52,12 +53,16 @@
         if self._dropped:
             line["lines_dropped"] = self._dropped
         data = msgspec.json.encode(line) + b"\n"
+        if self._is_torn:
+            # The rest of the line before is lost; this one stands alone.
+            data = b"\n" + data
         try:
             written = os.write(self._descriptor, data)
         except BlockingIOError:
             self._dropped += 1
             return
-        self._dropped = 0 if written == len(data) else 1
+        self._is_torn = written < len(data)
+        self._dropped = 1 if self._is_torn else 0
 
 
 def start_logging(descriptor: int, level: int = logging.INFO) -> None:
--- a/mothpass/control/exits.py
+++ b/mothpass/control/exits.py
@@ -1,6 +1,6 @@
 """Exit codes of `mothpassctl`.
 
-docs/OPERATING.md holds the same table; a test compares the two.
+docs/OPERATIONS.md holds the same table; a test compares the two.
 """
 
 import enum
--- a/mothpass/core/prompts.py
+++ b/mothpass/core/prompts.py
@@ -15,8 +15,10 @@
 # A read is told again after this time, as others forget it and datagrams are
 # lost.
 RETELL_S = 8.0
+# Datagrams that carry a read, as some are lost.
+TELLS = 3
 # Reads kept to be told; one datagram carries fewer.
-MOST_NEWS = 64
+MOST_NEWS = 256
 
 
 class Part(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,6 +40,20 @@
     return parts[-2].id if len(parts) > 1 else parts[0].id
 
 
+def count_tokens(
+    parts: tuple[Part, ...], prompt_tokens: int
+) -> tuple[int, int]:
+    """Returns the tokens of a prompt that others share, and its own ones.
+
+    Args:
+        parts: Parts of the prompt; the last one is its own.
+        prompt_tokens: Tokens of the whole prompt, as its client says.
+    """
+    shared = sum(part.tokens for part in parts[:-1])
+    own = parts[-1].tokens if parts else 0
+    return shared, max(own, prompt_tokens - shared)
+
+
 class Read(msgspec.Struct, frozen=True, array_like=True):
     """A target has read the prompt of a key.
 
@@ -54,7 +70,7 @@
     """Which targets have lately read the prompt of a key.
 
     Daemons tell each other what their requests made targets read, so that all
-    gather the requests of a key at the targets that hold its prompt.
+    know from where the prompt of a key can be fetched.
     """
 
     __slots__ = ("_holders", "_lifetime_s", "_news", "_told_at")
@@ -72,7 +88,9 @@
         )
         # When each read was last told, by this daemon or another.
         self._told_at: dict[Read, float] = {}
-        self._news: collections.deque[tuple[float, Read]] = collections.deque(
+        # With the times that each is still to be told, those that were told
+        # least at the beginning.
+        self._news: collections.deque[tuple[int, Read]] = collections.deque(
             maxlen=MOST_NEWS
         )
 
@@ -82,7 +100,7 @@
         self._put(read, now)
         if now - self._told_at.get(read, float("-inf")) >= RETELL_S:
             self._told_at[read] = now
-            self._news.append((now, read))
+            self._news.appendleft((TELLS, read))
 
     def merge(self, reads: abc.Iterable[Read], now: float) -> None:
         """Takes in what other daemons tell."""
@@ -90,9 +108,15 @@
             self._put(read, now)
             self._told_at[read] = now
 
-    def export(self, *, since: float) -> list[Read]:
-        """Returns the own reads that are news since a moment."""
-        return [read for at, read in self._news if at >= since]
+    def tell(self, most: int) -> list[Read]:
+        """Returns the own reads that are to be told next."""
+        told = []
+        for _ in range(min(most, len(self._news))):
+            tells, read = self._news.popleft()
+            told.append(read)
+            if tells > 1:
+                self._news.append((tells - 1, read))
+        return told
 
     def list_holders(self, key: str, now: float) -> list[str]:
         """Returns the targets that probably hold a key, newest first."""
--- a/mothpass/core/route_table.py
+++ b/mothpass/core/route_table.py
@@ -38,11 +38,9 @@
         shares: Services that take the requests; at least one.
         timeout_s: Longest time that a client is kept waiting.
         latency_target_s: Time within which an answer is worth most.
-        gap_target_s: Longest pause between events that is still on time.
         priority: 0 is the most urgent.
         max_attempts: Targets that one request may be run by.
         needs_key: Whether the client must show the key of a team.
-        has_affinity: Whether requests carry the parts of a prompt.
         is_resumable: Whether a broken stream may go on at another target.
     """
 
@@ -53,11 +51,9 @@
     shares: tuple[Share, ...]
     timeout_s: float
     latency_target_s: float
-    gap_target_s: float
     priority: int
     max_attempts: int
     needs_key: bool
-    has_affinity: bool
     is_resumable: bool
 
     @property
--- a/mothpass/core/target_choice.py
+++ b/mothpass/core/target_choice.py
@@ -1,12 +1,16 @@
 """Chooses the target of a request among those that may take it.
 
 A request whose prompt others share goes where that prompt was read, as reading
-it again costs more than the request is worth. It stays there while targets
-come and go; only a prompt that nobody holds goes to the first in its order,
-which is the same at all daemons (rendezvous hashing). The load that this
-answers is a prompt that gets much of the traffic: it spills to the next in
-order once its holders have more than a multiple of the mean, counted over all
-daemons, and the next fetches the memory instead of reading the prompt.
+it again costs more than the request is worth. The order of targets for a
+prompt is the same at all daemons (rendezvous hashing). As targets come and go,
+prompts move with the order, which keeps the load even and leaves copies; what
+moves is fetched from a target that holds it, as daemons tell each other.
+
+Two loads are answered. A prompt that gets much of the traffic spills to the
+next in order once its target holds more than a multiple of the mean, counted
+over all daemons. Long prompts that arrive together delay each other and all
+that runs beside them, while counts of requests are still even: a target that
+has much to read is passed over, too.
 
 Requests without such a prompt go to the target with the least in flight for
 its slots.
@@ -24,7 +28,12 @@
 # Spilling starts below the bound on load (twice the mean and three more), as
 # the counts of other daemons lag by a tick.
 _SPILL_MULTIPLE = 1.5
+# The bound counts the targets that may get nothing, as in a closed zone.
+_BOUND_MULTIPLE = 1.75
 _SPILL_EXTRA = 2.0
+# A target that has this many tokens to read is left to itself: the sheets'
+# engines read 55 in a millisecond, so that what comes behind is late.
+_MOST_READING_TOKENS = 20_000
 # Requests for each slot of a target; a few that wait there keep it busy while
 # daemons hear of places that became free.
 _ROOM_MULTIPLE = 1.5
@@ -34,6 +43,9 @@
 # Returns the requests that all daemons have in flight at a target.
 CountLoad = abc.Callable[[target_table.Target], int]
 
+# Returns the tokens that a target has yet to read for all daemons.
+CountReading = abc.Callable[[target_table.Target], int]
+
 # Tells whether one more request may be sent to a cold target now.
 AllowsCold = abc.Callable[[target_table.Target], bool]
 
@@ -44,10 +56,12 @@
     Attributes:
         target: The target.
         source: Target from which it fetches the prompt's memory, or None.
+        is_held: Whether the target or its source probably holds the prompt.
     """
 
     target: target_table.Target
     source: target_table.Target | None = None
+    is_held: bool = False
 
 
 class Chooser:
@@ -57,19 +71,27 @@
         memory: Which targets have read which prompts, as this daemon knows.
     """
 
-    __slots__ = ("_allows_cold", "_count_load", "_random", "memory")
+    __slots__ = (
+        "_allows_cold",
+        "_count_load",
+        "_count_reading",
+        "_random",
+        "memory",
+    )
 
     def __init__(
         self,
         *,
         memory: prompts.PromptMemory,
         count_load: CountLoad,
+        count_reading: CountReading,
         allows_cold: AllowsCold,
         source: random.Random,
     ) -> None:
         """Keeps its parts."""
         self.memory = memory
         self._count_load = count_load
+        self._count_reading = count_reading
         self._allows_cold = allows_cold
         self._random = source
 
@@ -77,19 +99,21 @@
         self,
         usable: abc.Sequence[target_table.Target],
         *,
+        registered: abc.Sequence[target_table.Target],
         key: str | None,
         avoided: abc.Container[str],
-        sources: abc.Sequence[target_table.Target],
+        can_fetch: bool,
         now: float,
     ) -> Choice | None:
         """Returns where a request goes, None where no target may take it now.
 
         Args:
             usable: Targets of the service that may get work.
+            registered: All targets of the service; one that gets no work
+                still holds its memory.
             key: Key of the prompt, None where it shares none.
             avoided: Ids of targets that failed this request.
-            sources: Targets that prompt memory may be fetched from; none
-                where the service can't.
+            can_fetch: Whether targets fetch prompt memory from each other.
             now: Monotonic seconds.
         """
         allowed = [
@@ -109,9 +133,16 @@
             return None
         if key is None:
             return Choice(target=self._choose_least_loaded(pool, now))
-        chosen = self._choose_by_prompt(pool, usable, key, now)
-        source = self._find_source(chosen, sources, key, now)
-        return Choice(target=chosen, source=source)
+        limit = self._compute_limit(usable, registered)
+        chosen = self._choose_by_prompt(pool, key, limit)
+        source = None
+        if can_fetch:
+            source = self._find_source(chosen, registered, key, now)
+        holders = self.memory.list_holders(key, now)
+        is_held = chosen.id in holders or (
+            source is not None and source.id in holders
+        )
+        return Choice(target=chosen, source=source, is_held=is_held)
 
     def _has_room(self, target: target_table.Target) -> bool:
         """Tells whether a target bears one more request.
@@ -132,43 +163,48 @@
 
         return min(pool, key=rate)
 
-    def _choose_by_prompt(
+    def _compute_limit(
         self,
-        pool: list[target_table.Target],
         usable: abc.Sequence[target_table.Target],
-        key: str,
-        now: float,
+        registered: abc.Sequence[target_table.Target],
+    ) -> float:
+        """Returns the requests in flight from which a target counts as full."""
+        total = sum(self._count_load(target) for target in registered)
+        return _SPILL_EXTRA + min(
+            _SPILL_MULTIPLE * total / len(usable),
+            _BOUND_MULTIPLE * total / max(1, len(registered)),
+        )
+
+    def _choose_by_prompt(
+        self, pool: list[target_table.Target], key: str, limit: float
     ) -> target_table.Target:
-        loads = {target.id: self._count_load(target) for target in usable}
-        limit = _SPILL_MULTIPLE * sum(loads.values()) / len(loads)
-        limit += _SPILL_EXTRA
-        holders = set(self.memory.list_holders(key, now))
-        held = [item for item in pool if item.id in holders]
-        for target in sorted(held, key=lambda item: loads[item.id]):
-            if loads[target.id] < limit:
-                return target
-        for target in _rank_targets(key, pool):
-            if loads[target.id] < limit:
+        loads = {target.id: self._count_load(target) for target in pool}
+        below = [target for target in pool if loads[target.id] < limit]
+        if not below:
+            return min(pool, key=lambda target: loads[target.id])
+        ranked = _rank_targets(key, below)
+        for target in ranked:
+            if self._count_reading(target) < _MOST_READING_TOKENS:
                 return target
-        return min(pool, key=lambda target: loads[target.id])
+        return ranked[0]
 
     def _find_source(
         self,
         chosen: target_table.Target,
-        sources: abc.Sequence[target_table.Target],
+        registered: abc.Sequence[target_table.Target],
         key: str,
         now: float,
     ) -> target_table.Target | None:
         """Returns who else probably holds the prompt, if the chosen doesn't."""
         holders = self.memory.list_holders(key, now)
-        if not sources or chosen.id in holders:
+        if chosen.id in holders:
             return None
-        by_id = {target.id: target for target in sources}
+        by_id = {target.id: target for target in registered}
         for holder in holders:
             target = by_id.get(holder)
             if target is not None and not target.is_paused(now):
                 return target
-        for target in _rank_targets(key, sources):
+        for target in _rank_targets(key, registered):
             is_known = now - target.first_seen > _SOURCE_AGE_S
             if target is not chosen and is_known and not target.is_paused(now):
                 return target
--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -52,6 +52,8 @@
         heard_at: Monotonic seconds of the last byte that came from it.
         in_flight: Own attempts that it works on.
         is_gone: Whether it is no longer registered.
+        reading_tokens: Tokens of prompts that it has yet to read for own
+            attempts.
         sends: Own requests sent in the last second.
     """
 
@@ -67,6 +69,7 @@
         "in_flight",
         "is_gone",
         "paused_until",
+        "reading_tokens",
         "sends",
     )
 
@@ -77,6 +80,7 @@
         self.first_seen = now
         self.heard_at = now
         self.in_flight = 0
+        self.reading_tokens = 0
         self.is_gone = False
         self.paused_until = 0.0
         self.sends = windows.SlidingCount(window_s=1.0)
@@ -207,12 +211,8 @@
             and target.entry.availability_zone not in closed
         ]
 
-    def list_sources(self, service: str) -> list[Target]:
-        """Returns the targets that others may fetch prompt memory from.
-
-        One that is draining or in a closed zone gets no requests, but still
-        holds its memory until it leaves.
-        """
+    def list_registered(self, service: str) -> list[Target]:
+        """Returns all targets of a service, also those that get nothing."""
         return self._by_service.get(service, [])
 
     def _add(self, target: Target) -> None:
--- a/mothpass/platform/callers.py
+++ b/mothpass/platform/callers.py
@@ -54,7 +54,7 @@
         deadline=head.arrived_at
         + _decode_deadline_s(fields.get(b"deadline-ms")),
         prompt=prompt,
-        tokens=_decode_tokens(fields.get(b"token-count", b"")),
+        prompt_tokens=_decode_prompt_tokens(fields.get(b"token-count", b"")),
         position=_decode_position(fields.get(b"last-event-id")),
         arrived_at=head.arrived_at,
     )
@@ -94,9 +94,10 @@
     return tuple(parts)
 
 
-def _decode_tokens(value: bytes) -> int:
-    numbers = [item for item in value.split(b",") if item.strip().isdigit()]
-    return sum(int(item) for item in numbers)
+def _decode_prompt_tokens(value: bytes) -> int:
+    """Returns the first number; the second is the most to be generated."""
+    number = value.partition(b",")[0].strip()
+    return int(number) if number.isdigit() else 0
 
 
 def _decode_position(value: bytes | None) -> int | None:
--- a/mothpass/platform/catalogue.py
+++ b/mothpass/platform/catalogue.py
@@ -13,7 +13,6 @@
 # Without a route's own figures: the longest times of the site sheets.
 _DEFAULT_TIMEOUT_MS = 30_000.0
 _DEFAULT_LATENCY_MS = 1000.0
-_DEFAULT_GAP_MS = 600.0
 
 
 class _Split(msgspec.Struct, kw_only=True):
@@ -32,20 +31,17 @@
     kind: str = "non_idempotent"
     timeout_ms: float = _DEFAULT_TIMEOUT_MS
     target_latency_ms: float = _DEFAULT_LATENCY_MS
-    gap_aim_ms: float = _DEFAULT_GAP_MS
     priority: int = 0
     service: str | None = None
     traffic_split: list[_Split] = []
     max_attempts: int = 1
     auth_exempt: bool = False
-    session_affinity: bool = False
     stream_resume: bool = False
 
 
 class _Engine(msgspec.Struct, kw_only=True, rename="camel"):
     """What is said of a service's model runners."""
 
-    kv_bytes: float = 0.0
     link_mbps: float = 0.0
 
 
@@ -137,11 +133,9 @@
         shares=tuple(shares),
         timeout_s=route.timeout_ms / 1000,
         latency_target_s=route.target_latency_ms / 1000,
-        gap_target_s=route.gap_aim_ms / 1000,
         priority=route.priority,
         max_attempts=max(1, route.max_attempts),
         needs_key=has_teams and not route.auth_exempt,
-        has_affinity=route.session_affinity,
         is_resumable=route.stream_resume,
     )
 
--- a/mothpass/platform/targets.py
+++ b/mothpass/platform/targets.py
@@ -58,19 +58,10 @@
         fate=fate,
         is_other_target=is_other,
         is_signed=b"server-seal" in fields,
-        load=_decode_load(fields.get(b"server-load", b"")),
         idle_timeout_s=_decode_idle_timeout(fields.get(b"keep-alive", b"")),
     )
 
 
-def _decode_load(value: bytes) -> relay.Load | None:
-    numbers = value.split(b",")
-    if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
-        return None
-    running, waiting, slots = (int(item) for item in numbers)
-    return relay.Load(running=running, waiting=waiting, slots=slots)
-
-
 def _decode_idle_timeout(value: bytes) -> float | None:
     for item in value.split(b","):
         name, _, seconds = item.strip().partition(b"=")
--- a/mothpass/ports/relay.py
+++ b/mothpass/ports/relay.py
@@ -24,7 +24,7 @@
         key: Key of the client's team, None where it shows none.
         deadline: Monotonic seconds at which the client stops waiting.
         prompt: Parts of the prompt in order; empty for plain requests.
-        tokens: Tokens of the prompt and the most that may be generated.
+        prompt_tokens: Tokens of the whole prompt, 0 where it isn't said.
         position: Id of the last event that the client has, None for none.
         arrived_at: Monotonic seconds at which it arrived.
     """
@@ -38,7 +38,7 @@
     key: str | None
     deadline: float
     prompt: tuple[prompts.Part, ...]
-    tokens: int
+    prompt_tokens: int
     position: int | None
     arrived_at: float
 
@@ -71,14 +71,6 @@
     UNKNOWN = "unknown"
 
 
-class Load(msgspec.Struct, frozen=True, kw_only=True):
-    """What a target says of its load in an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
     """The head of a target's answer.
 
@@ -89,7 +81,6 @@
         fate: Whether the request ran.
         is_other_target: Whether another target has the address.
         is_signed: Whether it bears the target's signature.
-        load: The target's load, where it tells it.
         idle_timeout_s: How long the target keeps the connection without a
             request, None where it doesn't say.
     """
@@ -100,7 +91,6 @@
     fate: Fate
     is_other_target: bool
     is_signed: bool
-    load: Load | None
     idle_timeout_s: float | None
 
 
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -69,9 +69,17 @@
         position: Id of the last event that the client has, None for none.
         is_streaming: Whether the head of a stream was sent.
         first_at: Time of the loop of the first bytes sent, None before.
+        longest_gap_s: Longest pause between the bytes sent.
     """
 
-    __slots__ = ("client", "first_at", "is_streaming", "position")
+    __slots__ = (
+        "_sent_at",
+        "client",
+        "first_at",
+        "is_streaming",
+        "longest_gap_s",
+        "position",
+    )
 
     def __init__(
         self,
@@ -84,11 +92,18 @@
         self.position = position
         self.is_streaming = False
         self.first_at: float | None = None
+        self.longest_gap_s = 0.0
+        self._sent_at = 0.0
 
-    def note_first(self) -> None:
-        """Keeps the time of the first bytes."""
+    def note_sent(self) -> None:
+        """Keeps the times of bytes that the client is sent now."""
+        now = asyncio.get_running_loop().time()
         if self.first_at is None:
-            self.first_at = asyncio.get_running_loop().time()
+            self.first_at = now
+        else:
+            gap_s = now - self._sent_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self._sent_at = now
 
 
 class Attempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -221,7 +236,7 @@
                 head=head,
                 body=body,
             )
-        delivery.note_first()
+        delivery.note_sent()
         delivery.client.write_answer(head.status, head.headers, body)
         return Outcome(end=End.DELIVERED, status=head.status)
 
@@ -245,6 +260,7 @@
             data = _join_new(blocks, delivery)
             if data:
                 _start_stream(head, delivery)
+                delivery.note_sent()
                 await delivery.client.write_part(data)
                 attempt.on_event(delivery.position or 0)
             if is_last:
@@ -260,7 +276,6 @@
     """Sends the head of a stream once; a resumed one keeps the first head."""
     if not delivery.is_streaming:
         delivery.is_streaming = True
-        delivery.note_first()
         delivery.client.start_stream(head.status, head.headers)
 
 
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -206,6 +206,14 @@
             position=progress.delivery.position,
             source=None if source is None else source.entry.address,
         )
+        reading = progress_module.Reading(
+            target=target, tokens=_count_unread(admitted.request, choice)
+        )
+
+        def note_event(position: int) -> None:
+            reading.end()
+            self._deaths.progress(target, admitted.fingerprint, position)
+
         attempt = attempts.Attempt(
             request=admitted.request,
             target=target,
@@ -215,9 +223,7 @@
             silence_s=self._find_silence(admitted, progress),
             fresh=not admitted.route.is_repeatable or progress.sends > 0,
             most_idle=self._count_idle_share(admitted),
-            on_event=lambda position: self._deaths.progress(
-                target, admitted.fingerprint, position
-            ),
+            on_event=note_event,
         )
         progress.tried.add(target.id)
         progress.sends += 1
@@ -229,6 +235,7 @@
             outcome = await self._sender.send(attempt, progress.delivery)
             self._note_outcome(admitted, target, outcome)
         finally:
+            reading.end()
             self._places.release(target)
             self._deaths.end(target, admitted.fingerprint)
             if outcome is _ABANDONED and loop.time() >= admitted.deadline:
@@ -240,6 +247,8 @@
                 target=target.id,
                 source=None if source is None else source.id,
                 prompt=admitted.prompt_key,
+                is_held=choice.is_held,
+                reading_tokens=target.reading_tokens,
                 in_flight=target.in_flight,
                 routes_version=admitted.version,
                 send=progress.sends,
@@ -373,13 +382,11 @@
         if admitted is not None and admitted.team is not None:
             team = admitted.team.name
         self._metrics.count("requests", route=route, code=str(int(code)))
+        first_ms = None
         if progress is not None and progress.delivery.first_at is not None:
-            self._metrics.observe(
-                "first_byte",
-                progress.delivery.first_at - request.arrived_at,
-                team=team,
-                route=route,
-            )
+            first_s = progress.delivery.first_at - request.arrived_at
+            first_ms = round(first_s * 1000, 1)
+            self._metrics.observe("first_byte", first_s, team=team, route=route)
         event_log.log(
             _logger,
             "request",
@@ -392,5 +399,15 @@
             sends=0 if progress is None else progress.sends,
             runs=0 if progress is None else progress.runs,
             reason="" if progress is None else progress.reason,
+            first_ms=first_ms,
+            gap_ms=0.0
+            if progress is None
+            else round(progress.delivery.longest_gap_s * 1000, 1),
             ms=round((now - request.arrived_at) * 1000, 1),
         )
+
+
+def _count_unread(request: relay.Request, choice: target_choice.Choice) -> int:
+    """Returns the tokens of a prompt that its target has to read."""
+    shared, own = prompts.count_tokens(request.prompt, request.prompt_tokens)
+    return own if choice.is_held else shared + own
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -26,10 +26,10 @@
 NAMED_PEERS = 3
 # Suspicions that a datagram carries, so that it stays within one packet.
 TOLD_SUSPICIONS = 8
-# Reads of prompts that a datagram carries, and for how long each is told: the
-# pause between the datagrams of a fleet of a hundred.
+# Reads of prompts that a datagram carries; each takes some 30 bytes.
 TOLD_READS = 12
-READ_TOLD_S = 0.6
+# Fewer tokens are read before the others could be told.
+LEAST_TOLD_TOKENS = 2000
 # A daemon tells its state at least this often, though nothing changed.
 QUIET_S = 0.5
 # A daemon not heard of for this long is taken for gone.
@@ -45,10 +45,11 @@
 GREETING_S = 10.0
 LIMIT_BYTES = 8192
 # Daemons that follow the store; the others take changes from them. In a large
-# fleet it is one in ten, as the store may turn a third of them away and a
-# reader's link bears some ten copies of the routes in a second.
+# fleet it is one in twenty, as calls to the store are the dearest there, and
+# a reader's link bears some ten copies of the routes in a second, which those
+# who have them hand on.
 READERS = 3
-DAEMONS_PER_READER = 10
+DAEMONS_PER_READER = 20
 # Suspicions are told for this long after a change.
 SUSPICION_TOLD_S = 5.0
 
@@ -73,6 +74,7 @@
         peers: Addresses of some of the daemons that it hears.
         suspicions: Requests that are suspected to crash targets.
         reads: Prompts that its requests made targets read.
+        reading: Tokens that targets have yet to read for it.
     """
 
     id: str
@@ -86,6 +88,7 @@
     peers: list[str]
     suspicions: list[suspects.Record]
     reads: list[prompts.Read]
+    reading: dict[str, int]
 
 
 class Peer:
@@ -115,6 +118,7 @@
     Attributes:
         peers: Daemons by id, also those that have fallen silent.
         counts: Attempts in flight of the daemons that are heard.
+        reading: Tokens that targets have yet to read for them.
     """
 
     __slots__ = (
@@ -131,6 +135,7 @@
         "_transport",
         "counts",
         "peers",
+        "reading",
     )
 
     def __init__(
@@ -164,6 +169,7 @@
         self._sent_beat: Beat | None = None
         self.peers: dict[str, Peer] = {}
         self.counts = peer_counts.PeerCounts()
+        self.reading = peer_counts.PeerCounts()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport to send by."""
@@ -209,6 +215,7 @@
         peer.beat = beat
         peer.heard_at = now
         self.counts.record(beat.id, beat.counts, now)
+        self.reading.record(beat.id, beat.reading, now)
         self.greet(beat.peers)
         self._on_beat(peer)
 
@@ -353,6 +360,7 @@
             elif self.counts.total_of(peer.beat.id) is not None:
                 event_log.log(_logger, "peer_lost", peer=peer.beat.id)
         self.counts.keep(heard)
+        self.reading.keep(heard)
 
 
 def _is_older(beat: Beat, known: Beat) -> bool:
--- a/mothpass/relay/places.py
+++ b/mothpass/relay/places.py
@@ -206,16 +206,12 @@
     def _choose(self, asking: Asking) -> target_choice.Choice | None:
         """Chooses a target and takes a place there."""
         now = asyncio.get_running_loop().time()
-        sources = (
-            self._targets.list_sources(asking.service)
-            if asking.can_fetch
-            else []
-        )
         choice = self._chooser.choose(
             self._targets.list_usable(asking.service),
+            registered=self._targets.list_registered(asking.service),
             key=asking.key,
             avoided=asking.avoided,
-            sources=sources,
+            can_fetch=asking.can_fetch,
             now=now,
         )
         if choice is not None:
--- a/mothpass/relay/progress.py
+++ b/mothpass/relay/progress.py
@@ -2,6 +2,7 @@
 
 from mothpass.core import errors
 from mothpass.core import results
+from mothpass.core import target_table
 from mothpass.relay import admission
 from mothpass.relay import attempts
 
@@ -9,6 +10,23 @@
 LATE_RETRY_MS = 200
 
 
+class Reading:
+    """Tokens that a target has yet to read for one attempt."""
+
+    __slots__ = ("_target", "_tokens")
+
+    def __init__(self, *, target: target_table.Target, tokens: int) -> None:
+        """Adds them to those of the target."""
+        self._target = target
+        self._tokens = tokens
+        target.reading_tokens += tokens
+
+    def end(self) -> None:
+        """Notes that they are read, or won't be."""
+        self._target.reading_tokens -= self._tokens
+        self._tokens = 0
+
+
 class Progress:
     """What became of a request so far.
 
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -47,6 +47,7 @@
         "_on_change",
         "_read",
         "_removed",
+        "_waiting",
         "content_version",
         "is_following",
         "is_store_reached",
@@ -101,6 +102,7 @@
         self._find_wait = find_wait
         self._has_backing = has_backing
         self._is_settled = is_settled
+        self._waiting: asyncio.Future[replicas.Page | None] | None = None
         self.is_following = True
 
     async def run(self) -> None:
@@ -122,6 +124,15 @@
                 is_backed = bool(self.version) and self._has_backing()
                 await asyncio.sleep(BACKED_RETRY_S if is_backed else RETRY_S)
 
+    def ask_anew(self) -> None:
+        """Ends a call that waits for changes, as the next one is to be short.
+
+        A call that had failed would end by itself.
+        """
+        call, self._waiting = self._waiting, None
+        if call is not None:
+            call.cancel()
+
     async def check(self) -> None:
         """Asks the store once for changes, beside a call that waits for them.
 
@@ -183,8 +194,7 @@
             page = await self._read(self.name)
         else:
             # After an outage the answer must come at once, to show its end.
-            wait_s = self._find_wait() if self.is_store_reached else 0.0
-            followed = await self._follow(self.name, self.version, wait_s)
+            followed = await self._wait_for_changes()
             if followed is None:
                 event_log.log(
                     _logger, "history_gone", table=self.name, after=self.version
@@ -195,6 +205,21 @@
         self.take_page(page)
         return False
 
+    async def _wait_for_changes(self) -> replicas.Page | None:
+        wait_s = self._find_wait() if self.is_store_reached else 0.0
+        call = asyncio.ensure_future(
+            self._follow(self.name, self.version, wait_s)
+        )
+        self._waiting = call
+        try:
+            return await call
+        except asyncio.CancelledError:
+            if self._waiting is call:
+                raise
+            return replicas.Page(version=self.version, rows=[], is_whole=False)
+        finally:
+            self._waiting = None
+
     def _replace_rows(self, page: replicas.Page) -> list[replicas.Row]:
         present = {row.key for row in page.rows}
         gone = [
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -115,6 +115,7 @@
         chooser = target_choice.Chooser(
             memory=memory,
             count_load=self.sharing.count_load,
+            count_reading=self.sharing.count_reading,
             allows_cold=self._allows_cold,
             source=source,
         )
--- a/mothpass/relay/settings.py
+++ b/mothpass/relay/settings.py
@@ -23,6 +23,8 @@
         repeat_extra: Repeats that the fleet may send besides.
         cold_overage: Multiple of its rate that a cold target bears.
         cold_slack: Requests that it bears besides in a second.
+        change_in_force_ms: Milliseconds after which a change of the operator
+            is in force at each daemon.
         metrics_port: Port at which metrics are served; 0 for none.
     """
 
@@ -40,6 +42,7 @@
     repeat_extra: float = 50.0
     cold_overage: float = 1.5
     cold_slack: float = 5.0
+    change_in_force_ms: int = 2000
     metrics_port: int = 9464
 
 
--- a/mothpass/relay/sharing.py
+++ b/mothpass/relay/sharing.py
@@ -39,10 +39,13 @@
 _PEER_PATH = "/tables/"
 # For how long the store keeps the calls that wait for changes. A connection may
 # fall silent without a sign. One daemon, the watcher, notices that in time for
-# a change to be in force within 2 s, and others then ask once; calls are
-# priced, so that those of the other readers are longer.
-WATCH_WAIT_S = 0.6
-FOLLOW_WAIT_S = 4.0
+# a change to be in force, and others then ask once; calls are priced, so that
+# those of the other readers are longer.
+FOLLOW_WAIT_S = 10.0
+LEAST_WATCH_WAIT_S = 0.3
+# Part of the time for a change that is spent on the silence of a call, on
+# telling the others, on their call and on handing its answer on.
+WATCH_SLACK_S = 1.4
 # Daemons that ask the store when one has lost it, as a multiple of its readers
 # and at least; a third of the fleet may be turned away.
 CHECKERS_PER_READER = 2
@@ -71,6 +74,7 @@
         "_handing",
         "_host",
         "_id",
+        "_is_watcher",
         "_memory",
         "_number",
         "_pool",
@@ -81,6 +85,7 @@
         "_seeds",
         "_started_ms",
         "_state",
+        "_watch_wait_s",
         "is_leaving",
         "suspicions",
     )
@@ -112,6 +117,11 @@
         self._handing = 0
         self._away_at = float("-inf")
         self._checked_at = float("-inf")
+        self._is_watcher = False
+        self._watch_wait_s = max(
+            LEAST_WATCH_WAIT_S,
+            settings.change_in_force_ms / 1000 - WATCH_SLACK_S,
+        )
         self._checks: set[asyncio.Task[None]] = set()
         self._fetching: set[str] = set()
         self._gossip = gossip.Gossip(
@@ -189,6 +199,10 @@
         """Returns what all daemons have in flight at a target."""
         return target.in_flight + self._gossip.counts.total(target.id)
 
+    def count_reading(self, target: target_table.Target) -> int:
+        """Returns the tokens that a target has yet to read for all daemons."""
+        return target.reading_tokens + self._gossip.reading.total(target.id)
+
     def _reaches_store(self) -> bool:
         return all(item.is_store_reached for item in self._replicas.values())
 
@@ -211,8 +225,15 @@
         return self._gossip.is_reader(reaches_store=self._reaches_store())
 
     def _find_watch_wait(self) -> float:
-        is_watcher = self._gossip.ranks_below(1)
-        return WATCH_WAIT_S if is_watcher else FOLLOW_WAIT_S
+        return self._watch_wait_s if self._is_watcher else FOLLOW_WAIT_S
+
+    def _choose_watcher(self) -> None:
+        """Follows who ranks first among the daemons that reach the store."""
+        was_watcher = self._is_watcher
+        self._is_watcher = self._gossip.ranks_below(1)
+        if self._is_watcher and not was_watcher:
+            for replica in self._replicas.values():
+                replica.ask_anew()
 
     def _check_store(self) -> None:
         """Asks the store once, as a daemon that follows it has lost it."""
@@ -250,9 +271,12 @@
             suspicions=self.suspicions.export(
                 changed_since=now - gossip.SUSPICION_TOLD_S, now=now
             )[-gossip.TOLD_SUSPICIONS :],
-            reads=self._memory.export(since=now - gossip.READ_TOLD_S)[
-                -gossip.TOLD_READS :
-            ],
+            reads=self._memory.tell(gossip.TOLD_READS),
+            reading={
+                target.id: target.reading_tokens
+                for target in self._state.targets.targets.values()
+                if target.reading_tokens >= gossip.LEAST_TOLD_TOKENS
+            },
         )
 
     def _tell_change(self, replica: replicas.Replica) -> None:
@@ -361,6 +385,7 @@
         while True:
             await asyncio.sleep(gossip.TICK_S)
             self._gossip.tick()
+            self._choose_watcher()
             if not self._follows_store() and not self._gossip.has_follower():
                 self._away_at = asyncio.get_running_loop().time()
             self._state.drop_lapsed()
--- a/scripts/run_page.sh
+++ b/scripts/run_page.sh
@@ -3,7 +3,7 @@
 # which failed. Commands are the indented lines that start with a program's
 # name or "export". A deployment must be up: scripts/demo.sh guild up
 #
-# Usage: scripts/run_page.sh docs/OPERATING.md
+# Usage: scripts/run_page.sh docs/OPERATIONS.md
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
--- a/tests/platform/test_fleet_bounds.py
+++ b/tests/platform/test_fleet_bounds.py
@@ -1,6 +1,7 @@
 """Bounds and beliefs that all daemons hold together."""
 
 import asyncio
+from unittest import mock
 
 from mothpass.core import cold_rates
 from mothpass.relay import sharing
@@ -162,6 +163,13 @@
 
     daemons = 0
 
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        # Shorter calls than in service, so that daemons settle soon.
+        patched = mock.patch.object(sharing, "FOLLOW_WAIT_S", 3.0)
+        patched.start()
+        self.addCleanup(patched.stop)
+
     async def test_removed_key_is_in_force_in_time(self) -> None:
         doors = []
         for number in range(5):
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -207,6 +207,19 @@
             lambda: sum(len(item.ended) for item in self.models) == 1, 0.4
         )
 
+    async def test_log_tells_the_pauses_that_the_client_saw(self) -> None:
+        self.script_all(self.models, target_standin.stream(3, pause_s=0.2))
+        with self.assertLogs("mothpass.requests") as logs:
+            await self.call("POST", "/chat/1", self.make_chat_headers())
+        [line] = [
+            record.__dict__["fields"]
+            for record in logs.records
+            if record.getMessage() == "request"
+        ]
+        self.assertLess(line["first_ms"], 150)
+        self.assertGreater(line["gap_ms"], 150)
+        self.assertLess(line["gap_ms"], 400)
+
     async def test_stream_that_may_not_go_on_is_cut_visibly(self) -> None:
         self.script_all(self.models, target_standin.break_stream(2))
         answer = await self.call("POST", "/once/1", self.make_chat_headers())
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -59,6 +59,7 @@
             peers=peers,
             suspicions=[],
             reads=[],
+            reading={},
         )
 
     def hear_all(self) -> None:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -37,6 +37,7 @@
     chooser = target_choice.Chooser(
         memory=prompts.PromptMemory(lifetime_s=20.0),
         count_load=lambda target: target.in_flight,
+        count_reading=lambda _: 0,
         allows_cold=lambda _: True,
         source=random.Random(1),
     )
