Give targets that read long prompts time before they count as silent

Ruled out: dead targets (they answered others meanwhile). Change: the silence grows by what the target has to read, at 20,000 tokens a second. Before: the new test (a prompt of 40,000 tokens, first event after 1.7 s) runs at two targets; after: at one.

--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -27,6 +27,9 @@
 STREAM_SILENCE_S = 1.0
 PLAIN_SILENCE_FACTOR = 2.0
 LEAST_PLAIN_SILENCE_S = 0.25
+# A target that has prompts to read is silent for longer. The sheets' engines
+# read 55,000 tokens in a second, less beside running streams.
+LEAST_READ_TOKENS_PER_S = 20_000
 # Time by which an attempt outlives its request's deadline at most.
 ATTEMPT_MARGIN_S = 0.25
 # Sends that end without a run, before the request is refused.
@@ -47,6 +50,7 @@
         "_admission",
         "_budgets",
         "_count_daemons",
+        "_count_reading",
         "_deaths",
         "_make_budget",
         "_memory",
@@ -67,6 +71,7 @@
         sender: attempts.Sender,
         make_budget: abc.Callable[[], repeat_budget.RepeatBudget],
         count_daemons: abc.Callable[[], int],
+        count_reading: target_choice.CountReading,
         deaths: deaths_module.Deaths,
         metrics: metrics_module.Metrics,
         read_request: relay.ReadRequest,
@@ -81,6 +86,7 @@
         self._make_budget = make_budget
         self._budgets: dict[str, repeat_budget.RepeatBudget] = {}
         self._count_daemons = count_daemons
+        self._count_reading = count_reading
         self._deaths = deaths
         self._metrics = metrics
         self._read_request = read_request
@@ -220,7 +226,7 @@
             data=self._write_request(admitted.request, send),
             # The request's own deadline goes first and decides its answer.
             deadline=admitted.deadline + ATTEMPT_MARGIN_S,
-            silence_s=self._find_silence(admitted, progress),
+            silence_s=self._find_silence(admitted, progress, target),
             fresh=not admitted.route.is_repeatable or progress.sends > 0,
             most_idle=self._count_idle_share(admitted),
             on_event=note_event,
@@ -310,7 +316,10 @@
         return budget
 
     def _find_silence(
-        self, admitted: admission.Admitted, progress: progress_module.Progress
+        self,
+        admitted: admission.Admitted,
+        progress: progress_module.Progress,
+        target: target_table.Target,
     ) -> float | None:
         """Returns the silence after which another target is tried."""
         route = admitted.route
@@ -318,7 +327,8 @@
         if not route.is_repeatable or is_last:
             return None
         if route.kind is route_table.Kind.STREAM:
-            return STREAM_SILENCE_S + route.latency_target_s
+            reading_s = self._count_reading(target) / LEAST_READ_TOKENS_PER_S
+            return STREAM_SILENCE_S + route.latency_target_s + reading_s
         return max(
             LEAST_PLAIN_SILENCE_S, PLAIN_SILENCE_FACTOR * route.latency_target_s
         )
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -132,6 +132,7 @@
             sender=attempts.Sender(pool=pool, read_head=ports.read_answer_head),
             make_budget=self._make_budget,
             count_daemons=lambda: len(self.sharing.list_sharers()),
+            count_reading=self.sharing.count_reading,
             deaths=deaths.Deaths(pool=pool, suspicions=self.sharing.suspicions),
             metrics=self._metrics,
             read_request=ports.read_request,
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -145,13 +145,23 @@
     return int(request.headers.get("last-event-id", "-1")) + 1
 
 
-def stream(events: int, *, pause_s: float = 0.0) -> Script:
-    """Returns a script that streams events and ends well."""
+def stream(
+    events: int, *, pause_s: float = 0.0, first_s: float = 0.0
+) -> Script:
+    """Returns a script that streams events and ends well.
+
+    Args:
+        events: Number of events.
+        pause_s: Pause after each.
+        first_s: Time before the first, in which it reads the prompt.
+    """
 
     async def run(
         target: Target, request: wire.Request, writer: asyncio.StreamWriter
     ) -> None:
-        for number in range(start_stream(target, request, writer), events):
+        first = start_stream(target, request, writer)
+        await asyncio.sleep(first_s)
+        for number in range(first, events):
             wire.write_chunk(writer, make_event(number))
             await asyncio.sleep(pause_s)
         wire.write_chunk(writer, b"")
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mothpass.relay import forwarding
 from tests.platform import fleet
 from tests.platform import target_standin
 from tests.platform import wire
@@ -207,6 +208,21 @@
             lambda: sum(len(item.ended) for item in self.models) == 1, 0.4
         )
 
+    async def test_target_that_reads_a_long_prompt_is_not_given_up(
+        self,
+    ) -> None:
+        silence_s = forwarding.STREAM_SILENCE_S + 0.3
+        slow = target_standin.stream(2, first_s=silence_s + 0.4)
+        for target in self.models:
+            target.answer = slow
+        headers = self.make_chat_headers() | {
+            "Token-Count": "40000,40",
+            "Prompt-Prefix": "aa:80,bb:30,cc:39890",
+        }
+        answer = await self.call("POST", "/chat/1", headers)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(sum(len(item.runs) for item in self.models), 1)
+
     async def test_log_tells_the_pauses_that_the_client_saw(self) -> None:
         self.script_all(self.models, target_standin.stream(3, pause_s=0.2))
         with self.assertLogs("mothpass.requests") as logs:
