--- /dev/null
+++ b/tests/platform/test_troubles.py
@@ -0,0 +1,113 @@
+"""Requests are served while targets flap and the operator changes much."""
+
+import asyncio
+
+from tests.platform import fleet
+from tests.platform import target_standin
+from tests.platform import wire
+
+
+class FlappingTest(fleet.FleetTest):
+    """Targets that go down and up by turns, or fail all they get."""
+
+    async def flap(self, target: target_standin.Target) -> None:
+        """Takes a target down and up, at the same address."""
+        host, _, port = target.address.rpartition(":")
+        while True:
+            await asyncio.sleep(0.3)
+            target.close()
+            await asyncio.sleep(0.3)
+            await target.open(host, int(port))
+
+    async def test_reads_are_served_beside_a_target_that_flaps(self) -> None:
+        flapping = asyncio.ensure_future(self.flap(self.plain[0]))
+        self.addCleanup(flapping.cancel)
+        statuses = []
+        for number in range(150):
+            answer = await self.call("GET", f"/read/{number}")
+            statuses.append(answer.status)
+            await asyncio.sleep(0.02)
+        self.assertEqual(set(statuses), {200})
+
+    async def test_target_that_fails_all_gets_little(self) -> None:
+        self.plain[0].answer = target_standin.fail(500)
+        for number in range(60):
+            answer = await self.call("GET", f"/read/{number}")
+            self.assertEqual(answer.status, 200)
+            await asyncio.sleep(0.01)
+        self.assertLess(len(self.plain[0].runs), 20)
+
+
+class ManyChangesTest(fleet.FleetTest):
+    """Documents in quick succession, and large ones."""
+
+    daemons = 2
+
+    async def wait_for_version(self, version: int) -> None:
+        """Waits until each daemon has a version in force."""
+        await self.wait_for(
+            lambda: all(
+                item.state.routes is not None
+                and item.state.routes.version == version
+                for item in self.services
+            ),
+            2.0,
+        )
+
+    async def test_storm_of_documents_fails_no_request(self) -> None:
+        async def change() -> None:
+            for version in range(2, 42):
+                self.store.put(
+                    "op", "config", fleet.make_document(version=version)
+                )
+                await asyncio.sleep(0.02)
+
+        changing = asyncio.ensure_future(change())
+        for number in range(60):
+            answer = await self.call(
+                "GET", f"/read/{number}", daemon=number % 2
+            )
+            self.assertEqual(answer.status, 200)
+        await changing
+        await self.wait_for_version(41)
+
+    async def test_routes_of_a_large_document_are_served(self) -> None:
+        document = fleet.make_document(version=2)
+        routes = document["routes"]
+        assert isinstance(routes, list)
+        routes += [
+            fleet.make_route(f"more{number}", "idempotent")
+            for number in range(800)
+        ]
+        self.store.put("op", "config", document)
+        await self.wait_for_version(2)
+        for number in (0, 799):
+            answer = await self.call("GET", f"/more{number}/1", daemon=1)
+            self.assertEqual(answer.status, 200)
+
+
+class MovingClientsTest(fleet.FleetTest):
+    """Clients that come back through the daemons of another zone."""
+
+    daemons = 2
+
+    async def test_stream_goes_on_through_another_daemon(self) -> None:
+        for target in self.models:
+            target.answer = target_standin.stream(4, pause_s=0.1)
+        client = await wire.Client.connect(self.addresses[0])
+        client.send("POST", "/chat/1", self.make_chat_headers(), b"x")
+        await client.read_head()
+        first = await client.read_event()
+        client.close()
+        headers = self.make_chat_headers(Last_Event_Id="0")
+        rest = await self.call("POST", "/chat/1", headers, b"x", 1)
+        self.assertEqual(first, target_standin.make_event(0))
+        self.assertTrue(rest.is_whole)
+        self.assertEqual(
+            rest.body,
+            b"".join(target_standin.make_event(item) for item in (1, 2, 3)),
+        )
+        # The run that the client left doesn't go on.
+        await self.wait_for(
+            lambda: sum(len(item.ended) for item in self.models) == 1, 0.5
+        )
