--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -89,8 +89,10 @@
     is_leaving: bool
     peers: list[str]
     suspicions: list[suspects.Record]
-    reads: list[prompts.Read]
-    reading: dict[str, int]
+    # Fields after those of the first release have defaults, so that daemons
+    # of two releases hear each other while one replaces the other.
+    reads: list[prompts.Read] = []
+    reading: dict[str, int] = {}
 
 
 class Peer:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -123,6 +123,19 @@
         # Two in a row of one daemon are lost now and then.
         self.assertGreater(min(live), 0.95 * fleet)
 
+    def test_daemon_of_the_release_before_is_heard(self) -> None:
+        async def play() -> None:
+            beat = self.make_beat("front-1", [])
+            fields = msgspec.to_builtins(beat)
+            # Releases append fields; one before knows none of the last two.
+            for known in (fields[:-2], [*fields, "field of the next release"]):
+                data = msgspec.msgpack.encode(known)
+                self.gossip.datagram_received(data, ("10.0.0.1", 1))
+                self.assertEqual(len(self.gossip.list_live()), 1)
+                self.gossip.peers.clear()
+
+        self.loop.run_all(play())
+
     def test_changes_that_are_told_at_once_are_bounded_too(self) -> None:
         async def play() -> None:
             self.hear_all()
