--- a/mothpass/programs/mothpassctl.py
+++ b/mothpass/programs/mothpassctl.py
@@ -197,12 +197,17 @@
 
     def run_command(self) -> outcomes.Outcome:
         config = self.resolve()
-        while self.option("watch"):
-            outcome = _read_status(config)
-            print(_CLEAR_SCREEN, end="")
-            _print_outcome(outcome, as_json=bool(self.option("json")))
-            time.sleep(_WATCH_PAUSE_S)
-        return _read_status(config)
+        if not self.option("watch"):
+            return _read_status(config)
+        try:
+            while True:
+                outcome = _read_status(config)
+                print(_CLEAR_SCREEN, end="")
+                _print_outcome(outcome, as_json=bool(self.option("json")))
+                time.sleep(_WATCH_PAUSE_S)
+        except KeyboardInterrupt:
+            # The usual way to end it, and no refusal.
+            return outcomes.Outcome(lines=[], data=None)
 
 
 class _Settings(_Command):
--- a/tests/test_mothpassctl.py
+++ b/tests/test_mothpassctl.py
@@ -348,6 +348,28 @@
                 self.run_ctl("status", daemon.address)
                 self.assertRegex(self.out, rf"d1 .* 0\.0 +{word} +0/0")
 
+    def test_share_of_a_core_is_shown_in_percent(self) -> None:
+        for share, shown in ((0.0123, "1.23"), (0.0, "0.00"), (None, "-")):
+            with self.subTest(share=share):
+                daemon = self.start_daemon()
+                control = {"bytes_per_s": 900.0, "processor_share": share}
+                page = self._page("d1", control=control)
+                daemon.answer("GET", "/v1/status", 200, page)
+                self.run_ctl("status", daemon.address)
+                self.assertIn("CORE %", self.out)
+                self.assertRegex(self.out, rf"d1 .* 900 +{shown} +0\.0")
+
+    def test_watch_shows_each_state_until_it_is_interrupted(self) -> None:
+        self.daemon.answer("GET", "/v1/status", 200, self._page("d1"))
+        newer = self._page("d1", catalogue={"version": 6, "digest": "def"})
+        self.daemon.answer("GET", "/v1/status", 200, newer)
+        pauses = [None, KeyboardInterrupt]
+        with mock.patch("time.sleep", side_effect=pauses) as sleep:
+            status = self.run_ctl("status --watch")
+        self.assertEqual(status, exits.Exit.DONE)
+        self.assertRegex(self.out, r"(?s)d1 .* 5 abc.*d1 .* 6 def")
+        self.assertEqual(sleep.call_args.args, (2.0,))
+
     def test_answers_in_part_and_says_so(self) -> None:
         gone = self.find_closed_address()
         self.daemon.answer("GET", "/v1/status", 200, self._page("d1"))
