Spread the datagrams of a large fleet over its links; tell long prompts only

Streams with many events were late: events came over 0.2 s after they were made. So what datagrams carry delays events: a daemon sent its datagram to all 86 others at once, 60 kB on a link of 5 Mbit/s. Ruled out: processor time of choices (126 us, 105 before), sticky placement (gone already), site packages. Change: a round goes out in slices of 18 datagrams a tick, each with the counts of that moment; reads are told of prompts of 2,000 shared tokens and more, twice.

--- a/mothpass/core/prompts.py
+++ b/mothpass/core/prompts.py
@@ -15,8 +15,10 @@
 # A read is told again after this time, as others forget it and datagrams are
 # lost.
 RETELL_S = 8.0
-# Datagrams that carry a read, as some are lost.
-TELLS = 3
+# Rounds of datagrams that carry a read, as some are lost.
+TELLS = 2
+# Shorter prompts are read again sooner than daemons tell each other of them.
+LEAST_TOLD_TOKENS = 2000
 # Reads kept to be told; one datagram carries fewer.
 MOST_NEWS = 256
 
@@ -94,10 +96,21 @@
             maxlen=MOST_NEWS
         )
 
-    def record(self, key: str, target_id: str, now: float) -> None:
-        """Notes that a request of this daemon is read by a target."""
+    def record(
+        self, key: str, target_id: str, now: float, *, tokens: int
+    ) -> None:
+        """Notes that a request of this daemon is read by a target.
+
+        Args:
+            key: Key of its prompt.
+            target_id: The target.
+            now: Monotonic seconds.
+            tokens: Length of what others share of the prompt.
+        """
         read = Read(key, target_id)
         self._put(read, now)
+        if tokens < LEAST_TOLD_TOKENS:
+            return
         if now - self._told_at.get(read, float("-inf")) >= RETELL_S:
             self._told_at[read] = now
             self._news.appendleft((TELLS, read))
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -235,7 +235,12 @@
         progress.sends += 1
         self._deaths.start(target, admitted.fingerprint)
         if admitted.prompt_key is not None:
-            self._memory.record(admitted.prompt_key, target.id, now)
+            shared, _ = prompts.count_tokens(
+                admitted.request.prompt, admitted.request.prompt_tokens
+            )
+            self._memory.record(
+                admitted.prompt_key, target.id, now, tokens=shared
+            )
         outcome = _ABANDONED
         try:
             outcome = await self._sender.send(attempt, progress.delivery)
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections import abc
 import logging
+import math
 import random
 import typing
 
@@ -133,8 +134,11 @@
         "_make_beat",
         "_on_beat",
         "_random",
+        "_reads",
+        "_round",
         "_sent_at",
         "_sent_beat",
+        "_take_reads",
         "_told_at",
         "_transport",
         "counts",
@@ -147,7 +151,8 @@
         *,
         own_id: str,
         address: str,
-        make_beat: abc.Callable[[list[str]], Beat],
+        make_beat: abc.Callable[[list[str], list[prompts.Read]], Beat],
+        take_reads: abc.Callable[[], list[prompts.Read]],
         on_beat: abc.Callable[[Peer], None],
         source: random.Random,
     ) -> None:
@@ -156,13 +161,18 @@
         Args:
             own_id: Id of this daemon.
             address: ``ip:port`` that it sends from.
-            make_beat: Makes the next datagram from the addresses of peers.
+            make_beat: Makes the next datagram from the addresses of peers and
+                the reads to be told.
+            take_reads: Returns the reads that the next round tells.
             on_beat: Is told of each datagram.
             source: Source of randomness.
         """
         self._id = own_id
         self._address = address
         self._make_beat = make_beat
+        self._take_reads = take_reads
+        self._reads: list[prompts.Read] = []
+        self._round: list[str] = []
         self._on_beat = on_beat
         self._random = source
         self._transport: asyncio.DatagramTransport | None = None
@@ -289,11 +299,15 @@
         """Sends this daemon's state where that is due."""
         now = asyncio.get_running_loop().time()
         self._drop_lost(now)
+        if self._round:
+            self._send_slice(self.make_beat())
+            return
         # The pause counts all that are known: if it followed those that are
         # heard, a full link, which loses datagrams, would be filled further.
         pause = max(TICK_S, self._find_pause_s())
         if now - self._sent_at < pause - _TIMER_SLACK_S:
             return
+        self._reads = self._take_reads()
         beat = self.make_beat()
         last = self._sent_beat
         is_same = last is not None and (
@@ -304,7 +318,18 @@
         if is_same and now - self._sent_at < QUIET_S:
             return
         self._sent_at = now
-        self._send(beat)
+        self._round = list(self._list_addresses())
+        self._send_slice(beat)
+
+    def _send_slice(self, beat: Beat) -> None:
+        """Sends to the next daemons of a round.
+
+        A datagram to all of a large fleet at once would hold up the events
+        of streams on a slow link.
+        """
+        most = math.ceil(MOST_SENDS_PER_S * TICK_S)
+        addresses, self._round = self._round[:most], self._round[most:]
+        self._send(beat, addresses)
 
     def _find_pause_s(self) -> float:
         """Returns the time between two datagrams to the same daemon."""
@@ -318,16 +343,15 @@
         now = asyncio.get_running_loop().time()
         if now - self._told_at >= TELL_PAUSE_S:
             self._told_at = now
-            self._send(self.make_beat())
+            self._send(self.make_beat(), self._list_addresses())
 
     def make_beat(self) -> Beat:
         """Returns this daemon's state as it is now."""
         live = [peer.address for peer in self.list_live()]
         named = self._random.sample(live, min(NAMED_PEERS, len(live)))
-        return self._make_beat(named)
+        return self._make_beat(named, self._reads)
 
-    def _send(self, beat: Beat) -> None:
-        """Sends a datagram to the daemons that are known."""
+    def _send(self, beat: Beat, addresses: abc.Iterable[str]) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         self._sent_beat = beat
@@ -335,7 +359,7 @@
         if len(data) > LIMIT_BYTES:
             event_log.log(_logger, "datagram_too_long", bytes=len(data))
             return
-        for address in self._list_addresses():
+        for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
--- a/mothpass/relay/sharing.py
+++ b/mothpass/relay/sharing.py
@@ -128,6 +128,7 @@
             own_id=settings.id,
             address=self.address,
             make_beat=self._make_beat,
+            take_reads=lambda: self._memory.tell(gossip.TOLD_READS),
             on_beat=self._take_beat,
             source=source,
         )
@@ -248,7 +249,9 @@
             self._checks.add(task)
             task.add_done_callback(self._checks.discard)
 
-    def _make_beat(self, peers: list[str]) -> gossip.Beat:
+    def _make_beat(
+        self, peers: list[str], reads: list[prompts.Read]
+    ) -> gossip.Beat:
         self._number += 1
         now = asyncio.get_running_loop().time()
         return gossip.Beat(
@@ -271,7 +274,7 @@
             suspicions=self.suspicions.export(
                 changed_since=now - gossip.SUSPICION_TOLD_S, now=now
             )[-gossip.TOLD_SUSPICIONS :],
-            reads=self._memory.tell(gossip.TOLD_READS),
+            reads=reads,
             reading={
                 target.id: target.reading_tokens
                 for target in self._state.targets.targets.values()
