Give a daemon without tables time for a whole copy; spread tries at the store

Not traced there. What the code shows: a whole copy is some hundred kB, four of which share a link of 5 Mbit/s, and a copy was given up after 0.6 s; and daemons that fail at the store together came again together, 0.4 s later. Change: 5 s for the first copy, 0.6 s for changes as before; tries at the store spread by half.

--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import logging
+import random
 
 from mothpass.adapters import event_log
 from mothpass.core import errors
@@ -122,7 +123,9 @@
             ) as error:
                 self._note_failure(error)
                 is_backed = bool(self.version) and self._has_backing()
-                await asyncio.sleep(BACKED_RETRY_S if is_backed else RETRY_S)
+                pause_s = BACKED_RETRY_S if is_backed else RETRY_S
+                # All of a fleet that starts at once would come again at once.
+                await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))  # noqa: S311
 
     def ask_anew(self) -> None:
         """Ends a call that waits for changes, as the next one is to be short.
--- a/mothpass/relay/sharing.py
+++ b/mothpass/relay/sharing.py
@@ -29,6 +29,9 @@
 # A copy takes milliseconds; a peer that is cut off or busy is left for
 # another while the change can still be in force in time.
 PEER_FETCH_S = 0.6
+# A daemon that has no copy gets a whole one, which for thousands of targets
+# takes seconds over a link of 5 Mbit/s that hands out some at once.
+WHOLE_FETCH_S = 5.0
 FETCH_TRIES = 4
 # A fleet of 75 spreads its fetches over 0.3 s.
 SPREAD_PER_DAEMON_S = 0.004
@@ -328,7 +331,9 @@
     ) -> None:
         url = f"{_PEER_PATH}{replica.name}?{replica.content_version}"
         request = f"GET {url} HTTP/1.1\r\nhost: {peer.address}\r\n\r\n"
-        deadline = asyncio.get_running_loop().time() + PEER_FETCH_S
+        is_whole = not replica.content_version
+        timeout_s = WHOLE_FETCH_S if is_whole else PEER_FETCH_S
+        deadline = asyncio.get_running_loop().time() + timeout_s
         try:
             status, body = await http_fetch.fetch(
                 self._pool, peer.address, request.encode(), deadline=deadline
--- a/tests/platform/test_fleet_bounds.py
+++ b/tests/platform/test_fleet_bounds.py
@@ -158,6 +158,29 @@
         self.assertEqual((len(first.runs), len(second.runs)), (0, 4))
 
 
+class SlowCopiesTest(fleet.FleetTest):
+    """Whole copies of large tables take long over slow links."""
+
+    daemons = 0
+
+    async def test_daemon_without_tables_waits_for_a_slow_copy(self) -> None:
+        other = store_standin.Store()
+        await other.open()
+        self.addCleanup(other.close)
+        other.status = 503
+        hand_on = sharing.Sharing.answer_peer
+
+        async def hand_on_slowly(*args: object) -> None:
+            await asyncio.sleep(2 * sharing.PEER_FETCH_S)
+            await hand_on(*args)  # type: ignore[arg-type]
+
+        with mock.patch.object(sharing.Sharing, "answer_peer", hand_on_slowly):
+            await self.add_daemon(0)
+            await self.add_daemon(1, other.address)
+        answer = await self.call("GET", "/read/1", daemon=1)
+        self.assertEqual(answer.status, 200)
+
+
 class SilentReadersTest(fleet.FleetTest):
     """A store that falls silent for just the daemons that follow it."""
 
