Make one piece of what the relay wrote twice

Read of the whole change: the loop that reads an answer's body stood in http_fetch and in attempts, with its limit; the headers of one connection stood in the platform's two modules; the times of changes in two checkers of the soak; tokens of a prompt were counted twice an attempt; a beat looked through all targets twice. Each has one place now, and the spread of tries at the store a name. Behaviour stays as it is.

--- a/mothpass/adapters/http_fetch.py
+++ b/mothpass/adapters/http_fetch.py
@@ -1,5 +1,6 @@
 """Fetches one short answer over HTTP."""
 
+from mothpass.adapters import http_exchanges
 from mothpass.adapters import http_pool
 from mothpass.core import errors
 
@@ -24,15 +25,25 @@
     connection = await pool.take(address, fresh=False)
     try:
         exchange = connection.send(request, silence_ms=None, deadline=deadline)
-        parts = []
-        size = 0
-        while not exchange.complete:
-            await exchange.wait_for_change()
-            parts.append(exchange.take())
-            size += len(parts[-1])
-            if size > ANSWER_LIMIT_BYTES:
-                raise errors.TargetAnswerLostError("answer too large")
-        parts.append(exchange.take())
-        return exchange.status, b"".join(parts)
+        body = await read_body(exchange)
+        return exchange.status, body
     finally:
         pool.give_back(address, connection)
+
+
+async def read_body(exchange: http_exchanges.Exchange) -> bytes:
+    """Returns the whole body of an answer.
+
+    Raises:
+        errors.TargetAnswerLostError: If it was lost, or is too long.
+    """
+    parts = []
+    size = 0
+    while not exchange.complete:
+        await exchange.wait_for_change()
+        parts.append(exchange.take())
+        size += len(parts[-1])
+        if size > ANSWER_LIMIT_BYTES:
+            raise errors.TargetAnswerLostError("answer too large")
+    parts.append(exchange.take())
+    return b"".join(parts)
--- a/mothpass/platform/callers.py
+++ b/mothpass/platform/callers.py
@@ -7,16 +7,8 @@
 
 # Headers that concern one connection only, or that the relay sets itself. A
 # client's own values of the latter must not reach a target.
-_DROPPED = frozenset(
+_DROPPED = relay.CONNECTION_HEADERS | frozenset(
     {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"transfer-encoding",
-        b"content-length",
-        b"te",
-        b"trailer",
-        b"upgrade",
         b"expect",
         b"host",
         b"authorization",
--- a/mothpass/platform/targets.py
+++ b/mothpass/platform/targets.py
@@ -2,19 +2,6 @@
 
 from mothpass.ports import relay
 
-# Headers of an answer that concern one connection only, or its framing.
-_DROPPED = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"transfer-encoding",
-        b"content-length",
-        b"te",
-        b"trailer",
-        b"upgrade",
-    }
-)
 _OTHER_INSTANCE = 421
 
 
@@ -53,7 +40,9 @@
     request_id = fields.get(b"attempt-id")
     return relay.AnswerHead(
         status=status,
-        headers=tuple(item for item in headers if item[0] not in _DROPPED),
+        headers=tuple(
+            item for item in headers if item[0] not in relay.CONNECTION_HEADERS
+        ),
         request_id=None if request_id is None else request_id.decode("latin-1"),
         fate=fate,
         is_other_target=is_other,
--- a/mothpass/ports/relay.py
+++ b/mothpass/ports/relay.py
@@ -10,6 +10,20 @@
 # Name and value of a header, as bytes on the wire.
 Header = tuple[bytes, bytes]
 
+# Headers that concern one connection only, or the framing on it.
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"transfer-encoding",
+        b"content-length",
+        b"te",
+        b"trailer",
+        b"upgrade",
+    }
+)
+
 
 class Request(msgspec.Struct, frozen=True, kw_only=True):
     """One attempt of a client.
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from mothpass.adapters import http_exchanges
+from mothpass.adapters import http_fetch
 from mothpass.adapters import http_pool
 from mothpass.adapters import relay_listener
 from mothpass.core import errors
@@ -14,7 +15,6 @@
 from mothpass.core import target_table
 from mothpass.ports import relay
 
-ANSWER_LIMIT_BYTES = 16_777_216
 # Targets close idle connections after a time that they state in whole
 # seconds; one that is about to be closed isn't used again.
 IDLE_MARGIN_S = 1.0
@@ -214,7 +214,7 @@
     ) -> Outcome:
         if head.status == 200 and _is_event_stream(head):
             return await self._pass_stream(attempt, exchange, head, delivery)
-        body = await _read_body(exchange)
+        body = await http_fetch.read_body(exchange)
         attempt.target.heard_at = exchange.heard_at
         if head.fate is relay.Fate.NOT_RUN:
             reason = "other target" if head.is_other_target else "refused"
@@ -321,16 +321,3 @@
     if head.idle_timeout_s is None:
         return DEFAULT_IDLE_S
     return max(0.0, head.idle_timeout_s - IDLE_MARGIN_S)
-
-
-async def _read_body(exchange: http_exchanges.Exchange) -> bytes:
-    parts = []
-    size = 0
-    while not exchange.complete:
-        await exchange.wait_for_change()
-        parts.append(exchange.take())
-        size += len(parts[-1])
-        if size > ANSWER_LIMIT_BYTES:
-            raise errors.TargetAnswerLostError("answer too large")
-    parts.append(exchange.take())
-    return b"".join(parts)
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -212,8 +212,11 @@
             position=progress.delivery.position,
             source=None if source is None else source.entry.address,
         )
+        shared, own = prompts.count_tokens(
+            admitted.request.prompt, admitted.request.prompt_tokens
+        )
         reading = progress_module.Reading(
-            target=target, tokens=_count_unread(admitted.request, choice)
+            target=target, tokens=own if choice.is_held else shared + own
         )
 
         def note_event(position: int) -> None:
@@ -235,9 +238,6 @@
         progress.sends += 1
         self._deaths.start(target, admitted.fingerprint)
         if admitted.prompt_key is not None:
-            shared, _ = prompts.count_tokens(
-                admitted.request.prompt, admitted.request.prompt_tokens
-            )
             self._memory.record(
                 admitted.prompt_key, target.id, now, tokens=shared
             )
@@ -420,9 +420,3 @@
             else round(progress.delivery.longest_gap_s * 1000, 1),
             ms=round((now - request.arrived_at) * 1000, 1),
         )
-
-
-def _count_unread(request: relay.Request, choice: target_choice.Choice) -> int:
-    """Returns the tokens of a prompt that its target has to read."""
-    shared, own = prompts.count_tokens(request.prompt, request.prompt_tokens)
-    return own if choice.is_held else shared + own
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -14,6 +14,9 @@
 RETRY_S = 0.4
 # The same where peers reach the store and hand its changes on.
 BACKED_RETRY_S = 1.5
+# Multiples of these times between which a daemon draws, as all of a fleet that
+# failed at once would come again at once.
+RETRY_SPREAD = (0.5, 1.5)
 # A daemon that only follows its peers looks whether it must read by itself.
 IDLE_CHECK_S = 0.1
 # Removals remembered for peers; more than a fleet's releases of some minutes.
@@ -124,8 +127,8 @@
                 self._note_failure(error)
                 is_backed = bool(self.version) and self._has_backing()
                 pause_s = BACKED_RETRY_S if is_backed else RETRY_S
-                # All of a fleet that starts at once would come again at once.
-                await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))  # noqa: S311
+                spread = random.uniform(*RETRY_SPREAD)  # noqa: S311 - no secret
+                await asyncio.sleep(pause_s * spread)
 
     def ask_anew(self) -> None:
         """Ends a call that waits for changes, as the next one is to be short.
--- a/mothpass/relay/sharing.py
+++ b/mothpass/relay/sharing.py
@@ -257,6 +257,12 @@
     ) -> gossip.Beat:
         self._number += 1
         now = asyncio.get_running_loop().time()
+        # Those that have prompts to read for this daemon are among them.
+        busy = [
+            target
+            for target in self._state.targets.targets.values()
+            if target.in_flight
+        ]
         return gossip.Beat(
             id=self._id,
             started_ms=self._started_ms,
@@ -265,11 +271,7 @@
                 name: replica.content_version
                 for name, replica in self._replicas.items()
             },
-            counts={
-                target.id: target.in_flight
-                for target in self._state.targets.targets.values()
-                if target.in_flight
-            },
+            counts={target.id: target.in_flight for target in busy},
             reaches_store=self._reaches_store(),
             follows_store=self._follows_store(),
             is_leaving=self.is_leaving,
@@ -280,7 +282,7 @@
             reads=reads,
             reading={
                 target.id: target.reading_tokens
-                for target in self._state.targets.targets.values()
+                for target in busy
                 if target.reading_tokens >= gossip.LEAST_TOLD_TOKENS
             },
         )
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -201,13 +201,18 @@
     return broken
 
 
-def check_removed_keys(history: History) -> list[str]:
-    """Nothing runs under a key for long after it was taken away."""
-    removed = {
+def _find_changes(history: History, what: str) -> dict[str, float]:
+    """Returns when each thing was changed in one way, by its name."""
+    return {
         change.name: change.at
         for change in history.changes
-        if change.what == "key"
+        if change.what == what
     }
+
+
+def check_removed_keys(history: History) -> list[str]:
+    """Nothing runs under a key for long after it was taken away."""
+    removed = _find_changes(history, "key")
     sent = {item.id: item for item in history.sent}
     broken = []
     for item in history.ran:
@@ -224,11 +229,7 @@
 
 def check_drained(history: History) -> list[str]:
     """A target that drains gets nothing new for long."""
-    drained = {
-        change.name: change.at
-        for change in history.changes
-        if change.what == "drain"
-    }
+    drained = _find_changes(history, "drain")
     sent = {item.id: item for item in history.sent}
     broken = []
     for item in history.ran:
