--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -36,6 +36,7 @@
         header_list: All headers in order, names in lower case.
         last_byte_at: Event-loop time at which bytes last arrived.
         read_until_close: Whether the end of the connection ends the body.
+        body_bytes: Bytes of the body that have arrived.
     """
 
     __slots__ = (
@@ -50,6 +51,7 @@
         "_silence_deadline",
         "_silence_s",
         "_timer",
+        "body_bytes",
         "complete",
         "content_ended",
         "header_list",
@@ -87,6 +89,7 @@
         self.complete = False
         self.response_started = False
         self.content_ended = False
+        self.body_bytes = 0
         self._loop = loop
         self._chunks: list[bytes] = []
         self._buffered_bytes = 0
@@ -153,6 +156,7 @@
     def append_body(self, chunk: bytes) -> None:
         """Buffers body bytes; pauses reading above the limit."""
         self._chunks.append(chunk)
+        self.body_bytes += len(chunk)
         self._buffered_bytes += len(chunk)
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
             self._pause_reading()
--- a/mothpass/adapters/http_fetch.py
+++ b/mothpass/adapters/http_fetch.py
@@ -24,12 +24,18 @@
 
     Raises:
         errors.TargetUnreachableError: If the request wasn't sent.
-        errors.TargetAnswerLostError: If the response was lost.
+        errors.TargetAnswerLostError: If the response was lost; the message
+            has the number of body bytes that had arrived.
     """
     connection = await pool.acquire(address, fresh=False)
     try:
         exchange = connection.send(request, silence_ms=None, deadline=deadline)
-        body = await read_body(exchange)
+        try:
+            body = await read_body(exchange)
+        except errors.TargetAnswerLostError as error:
+            raise errors.TargetAnswerLostError(
+                f"{error}, {exchange.body_bytes} body bytes received"
+            ) from error
         return exchange.status, body
     finally:
         pool.release(address, connection)
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -20,6 +20,7 @@
 from mothpass.ports import relay
 from mothpass.ports import replicas as replica_ports
 from mothpass.relay import gossip
+from mothpass.relay import metrics as metrics_module
 from mothpass.relay import ports as ports_module
 from mothpass.relay import replicas
 from mothpass.relay import settings as settings_module
@@ -73,6 +74,8 @@
         "_host",
         "_id",
         "_is_watcher",
+        "_metrics",
+        "_newer_since",
         "_prompt_caches",
         "_polled_at",
         "_polls",
@@ -100,6 +103,7 @@
         pool: http_pool.ConnectionPool,
         state: state_module.State,
         prompt_caches: prompts.PromptCacheIndex,
+        metrics: metrics_module.Metrics,
         random: random_module.Random,
     ) -> None:
         """Creates the replicas and the gossip; see ``service.Service``."""
@@ -126,6 +130,10 @@
         )
         self._polls: set[asyncio.Task[None]] = set()
         self._fetching: set[str] = set()
+        self._metrics = metrics
+        # By table, a newer version that a peer has, and the time at which
+        # this daemon learned of it.
+        self._newer_since: dict[str, tuple[int, float]] = {}
         self._gossip = gossip.Gossip(
             own_id=settings.id,
             address=self.address,
@@ -148,7 +156,8 @@
                 get_wait_s=get_wait_s,
                 has_reader_peer=self._gossip.has_reader_peer,
                 is_store_stable=self.is_store_stable,
-                on_change=self._announce_change,
+                on_change=self._handle_change,
+                metrics=metrics,
             )
             for name, apply_changes, get_wait_s in (
                 (
@@ -296,8 +305,13 @@
             },
         )
 
-    def _announce_change(self, replica: replicas.Replica) -> None:
+    def _handle_change(self, replica: replicas.Replica) -> None:
         """Sends a change to the peers, which don't read it from the store."""
+        version, since = self._newer_since.get(replica.name, (0, 0.0))
+        if version and replica.content_version >= version:
+            del self._newer_since[replica.name]
+            lag_s = asyncio.get_running_loop().time() - since
+            self._metrics.observe("replica_lag", lag_s, table=replica.name)
         if replica.is_following_store:
             self._gossip.send_now()
 
@@ -316,6 +330,7 @@
             replica = self._replicas.get(name)
             if replica is None or version <= replica.content_version:
                 continue
+            self._newer_since.setdefault(name, (version, loop.time()))
             if name not in self._fetching:
                 self._fetching.add(name)
                 task = loop.create_task(self._fetch_newer(replica))
@@ -350,7 +365,9 @@
         request = f"GET {url} HTTP/1.1\r\nhost: {peer.address}\r\n\r\n"
         is_whole = not replica.content_version
         timeout_s = WHOLE_FETCH_TIMEOUT_S if is_whole else PEER_FETCH_TIMEOUT_S
-        deadline = asyncio.get_running_loop().time() + timeout_s
+        started_at = asyncio.get_running_loop().time()
+        deadline = started_at + timeout_s
+        _, newer_since = self._newer_since.get(replica.name, (0, started_at))
         try:
             status, body = await http_fetch.fetch(
                 self._pool, peer.address, request.encode(), deadline=deadline
@@ -361,6 +378,7 @@
                 zlib.decompress(body), type=replica_ports.Page
             )
         except (errors.MothpassError, msgspec.DecodeError, zlib.error) as error:
+            replica.count_read("peer", "failed")
             event_log.log(
                 _logger,
                 "peer_fetch_failed",
@@ -368,8 +386,11 @@
                 peer=peer.message.id,
                 table=replica.name,
                 reason=str(error),
+                ms=_measure_ms(started_at),
+                behind_ms=_measure_ms(newer_since),
             )
             return
+        replica.count_read("peer", "ok", len(body))
         before = replica.content_version
         replica.apply_page(page)
         event_log.log(
@@ -379,6 +400,9 @@
             table=replica.name,
             version=replica.content_version,
             before=before,
+            bytes=len(body),
+            ms=_measure_ms(started_at),
+            behind_ms=_measure_ms(newer_since),
         )
 
     async def _register(self) -> None:
@@ -442,3 +466,8 @@
             await client.wait_until_sent()
         finally:
             self._transfers -= 1
+
+
+def _measure_ms(since: float) -> float:
+    """Returns the milliseconds since a time of the event loop."""
+    return round((asyncio.get_running_loop().time() - since) * 1000, 1)
--- a/mothpass/relay/metrics.py
+++ b/mothpass/relay/metrics.py
@@ -21,13 +21,13 @@
             tuple[str, tuple[tuple[str, str], ...]], list[float]
         ] = {}
 
-    def count(self, name: str, **labels: str) -> None:
-        """Increments a counter."""
+    def count(self, name: str, /, *, amount: int = 1, **labels: str) -> None:
+        """Increases a counter by an amount."""
         key = (name, tuple(labels.items()))
         if key in self._counters:
-            self._counters[key] += 1
+            self._counters[key] += amount
         elif len(self._counters) < MAX_SERIES:
-            self._counters[key] = 1
+            self._counters[key] = amount
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Adds a duration to a histogram."""
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -8,6 +8,7 @@
 from mothpass.adapters import event_log
 from mothpass.core import errors
 from mothpass.ports import replicas
+from mothpass.relay import metrics as metrics_module
 
 # The store handles thousands of reads a second, and a change must be in force
 # within 2 s.
@@ -48,6 +49,7 @@
         "_has_reader_peer",
         "_history_start",
         "_is_store_stable",
+        "_metrics",
         "_must_read",
         "_on_change",
         "_read",
@@ -72,6 +74,7 @@
         has_reader_peer: abc.Callable[[], bool],
         is_store_stable: abc.Callable[[], bool],
         on_change: abc.Callable[["Replica"], None],
+        metrics: metrics_module.Metrics,
     ) -> None:
         """Creates an empty replica.
 
@@ -88,6 +91,7 @@
                 didn't just expire during an outage of the store.
             on_change: Called when the content has changed or the store has
                 become unreachable.
+            metrics: Counters and histograms.
         """
         self.name = name
         self.version = 0
@@ -97,6 +101,7 @@
         self._tombstones: dict[str, int] = {}
         self._history_start = 0
         self._on_change = on_change
+        self._metrics = metrics
         self.rows: dict[str, replicas.Row] = {}
         self.is_store_reached = True
         self._read = read
@@ -162,7 +167,7 @@
             return
         self._record_success()
         if page is not None:
-            self.apply_page(page)
+            self._apply_store_page(page)
 
     def apply_page(self, page: replicas.Page) -> None:
         """Applies rows of the store or of a peer, unless they are outdated."""
@@ -213,9 +218,40 @@
                 return True
             page = followed
         self._record_success()
-        self.apply_page(page)
+        self._apply_store_page(page)
         return False
 
+    def _apply_store_page(self, page: replicas.Page) -> None:
+        before = self.content_version
+        self.apply_page(page)
+        if self.content_version == before:
+            return
+        size = sum(len(row.value or b"") for row in page.rows)
+        self.count_read("store", "ok", size)
+        event_log.log(
+            _logger,
+            "table_from_store",
+            table=self.name,
+            version=self.content_version,
+            before=before,
+            bytes=size,
+        )
+
+    def count_read(self, source: str, end: str, size: int = 0) -> None:
+        """Counts a transfer of rows.
+
+        Args:
+            source: ``store`` or ``peer``.
+            end: ``ok`` or ``failed``.
+            size: Bytes of the rows.
+        """
+        self._metrics.count(
+            "table_reads", table=self.name, source=source, end=end
+        )
+        self._metrics.count(
+            "table_bytes", amount=size, table=self.name, source=source
+        )
+
     async def _wait_for_changes(self) -> replicas.Page | None:
         # After an outage the answer must come at once to show its end.
         wait_s = self._get_wait_s() if self.is_store_reached else 0.0
@@ -264,6 +300,15 @@
         return self.rows.pop(row.key, None) is not None
 
     def _record_failure(self, error: Exception) -> None:
+        self.count_read("store", "failed")
+        event_log.log(
+            _logger,
+            "store_read_failed",
+            logging.WARNING,
+            table=self.name,
+            version=self.version,
+            reason=str(error),
+        )
         if self.is_store_reached:
             self.is_store_reached = False
             event_log.log(
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -109,6 +109,7 @@
             pool=pool,
             state=state,
             prompt_caches=prompt_caches,
+            metrics=self._metrics,
             random=random,
         )
         chooser = target_choice.TargetChooser(
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -202,3 +202,16 @@
             # The stand-ins signal no event to wait for.
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
+
+    async def wait_for_version(
+        self, version: int, timeout_s: float = 2.0
+    ) -> None:
+        """Waits until all daemons have a version of the document in force."""
+        await self.wait_for(
+            lambda: all(
+                item.state.routes is not None
+                and item.state.routes.version == version
+                for item in self.services
+            ),
+            timeout_s,
+        )
--- a/tests/platform/test_state_in_force.py
+++ b/tests/platform/test_state_in_force.py
@@ -76,15 +76,6 @@
         """State of the first daemon."""
         return self.services[0].state
 
-    async def wait_for_version(self, version: int) -> None:
-        """Waits until the first daemon has a version in force."""
-
-        def is_in_force() -> bool:
-            routes = self.state.routes
-            return routes is not None and routes.version == version
-
-        await self.wait_for(is_in_force, 2.0)
-
 
 class EntriesTest(fleet.FleetTest):
     """Entries under which targets register."""
--- a/tests/platform/test_troubles.py
+++ b/tests/platform/test_troubles.py
@@ -43,17 +43,6 @@
 
     daemons = 2
 
-    async def wait_for_version(self, version: int) -> None:
-        """Waits until each daemon has a version in force."""
-        await self.wait_for(
-            lambda: all(
-                item.state.routes is not None
-                and item.state.routes.version == version
-                for item in self.services
-            ),
-            2.0,
-        )
-
     async def test_frequent_changes_fail_no_request(self) -> None:
         async def change() -> None:
             for version in range(2, 42):
