Add two tests that fail: a large document over a slow link

The tests play that with a document of 1,600 routes, once from the store at 400 KB/s and once from a peer at 60 KB/s; both transfers need less than the 3 s in which a change is to be in force.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -4,6 +4,8 @@
 import itertools
 import unittest
 
+from mothpass.adapters import http_exchanges
+from mothpass.adapters import http_pool
 from mothpass.platform import daemon as daemon_module
 from mothpass.relay import service as service_module
 from mothpass.relay import settings as settings_module
@@ -70,6 +72,17 @@
     }
 
 
+class _LinkedPool(http_pool.ConnectionPool):
+    """Connects to the links in front of addresses, where there are any."""
+
+    def __init__(self, links: dict[str, str]) -> None:
+        super().__init__(connect_timeout_ms=service_module.CONNECT_TIMEOUT_MS)
+        self._links = links
+
+    async def _connect(self, address: str) -> http_exchanges.Connection:
+        return await super()._connect(self._links.get(address, address))
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Base class: a store, two targets of each service and daemons."""
 
@@ -123,8 +136,19 @@
         for target in targets:
             target.answer = run
 
-    async def add_daemon(self, number: int, store: str = "") -> None:
-        """Starts a daemon and waits until it is ready."""
+    async def add_daemon(
+        self,
+        number: int,
+        store: str = "",
+        links: dict[str, str] | None = None,
+    ) -> None:
+        """Starts a daemon and waits until it is ready.
+
+        Args:
+            number: Its number, unique in the fleet.
+            store: Address of its store, if not that of the others.
+            links: Addresses that it connects to in place of others.
+        """
         host = f"127.0.1.{number + 1}"
         settings = settings_module.Settings(
             id=f"front-{number}",
@@ -138,7 +162,7 @@
             metrics_port=self._base + 3,
             grace_s=4.0,
         )
-        pool = daemon_module.build_pool()
+        pool = _LinkedPool(links or {})
         service = daemon_module.build_service(
             settings, pool, daemon_module.build_store(settings, pool)
         )
--- a/tests/platform/test_table_transfers.py
+++ b/tests/platform/test_table_transfers.py
@@ -1,10 +1,32 @@
 """Tests of the transfer of tables from the store and between daemons."""
 
+import random as random_module
+
 from tests.platform import fleet
+from tests.platform import slow_link
+from tests.platform import store_standin
 from tests.platform import wire
 
+# Time limit for a change at the largest deployments.
+IN_FORCE_S = 3.0
+_ROUTES = 1600
+
+
+class TransferTest(fleet.FleetTest):
+    """Base class: daemons whose transfers are counted."""
+
+    async def read_metrics(self, daemon: int = 0) -> str:
+        """Returns the metrics page of a daemon."""
+        settings = self.services[daemon].settings
+        address = f"{settings.address}:{settings.metrics_port}"
+        client = await wire.Client.connect(address)
+        client.send("GET", "/metrics", {"Host": address})
+        answer = await client.read()
+        client.close()
+        return answer.body.decode()
+
 
-class TransferLogsTest(fleet.FleetTest):
+class TransferLogsTest(TransferTest):
     """Logs and metrics of transfers."""
 
     daemons = 2
@@ -44,12 +66,63 @@
         self.assertEqual(fields["table"], "op")
         self.assertEqual(fields["reason"], "status 503")
 
-    async def read_metrics(self, daemon: int = 0) -> str:
-        """Returns the metrics page of a daemon."""
-        settings = self.services[daemon].settings
-        address = f"{settings.address}:{settings.metrics_port}"
-        client = await wire.Client.connect(address)
-        client.send("GET", "/metrics", {"Host": address})
-        answer = await client.read()
-        client.close()
-        return answer.body.decode()
+
+class _SlowLinkTest(TransferTest):
+    """Base class: links on which a document takes longer than a call."""
+
+    async def open_link(
+        self, upstream: str, bytes_per_s: float
+    ) -> slow_link.SlowLink:
+        """Opens a slow link to a server."""
+        link = slow_link.SlowLink(upstream=upstream, bytes_per_s=bytes_per_s)
+        await link.open()
+        self.addCleanup(link.close)
+        return link
+
+
+class SlowStoreTest(_SlowLinkTest):
+    """A store behind a slow link."""
+
+    daemons = 0
+
+    async def test_large_document_from_the_store_is_in_force_in_time(
+        self,
+    ) -> None:
+        """Guards against reads that never end, as their time limit is fixed."""
+        link = await self.open_link(self.store.address, 400_000)
+        await self.add_daemon(0, link.address)
+        self.store.put("op", "config", make_large_document(version=2))
+        await self.wait_for_version(2, IN_FORCE_S)
+        failed = 'table_reads_total{table="op",source="store",end="failed"}'
+        self.assertNotIn(failed, await self.read_metrics())
+
+
+class SlowPeerTest(_SlowLinkTest):
+    """A peer behind a slow link."""
+
+    async def test_large_document_from_a_peer_is_in_force_in_time(self) -> None:
+        """Guards against fetches that never end, as their limit is fixed."""
+        other = store_standin.Store()
+        await other.open()
+        self.addCleanup(other.close)
+        other.status = 503
+        peer = self.services[0].fleet_sync.address
+        link = await self.open_link(peer, 60_000)
+        await self.add_daemon(1, other.address, {peer: link.address})
+        self.store.put("op", "config", make_large_document(version=2))
+        await self.wait_for_version(2, IN_FORCE_S)
+        failed = 'table_reads_total{table="op",source="peer",end="failed"}'
+        self.assertNotIn(failed, await self.read_metrics(daemon=1))
+
+
+def make_large_document(version: int) -> dict[str, object]:
+    """Returns a document whose names can't be compressed well."""
+    random = random_module.Random(version)
+    document = fleet.make_document(version=version)
+    routes = document["routes"]
+    assert isinstance(routes, list)
+    routes += [
+        fleet.make_route(f"r{random.getrandbits(256):x}", "idempotent")
+        for _ in range(_ROUTES)
+    ]
+    return document
