End a transfer of a table when it stalls, not at a fixed time

Cause: reads from the store ended 0.7 s after the change (1.5 s for a whole table) and fetches from peers 0.6 s after their start, whatever their size. A document of 1,733 routes takes 0.47 s of an idle link of 10 Mbit/s; beside other traffic it never arrived whole. The daemon dropped what it had, counted the store as lost and began anew, and each loss made up to ten others poll the store for the same document, over links that the abandoned transfers already filled.

Fix: the time limit holds until a response starts. From then on it ends when no byte arrives for 0.7 s, or below 8 KB/s in all. A transfer that goes on is never begun again, so that the load doesn't grow with the size of the document or with what else a link carries.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -138,6 +138,22 @@
         self._buffered_bytes = 0
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
+    def set_timeouts(self, *, silence_s: float, deadline: float) -> None:
+        """Replaces the silence timeout and the deadline.
+
+        Args:
+            silence_s: Longest time without a byte, in seconds, counted from
+                the last byte received.
+            deadline: Event-loop time at which the exchange fails.
+        """
+        self._silence_s = silence_s
+        self._silence_deadline = self.last_byte_at + silence_s
+        self._deadline = deadline
+        self._timer.cancel()
+        self._timer = self._loop.call_at(
+            min(self._silence_deadline, deadline), self._check_deadlines
+        )
+
     def close(self) -> None:
         """Cancels the timer; the exchange can't be awaited afterwards."""
         self._timer.cancel()
--- a/mothpass/adapters/http_fetch.py
+++ b/mothpass/adapters/http_fetch.py
@@ -1,10 +1,15 @@
-"""Sends HTTP requests and reads short responses."""
+"""Sends HTTP requests and reads whole responses."""
 
 from mothpass.adapters import http_exchanges
 from mothpass.adapters import http_pool
 from mothpass.core import errors
 
 MAX_RESPONSE_BYTES = 16_777_216
+# A response that has started is abandoned when no byte arrives for this long.
+# How long it may take in all depends on its size and on the link.
+STALL_TIMEOUT_S = 0.7
+# A response below this rate isn't worth its connection.
+MIN_BYTES_PER_S = 8192
 
 
 async def fetch(
@@ -20,7 +25,7 @@
         pool: Pool of connections.
         address: ``ip:port``.
         request: Encoded head and body.
-        deadline: Event-loop time at which to stop waiting.
+        deadline: Event-loop time by which the response must have started.
 
     Raises:
         errors.TargetUnreachableError: If the request wasn't sent.
@@ -31,6 +36,12 @@
     try:
         exchange = connection.send(request, silence_ms=None, deadline=deadline)
         try:
+            while not exchange.status:
+                await exchange.wait_for_progress()
+            exchange.set_timeouts(
+                silence_s=STALL_TIMEOUT_S,
+                deadline=_compute_body_deadline(exchange),
+            )
             body = await read_body(exchange)
         except errors.TargetAnswerLostError as error:
             raise errors.TargetAnswerLostError(
@@ -41,6 +52,17 @@
         pool.release(address, connection)
 
 
+def _compute_body_deadline(exchange: http_exchanges.Exchange) -> float:
+    """Returns the event-loop time by which the body must have arrived."""
+    length = exchange.headers.get(b"content-length", b"")
+    size = int(length) if length.isdigit() else MAX_RESPONSE_BYTES
+    return (
+        exchange.last_byte_at
+        + STALL_TIMEOUT_S
+        + min(size, MAX_RESPONSE_BYTES) / MIN_BYTES_PER_S
+    )
+
+
 async def read_body(exchange: http_exchanges.Exchange) -> bytes:
     """Returns the whole body of a response.
 
--- a/mothpass/platform/store.py
+++ b/mothpass/platform/store.py
@@ -12,7 +12,8 @@
 from mothpass.core import errors
 from mothpass.ports import replicas
 
-# The store answers within 4 ms, and within half a second when it is slow.
+# Times until an answer starts; its body may take as long as it arrives. The
+# store answers within 4 ms, and within half a second when it is slow.
 CALL_TIMEOUT_S = 1.5
 # For change feed calls, in addition to their wait; changes are delayed if a
 # silent store is detected late.
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -27,12 +27,13 @@
 from mothpass.relay import state as state_module
 
 PEERS_TABLE = "daemons"
-# Fetching changes takes milliseconds; a peer that is partitioned or busy is
-# abandoned for another while the change can still be in force in time.
-PEER_FETCH_TIMEOUT_S = 0.6
-# A daemon without a replica fetches the whole table, which for thousands of
-# targets takes seconds over a 5 Mbit/s link that carries several transfers.
-WHOLE_FETCH_TIMEOUT_S = 5.0
+# Times until an answer starts; its body may take as long as it arrives. A peer
+# that is partitioned or busy is abandoned for another while the change can
+# still be in force in time.
+PEER_ANSWER_TIMEOUT_S = 0.6
+# A daemon without a replica has no other way; its peer may have several
+# transfers ahead of this one on a 5 Mbit/s link.
+WHOLE_ANSWER_TIMEOUT_S = 5.0
 MAX_FETCH_TRIES = 4
 # A fleet of 75 daemons spreads its fetches over 0.3 s.
 FETCH_JITTER_PER_DAEMON_S = 0.004
@@ -363,10 +364,11 @@
     ) -> None:
         url = f"{_PEER_PATH}{replica.name}?{replica.content_version}"
         request = f"GET {url} HTTP/1.1\r\nhost: {peer.address}\r\n\r\n"
-        is_whole = not replica.content_version
-        timeout_s = WHOLE_FETCH_TIMEOUT_S if is_whole else PEER_FETCH_TIMEOUT_S
         started_at = asyncio.get_running_loop().time()
-        deadline = started_at + timeout_s
+        is_whole = not replica.content_version
+        deadline = started_at + (
+            WHOLE_ANSWER_TIMEOUT_S if is_whole else PEER_ANSWER_TIMEOUT_S
+        )
         _, newer_since = self._newer_since.get(replica.name, (0, started_at))
         try:
             status, body = await http_fetch.fetch(
--- a/tests/platform/test_table_transfers.py
+++ b/tests/platform/test_table_transfers.py
@@ -1,5 +1,6 @@
 """Tests of the transfer of tables from the store and between daemons."""
 
+import asyncio
 import random as random_module
 
 from tests.platform import fleet
@@ -96,6 +97,21 @@
         failed = 'table_reads_total{table="op",source="store",end="failed"}'
         self.assertNotIn(failed, await self.read_metrics())
 
+    async def test_answer_that_stalls_is_abandoned_for_a_new_call(self) -> None:
+        link = await self.open_link(self.store.address, 400_000)
+        await self.add_daemon(0, link.address)
+        with self.assertLogs("mothpass.replicas", "WARNING") as logs:
+            self.store.put("op", "config", make_large_document(version=2))
+            await asyncio.sleep(0.3)
+            link.set_rate(1000)
+            await self.wait_for(lambda: logs.records)
+        link.set_rate(4_000_000)
+        fields = logs.records[0].__dict__["fields"]
+        self.assertRegex(
+            fields["reason"], "stalled, [0-9]+ body bytes received"
+        )
+        await self.wait_for_version(2, IN_FORCE_S)
+
 
 class SlowPeerTest(_SlowLinkTest):
     """A peer behind a slow link."""
--- /dev/null
+++ b/tests/test_http_fetch.py
@@ -0,0 +1,57 @@
+"""Tests of reading whole responses."""
+
+import asyncio
+import contextlib
+import unittest
+
+from mothpass.adapters import http_fetch
+from mothpass.adapters import http_pool
+from mothpass.core import errors
+
+_REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+_SIZE = 4096
+
+
+class FetchTest(unittest.IsolatedAsyncioTestCase):
+    """One response of a server."""
+
+    async def asyncSetUp(self) -> None:
+        self.piece_bytes = _SIZE
+        self.pause_s = 0.0
+        server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.pool = http_pool.ConnectionPool(connect_timeout_ms=1000)
+        self.addCleanup(self.pool.close)
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % _SIZE)
+        with contextlib.suppress(OSError):
+            for _ in range(0, _SIZE, self.piece_bytes):
+                writer.write(b"x" * self.piece_bytes)
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+        writer.close()
+
+    async def fetch(self) -> bytes:
+        """Fetches with a deadline that passes while the body arrives."""
+        deadline = asyncio.get_running_loop().time() + 0.2
+        _, body = await http_fetch.fetch(
+            self.pool, self.address, _REQUEST, deadline=deadline
+        )
+        return body
+
+    async def test_response_that_goes_on_is_read_past_the_deadline(
+        self,
+    ) -> None:
+        self.piece_bytes, self.pause_s = _SIZE // 8, 0.08
+        self.assertEqual(len(await self.fetch()), _SIZE)
+
+    async def test_response_that_trickles_is_abandoned(self) -> None:
+        self.piece_bytes, self.pause_s = 1, 0.05
+        with self.assertRaises(errors.TargetAnswerLostError):
+            async with asyncio.timeout(5.0):
+                await self.fetch()
