Stop a daemon whose feed call is restarted at the same time

What was seen: a run of three modules of tests/platform hung for nine minutes in the teardown of a test of RoutesTest (py-spy: Service.close waits for its tasks).

Cause: a restart of the change feed call cancels that call; a cancellation of the replica's task that comes before the task has run again reaches the same call. The one CancelledError was taken for the restart, and the task went on for good.

Fix: the task asks whether it is cancelled itself.

--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -262,7 +262,10 @@
         try:
             return await call
         except asyncio.CancelledError:
-            if self._feed_call is call:
+            # The cancellation is that of the call, unless this task is
+            # cancelled as well.
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
                 raise
             return replicas.Page(version=self.version, rows=[], is_whole=False)
         finally:
