Read a slow response of the platform's services while it goes on

PlatformClient held its time limit against the whole response, whatever its size.

Fix: the limit holds until the response starts and for each pause of its body; a body below 8 KB/s in all is given up. Both HTTP clients compute that in adapters/body_deadlines.py.

Test: SlowBodyTest.test_body_that_goes_on_is_read_past_the_timeout (8 KB in 0.6 s with a limit of 0.3 s) failed before with StoreUnavailableError; one that stalls is still lost in time.

--- a/mothpass/adapters/http_fetch.py
+++ b/mothpass/adapters/http_fetch.py
@@ -1,15 +1,13 @@
 """Sends HTTP requests and reads whole responses."""
 
+from mothpass.adapters import body_deadlines
 from mothpass.adapters import http_exchanges
 from mothpass.adapters import http_pool
 from mothpass.core import errors
 
-MAX_RESPONSE_BYTES = 16_777_216
 # A response that has started is abandoned when no byte arrives for this long.
 # How long it may take in all depends on its size and on the link.
 STALL_TIMEOUT_S = 0.7
-# A response below this rate isn't worth its connection.
-MIN_BYTES_PER_S = 8192
 
 
 async def fetch(
@@ -40,7 +38,11 @@
                 await exchange.wait_for_progress()
             exchange.set_timeouts(
                 silence_s=STALL_TIMEOUT_S,
-                deadline=_compute_body_deadline(exchange),
+                deadline=body_deadlines.compute_body_deadline(
+                    exchange.headers.get(b"content-length"),
+                    now=exchange.last_byte_at,
+                    stall_timeout_s=STALL_TIMEOUT_S,
+                ),
             )
             body = await read_body(exchange)
         except errors.TargetAnswerLostError as error:
@@ -52,17 +54,6 @@
         pool.release(address, connection)
 
 
-def _compute_body_deadline(exchange: http_exchanges.Exchange) -> float:
-    """Returns the event-loop time by which the body must have arrived."""
-    length = exchange.headers.get(b"content-length", b"")
-    size = int(length) if length.isdigit() else MAX_RESPONSE_BYTES
-    return (
-        exchange.last_byte_at
-        + STALL_TIMEOUT_S
-        + min(size, MAX_RESPONSE_BYTES) / MIN_BYTES_PER_S
-    )
-
-
 async def read_body(exchange: http_exchanges.Exchange) -> bytes:
     """Returns the whole body of a response.
 
@@ -75,7 +66,7 @@
         await exchange.wait_for_progress()
         chunks.append(exchange.read_available())
         size += len(chunks[-1])
-        if size > MAX_RESPONSE_BYTES:
+        if size > body_deadlines.MAX_BODY_BYTES:
             raise errors.TargetAnswerLostError("response too large")
     chunks.append(exchange.read_available())
     return b"".join(chunks)
--- a/mothpass/adapters/platform_http.py
+++ b/mothpass/adapters/platform_http.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import abc
 import time
 import typing
 import urllib.parse
@@ -14,6 +15,7 @@
 from blacksheep.client import connection as client_connection
 import msgspec
 
+from mothpass.adapters import body_deadlines
 from mothpass.core import errors
 
 T = typing.TypeVar("T")
@@ -43,7 +45,8 @@
 
     Attributes:
         idle_timeout: Seconds that an idle connection is kept.
-        timeout_s: Seconds after which a response counts as lost.
+        timeout_s: Seconds without a byte after which a response counts as
+            lost.
     """
 
     __slots__ = (
@@ -61,7 +64,8 @@
 
         Args:
             url: Base URL, such as ``http://127.0.0.1:80``.
-            timeout_s: Seconds after which a response counts as lost.
+            timeout_s: Seconds without a byte after which a response counts
+                as lost.
         """
         parts = urllib.parse.urlsplit(url)
         self._host = parts.hostname or ""
@@ -95,7 +99,7 @@
         try:
             async with asyncio.timeout(remaining_s):
                 response = await connection.send(request)
-                content = await response.read() or b""
+            content = await self._read_body(response)
         except asyncio.CancelledError:
             _close(connection)
             raise
@@ -134,6 +138,29 @@
         except errors.StoreUnconfirmedError as error:
             raise errors.StoreUnavailableError(str(error)) from error
 
+    async def _read_body(self, response: blacksheep.Response) -> bytes:
+        """Reads a body while it keeps arriving.
+
+        Raises:
+            TimeoutError: If it stalls or trickles.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = body_deadlines.compute_body_deadline(
+            response.headers.get_first(b"content-length"),
+            now=loop.time(),
+            stall_timeout_s=self.timeout_s,
+        )
+        # The library annotates its generator as a coroutine.
+        chunks = typing.cast(abc.AsyncIterator[bytes], response.stream())
+        body = bytearray()
+        while True:
+            until = min(deadline, loop.time() + self.timeout_s)
+            try:
+                async with asyncio.timeout_at(until):
+                    body += await anext(chunks)
+            except StopAsyncIteration:
+                return bytes(body)
+
     def close(self) -> None:
         """Closes all idle connections."""
         idle, self._idle = self._idle, []
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -1,6 +1,7 @@
 """Tests for the platform adapters against stand-in processes."""
 
 import asyncio
+import contextlib
 import typing
 import unittest
 
@@ -29,6 +30,44 @@
     )
 
 
+class SlowBodyTest(unittest.IsolatedAsyncioTestCase):
+    """A service whose responses arrive over a slow link."""
+
+    async def asyncSetUp(self) -> None:
+        server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.client = platform_http.PlatformClient(
+            url=f"http://127.0.0.1:{port}", timeout_s=_TIMEOUT_S
+        )
+        self.addCleanup(self.client.close)
+        self.pause_s = 0.0
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 8192\r\n\r\n")
+        with contextlib.suppress(OSError):
+            for _ in range(8):
+                writer.write(b"x" * 1024)
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+        writer.close()
+
+    async def test_body_that_goes_on_is_read_past_the_timeout(self) -> None:
+        """Guards against snapshots that a slow link never brings whole."""
+        self.pause_s = _TIMEOUT_S / 4
+        reply = await self.client.read("/objects/snapshot")
+        self.assertEqual(len(reply.body), 8192)
+
+    async def test_body_that_stalls_is_lost(self) -> None:
+        self.pause_s = 4 * _TIMEOUT_S
+        with self.assertRaises(errors.StoreUnavailableError):
+            async with asyncio.timeout(3 * _TIMEOUT_S):
+                await self.client.read("/objects/snapshot")
+
+
 class TablesTest(unittest.IsolatedAsyncioTestCase):
     """Checks how failures of the table service are classified."""
 
