--- a/mothpass/daemon/settings.py
+++ b/mothpass/daemon/settings.py
@@ -106,7 +106,7 @@
         tables_url: Base URL of the table service.
         objects_url: Base URL of the object store.
         members_url: Base URL of the membership list.
-        timeout_ms: Timeout after which an answer counts as lost.
+        timeout_ms: Time without a byte after which an answer counts as lost.
         reads_per_s: Maximum store reads per second of the whole fleet.
         writes_per_s: Maximum store writes per second of the whole fleet.
     """
