Add two tests that fail: targets replaced at the same address

TargetTable.put looks at ids only, so that two registrations at one address may both get requests until the old row is removed.

--- /dev/null
+++ b/tests/test_target_table.py
@@ -0,0 +1,47 @@
+"""Tests of the table of registered targets."""
+
+import unittest
+
+from mothpass.core import target_table
+
+_ADDRESS = "10.0.0.1:80"
+
+
+class AddressTest(unittest.TestCase):
+    """Targets that are replaced at the same address."""
+
+    def setUp(self) -> None:
+        self.table = target_table.TargetTable()
+        self.old = _make_registration("i-old", started_at_ms=1000)
+        self.new = _make_registration("i-new", started_at_ms=2000)
+
+    def test_new_registration_ends_the_old_one_at_its_address(self) -> None:
+        """Guards against requests to a target whose address another one has."""
+        self.table.put(self.old, 0.0)
+        self.table.put(self.new, 1.0)
+        self.assertEqual(self.list_usable_ids(), ["i-new"])
+
+    def test_old_registration_that_arrives_late_is_not_used(self) -> None:
+        """Guards against the same where the rows come in the other order."""
+        self.table.put(self.new, 0.0)
+        self.table.put(self.old, 1.0)
+        self.assertEqual(self.list_usable_ids(), ["i-new"])
+
+    def list_usable_ids(self) -> list[str]:
+        """Returns the ids of the targets that may get requests."""
+        return [target.id for target in self.table.list_usable("models")]
+
+
+def _make_registration(
+    target_id: str, *, started_at_ms: int
+) -> target_table.Registration:
+    return target_table.Registration(
+        id=target_id,
+        service="models",
+        address=_ADDRESS,
+        availability_zone="zone-a",
+        slots=4,
+        is_draining=False,
+        cold_left_s=0.0,
+        started_at_ms=started_at_ms,
+    )
