Describe what follows a change of a replica

Cause: read as a newcomer, the doc text named half of what the function does, and a public function stood among private ones. No behaviour changes.

--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -307,7 +307,10 @@
         )
 
     def _handle_change(self, replica: replicas.Replica) -> None:
-        """Sends a change to the peers, which don't read it from the store."""
+        """Records how late a change is, and announces it if it was read here.
+
+        Peers don't read changes from the store.
+        """
         version, since = self._newer_since.get(replica.name, (0, 0.0))
         if version and replica.content_version >= version:
             del self._newer_since[replica.name]
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -205,6 +205,21 @@
             version=self.content_version, rows=rows, is_whole=False
         )
 
+    def count_read(self, source: str, end: str, size: int = 0) -> None:
+        """Counts a transfer of rows.
+
+        Args:
+            source: ``store`` or ``peer``.
+            end: ``ok`` or ``failed``.
+            size: Bytes of the rows.
+        """
+        self._metrics.count(
+            "table_reads", table=self.name, source=source, end=end
+        )
+        self._metrics.count(
+            "table_bytes", amount=size, table=self.name, source=source
+        )
+
     async def _read_once(self, needs_whole: bool) -> bool:
         """Reads once; returns whether the next read must be a whole one."""
         if needs_whole:
@@ -237,21 +252,6 @@
             bytes=size,
         )
 
-    def count_read(self, source: str, end: str, size: int = 0) -> None:
-        """Counts a transfer of rows.
-
-        Args:
-            source: ``store`` or ``peer``.
-            end: ``ok`` or ``failed``.
-            size: Bytes of the rows.
-        """
-        self._metrics.count(
-            "table_reads", table=self.name, source=source, end=end
-        )
-        self._metrics.count(
-            "table_bytes", amount=size, table=self.name, source=source
-        )
-
     async def _wait_for_changes(self) -> replicas.Page | None:
         # After an outage the answer must come at once to show its end.
         wait_s = self._get_wait_s() if self.is_store_reached else 0.0
