--- a/tests/test_http_fetch.py
+++ b/tests/test_http_fetch.py
@@ -29,7 +29,7 @@
     ) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % _SIZE)
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
             for _ in range(0, _SIZE, self.piece_bytes):
                 writer.write(b"x" * self.piece_bytes)
                 await writer.drain()
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -48,7 +48,7 @@
     ) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 8192\r\n\r\n")
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
             for _ in range(8):
                 writer.write(b"x" * 1024)
                 await writer.drain()
