Let the soak's proxy deliver nothing after bytes that it dropped

Cause: the proxy looked at its mode for each piece, so that a connection lost bytes in its middle and then went on. TCP doesn't do that: a silenced connection stays silent in that direction until it is reset. The proxy's resets were orderly closes where no bytes were unread; they are resets now, as a close after lost bytes would look like a whole answer.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import enum
+import socket
+import struct
 
 _CHUNK_BYTES = 65_536
 _POLL_INTERVAL_S = 0.02
@@ -13,6 +15,8 @@
 
     DROP_ANSWERS drops what the server sends; SILENT drops both directions,
     also on connections that are already open; RESET resets new connections.
+    A connection that has lost a byte stays silent in that direction, and is
+    reset in place of a close.
     """
 
     PASS = "pass"
@@ -53,7 +57,7 @@
     def reset(self) -> None:
         """Resets all connections."""
         for writer in self._writers:
-            writer.transport.abort()
+            _reset(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -61,7 +65,7 @@
         self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.CancelledError):
             if self.mode is Mode.RESET:
-                writer.transport.abort()
+                _reset(writer)
             else:
                 await self._forward(reader, writer)
         self._writers.discard(writer)
@@ -76,7 +80,7 @@
                 host, int(port)
             )
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         self._writers.add(upstream_writer)
         tasks = [
@@ -98,15 +102,32 @@
         writer: asyncio.StreamWriter,
         is_from_server: bool,
     ) -> None:
+        has_dropped = False
         while data := await reader.read(_CHUNK_BYTES):
             if self.mode is Mode.DELAY:
                 await asyncio.sleep(self.delay_s)
-            dropped = self.mode is Mode.SILENT or (
-                is_from_server and self.mode is Mode.DROP_ANSWERS
-            )
-            if not dropped:
+            # TCP delivers no byte after one that is missing.
+            has_dropped = has_dropped or self._drops(is_from_server)
+            if not has_dropped:
                 writer.write(data)
                 await writer.drain()
         # The close of a connection is dropped, too.
         while self.mode in (Mode.SILENT, Mode.DROP_ANSWERS):  # noqa: ASYNC110
             await asyncio.sleep(_POLL_INTERVAL_S)
+        if has_dropped:
+            _reset(writer)
+
+    def _drops(self, is_from_server: bool) -> bool:
+        return self.mode is Mode.SILENT or (
+            is_from_server and self.mode is Mode.DROP_ANSWERS
+        )
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection; a plain close would look like an orderly end."""
+    raw_socket = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
