Keep the lost answers of a stand-in for requests that run

Seen: test_payments ...unknown_for_good got 'yes' where 'unknown' is expected, test_claims_live ...unknown_at_both_daemons an answer without an error, once each. Cause: lose_answers was taken by the next answer of any path, also by that to a daemon's read of the load, so that the payment's own answer got through. Evidence: test_read_of_the_load_takes_no_lost_answer failed before (the read of the load was cut). That this was the cause in both runs isn't shown by a run of them; their symptoms fit, and no other path takes the fault.

--- a/mothpass/standin/servers.py
+++ b/mothpass/standin/servers.py
@@ -24,6 +24,10 @@
 _BACKLOG = 2048
 _KEEP_ALIVE_TIMEOUT_S = 300
 _MS_PER_S = 1000
+# Reads of a stand-in's own state, which run no request.
+_STATE_PATHS = frozenset(
+    ("/v1/cache-events", "/v1/ledger", "/v1/load", "/v1/stats")
+)
 _UNAVAILABLE_BODY = b'{"ran": "no", "message": "down"}'
 
 
@@ -146,7 +150,12 @@
             await _send_unavailable(send)
             return
         await asyncio.sleep(state.faults.slow_ms / _MS_PER_S)
-        send_with_faults = _wrap_send(send, connection, state)
+        send_with_faults = _wrap_send(
+            send,
+            connection,
+            state,
+            runs_request=scope["path"] not in _STATE_PATHS,
+        )
         await app(scope, receive, send_with_faults)
 
     return run
@@ -156,6 +165,8 @@
     send: Send,
     connection: connections.Connection,
     state: faults.FaultState,
+    *,
+    runs_request: bool,
 ) -> Send:
     """Wraps a send function to hold, delay or drop what a response sends."""
     started = False
@@ -165,7 +176,7 @@
         nonlocal started, is_answer_lost
         if not started:
             started = True
-            is_answer_lost = state.take_lost_answer()
+            is_answer_lost = runs_request and state.take_lost_answer()
             await asyncio.sleep(state.faults.late_ms / _MS_PER_S)
         if is_answer_lost:
             connection.transport.abort()
--- a/tests/test_standin_faults.py
+++ b/tests/test_standin_faults.py
@@ -207,6 +207,14 @@
             self._call("lost")
         self.assertTrue(self._has_run("lost"))
 
+    def test_read_of_the_load_takes_no_lost_answer(self) -> None:
+        """Guards against a daemon's load read that saves the next answer."""
+        self.service.set_faults(lose_answers=1)
+        http_calls.call(self.service.address, "GET", "/v1/load")
+        with self.assertRaises((OSError, http.client.HTTPException)):
+            self._call("lost-after-read")
+        self.assertTrue(self._has_run("lost-after-read"))
+
     def test_late_delays_the_response_of_a_request_that_ran(self) -> None:
         self.service.set_faults(late_ms=60_000)
         with self.assertRaises(TimeoutError):
