End a target's registration when a later one has its address

Cause: TargetTable.put, and Router.set_members in mothpassd, look at ids only. Why it works: core/address_owners.py keeps the registrations at each address by start; only the last one may get requests, in whatever order rows arrive. It gives the address back if the later registration goes, so that a wrong entry doesn't end a target for good.

--- a/mothpass/core/pool_table.py
+++ b/mothpass/core/pool_table.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from mothpass.core import address_owners
 from mothpass.core import catalogue as catalogue_module
 from mothpass.core import cold
 from mothpass.core import pools
@@ -17,6 +18,7 @@
         "_catalogue",
         "_instances_out",
         "_is_stale",
+        "_owners",
         "_pools",
         "_refreshed_at",
         "_targets",
@@ -24,17 +26,22 @@
     )
 
     def __init__(
-        self, *, targets_by_id: abc.Mapping[str, targets.Target]
+        self,
+        *,
+        targets_by_id: abc.Mapping[str, targets.Target],
+        owners: address_owners.AddressOwners,
     ) -> None:
         """Starts without a catalogue and without pools.
 
         Args:
+            owners: Which target owns each address.
             targets_by_id: Known targets; ``rebuild`` must be called after they
                 or the result of ``may_take_work`` have changed.
         """
         self._catalogue: catalogue_module.Catalogue | None = None
         self._instances_out: frozenset[str] = frozenset()
         self._is_stale = False
+        self._owners = owners
         self._pools: dict[str, pools.Pool] = {}
         self._refreshed_at = float("-inf")
         self._targets = targets_by_id
@@ -69,12 +76,14 @@
         return max(watermarks, default=0)
 
     def may_take_work(self, target: targets.Target) -> bool:
-        """Returns whether neither operators nor the target exclude new work."""
+        """Returns whether a target in service may get new work."""
         if target.is_leaving() or self._catalogue is None:
             return False
         instance = target.instance
         if instance.id in self._instances_out:
             return False
+        if instance.id in self._owners.superseded:
+            return False
         return instance.availability_zone not in self._zones_out
 
     def rebuild(self) -> None:
--- a/mothpass/core/routing.py
+++ b/mothpass/core/routing.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from mothpass.core import address_owners
 from mothpass.core import buckets
 from mothpass.core import catalogue as catalogue_module
 from mothpass.core import errors
@@ -108,6 +109,7 @@
         "_instance_id",
         "_peers",
         "_gate_directory",
+        "_owners",
         "_pools",
         "_publication_limiter",
         "_random",
@@ -151,7 +153,10 @@
         self._gate_directory = gate_directory.GateDirectory(random=random)
         self._instance_id = instance_id
         self._peers = peer_counts.PeerCounts()
-        self._pools = pool_table.PoolTable(targets_by_id=self.targets)
+        self._owners = address_owners.AddressOwners()
+        self._pools = pool_table.PoolTable(
+            targets_by_id=self.targets, owners=self._owners
+        )
         self._random = random
         self._rank = 0
         self._reserves = reserves.ReserveTable(
@@ -176,8 +181,10 @@
         listed = {x.id: x for x in members.instances if x.role is not daemon}
         for target_id in self.targets.keys() - listed.keys():
             del self.targets[target_id]
+            self._owners.release(target_id)
             self._reserves.remove_target(target_id)
         for instance in listed.values():
+            self._owners.claim(instance.address, instance.id)
             known = self.targets.get(instance.id)
             if known is None:
                 self.targets[instance.id] = targets.Target(instance=instance)
--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mothpass.core import address_owners
 from mothpass.core import windows
 
 # Backoff of a failed target; it doubles with each failure up to the maximum.
@@ -150,13 +151,14 @@
         closed_zones: Availability zones whose targets get no requests.
     """
 
-    __slots__ = ("_by_service", "closed_zones", "targets")
+    __slots__ = ("_by_service", "_owners", "closed_zones", "targets")
 
     def __init__(self) -> None:
         """Initializes an empty table."""
         self.targets: dict[str, Target] = {}
         self.closed_zones: frozenset[str] = frozenset()
         self._by_service: dict[str, list[Target]] = {}
+        self._owners = address_owners.AddressOwners()
 
     def put(
         self,
@@ -198,6 +200,7 @@
         target = self.targets.pop(target_id, None)
         if target is not None:
             target.is_gone = True
+            self._owners.release(target_id)
             self._by_service[target.registration.service].remove(target)
 
     def set_closed_zones(
@@ -227,10 +230,12 @@
     def list_usable(self, service: str) -> list[Target]:
         """Returns the targets of a service that may get new requests."""
         closed = self.closed_zones
+        superseded = self._owners.superseded
         return [
             target
             for target in self._by_service.get(service, ())
             if not target.registration.is_draining
+            and target.id not in superseded
             and target.registration.availability_zone not in closed
         ]
 
@@ -240,6 +245,11 @@
 
     def _add(self, target: Target) -> None:
         self.targets[target.id] = target
+        self._owners.claim(
+            target.registration.address,
+            target.id,
+            started_at_ms=target.registration.started_at_ms,
+        )
         self._by_service.setdefault(target.registration.service, []).append(
             target
         )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from mothpass.core import errors
 from mothpass.core import gates
 from mothpass.core import routing
@@ -130,6 +132,22 @@
         target_ids = {_choose(router, chat, 2.0) for chat in range(100)}
         self.assertEqual(target_ids & {"e0", "e1"}, set())
 
+    def test_target_whose_address_a_new_one_has_gets_no_request(self) -> None:
+        """Guards against requests to an ended target that is still listed."""
+        router = fixtures.make_warm_router()
+        listing = fixtures.make_members()
+        old = next(item for item in listing.instances if item.id == "e0")
+        new = msgspec.structs.replace(old, id="e9")
+        members = msgspec.structs.replace(
+            listing, instances=[new, *listing.instances]
+        )
+        router.set_members(members, now=1.0)
+        e9_record = fixtures.make_record("e9", at=2.0, running=10)
+        router.record_loads([e9_record], now=2.0)
+        target_ids = {_choose(router, chat, 2.0) for chat in range(100)}
+        self.assertNotIn("e0", target_ids)
+        self.assertIn("e9", target_ids)
+
     def test_rejects_if_every_target_is_out(self) -> None:
         router = fixtures.make_warm_router()
         router.set_catalogue(
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from mothpass.core import target_table
 
 _ADDRESS = "10.0.0.1:80"
@@ -27,6 +29,23 @@
         self.table.put(self.old, 1.0)
         self.assertEqual(self.list_usable_ids(), ["i-new"])
 
+    def test_old_registration_is_used_again_when_the_later_one_goes(
+        self,
+    ) -> None:
+        """Guards against a wrong entry that ends a target for good."""
+        self.table.put(self.old, 0.0)
+        self.table.put(self.new, 1.0)
+        self.table.remove("i-new")
+        self.assertEqual(self.list_usable_ids(), ["i-old"])
+
+    def test_target_that_moves_to_another_address_is_used(self) -> None:
+        """Guards against a claim that outlives a target's address."""
+        self.table.put(self.old, 0.0)
+        self.table.put(self.new, 1.0)
+        moved = msgspec.structs.replace(self.old, address="10.0.0.2:80")
+        self.table.put(moved, 2.0)
+        self.assertEqual(self.list_usable_ids(), ["i-new", "i-old"])
+
     def list_usable_ids(self) -> list[str]:
         """Returns the ids of the targets that may get requests."""
         return [target.id for target in self.table.list_usable("models")]
