Charge and report requests that meet another target at an address

Cause: a 421 counted as 'not reached', so the next attempt cost nothing of the retry budget, though the request had arrived at a target; each daemon learned of each replaced target alone, and met it again after a backoff of 0.4 s; a request went on to the next target of the same age. Why it works: every attempt that may have arrived is charged. A daemon that meets a 421 holds that target until its entry changes, 5 s at most, and reports it in its datagrams (16 ids at most); at peers a report only makes other targets go first, and not where the target has just answered, so that a wrong daemon can't take targets from the fleet. A request that met one prefers targets that have answered since the trouble began. Ruled out: ending the target at peers on one report (a lying daemon would empty the table).

--- a/mothpass/core/target_choice.py
+++ b/mothpass/core/target_choice.py
@@ -117,6 +117,7 @@
         avoided: abc.Container[str],
         can_fetch: bool,
         now: float,
+        alive_since: float | None = None,
     ) -> Choice | None:
         """Returns the placement of a request, or None if no target may take it.
 
@@ -128,6 +129,8 @@
             avoided: Ids of targets that failed this request.
             can_fetch: Whether targets fetch cached prompts from each other.
             now: Monotonic seconds.
+            alive_since: Monotonic seconds; targets that have answered since
+                then go first. None for no preference.
         """
         admissible = [
             target
@@ -146,9 +149,13 @@
         ]
         if not candidates:
             return None
+        spill_limit = self._compute_spill_limit(usable, registered)
+        if alive_since is not None:
+            candidates = self._prefer_alive(
+                candidates, alive_since, spill_limit
+            )
         if key is None:
             return Choice(target=self._choose_least_loaded(candidates, now))
-        spill_limit = self._compute_spill_limit(usable, registered)
         destination = self._choose_by_prompt(candidates, key, spill_limit)
         cache_source = None
         if can_fetch:
@@ -175,6 +182,21 @@
             or self._count_load(target) < slots * _MAX_REQUESTS_PER_SLOT
         )
 
+    def _prefer_alive(
+        self,
+        candidates: list[target_table.Target],
+        alive_since: float,
+        spill_limit: float,
+    ) -> list[target_table.Target]:
+        """Returns the candidates that answered since, all if there are none."""
+        alive = [
+            target
+            for target in candidates
+            if target.last_success_at >= alive_since
+            and self._count_load(target) < spill_limit
+        ]
+        return alive or candidates
+
     def _choose_least_loaded(
         self, candidates: list[target_table.Target], now: float
     ) -> target_table.Target:
--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -55,11 +55,15 @@
         in_flight: Attempts of this daemon in flight there.
         is_gone: Whether it is no longer registered.
         last_byte_at: Monotonic seconds of the last byte received from it.
+        last_success_at: Monotonic seconds of the last whole answer of it; minus
+            infinity before the first.
         prefill_backlog_tokens: Prompt tokens that it has yet to prefill for
             attempts of this daemon.
         recent_dispatches: Attempts that this daemon dispatched to it in the
             last second.
         registration: Its registration.
+        replaced_until: Monotonic seconds until which it gets no requests, as
+            another target answered at its address.
     """
 
     __slots__ = (
@@ -73,9 +77,11 @@
         "in_flight",
         "is_gone",
         "last_byte_at",
+        "last_success_at",
         "prefill_backlog_tokens",
         "recent_dispatches",
         "registration",
+        "replaced_until",
     )
 
     def __init__(self, *, registration: Registration, now: float) -> None:
@@ -84,6 +90,8 @@
         self.cold_until = now + registration.cold_left_s
         self.first_seen = now
         self.last_byte_at = now
+        self.last_success_at = float("-inf")
+        self.replaced_until = float("-inf")
         self.in_flight = 0
         self.prefill_backlog_tokens = 0
         self.is_gone = False
@@ -138,6 +146,7 @@
     def record_success(self, now: float) -> None:
         """Ends the backoff, unless ambiguous failures are frequent."""
         self._successes.record(now)
+        self.last_success_at = now
         if self._ambiguous_failures.count(now) < _MIN_AMBIGUOUS_FAILURES:
             self._consecutive_failures = 0
             self.backoff_until = 0.0
@@ -193,6 +202,7 @@
         if registration.cold_left_s > 0:
             target.cold_until = now + registration.cold_left_s
         target.registration = registration
+        target.replaced_until = float("-inf")
         return False
 
     def remove(self, target_id: str) -> None:
@@ -227,7 +237,7 @@
                 target.cold_until = max(target.cold_until, now + cold_s)
         return changed
 
-    def list_usable(self, service: str) -> list[Target]:
+    def list_usable(self, service: str, now: float) -> list[Target]:
         """Returns the targets of a service that may get new requests."""
         closed = self.closed_zones
         superseded = self._owners.superseded
@@ -236,6 +246,7 @@
             for target in self._by_service.get(service, ())
             if not target.registration.is_draining
             and target.id not in superseded
+            and target.replaced_until <= now
             and target.registration.availability_zone not in closed
         ]
 
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -47,6 +47,8 @@
         reason: Cause of the end, for logs.
         status: HTTP status of the answer, 0 without an answer.
         is_reachable: Whether the target can be reached, as far as is known.
+        has_arrived: Whether the request may have arrived at a target.
+        is_replaced: Whether another target answered at the address.
         is_disconnected: Whether the target closed the connection early.
         head: Head of an answer that wasn't delivered.
         body: Body of that answer.
@@ -56,6 +58,8 @@
     reason: str = ""
     status: int = 0
     is_reachable: bool = True
+    has_arrived: bool = True
+    is_replaced: bool = False
     is_disconnected: bool = False
     head: relay.AnswerHead | None = None
     body: bytes = b""
@@ -158,7 +162,10 @@
             )
         except errors.TargetUnreachableError as error:
             return Outcome(
-                end=End.NOT_RUN, reason=str(error), is_reachable=False
+                end=End.NOT_RUN,
+                reason=str(error),
+                is_reachable=False,
+                has_arrived=False,
             )
         is_reused = connection.exchange_count > 0
         idle_timeout_s = 0.0
@@ -238,6 +245,7 @@
                 reason=f"{reason} with {head.status}",
                 status=head.status,
                 is_reachable=not head.is_other_target,
+                is_replaced=head.is_other_target,
             )
         if delivery.is_streaming:
             # A started stream can only be resumed by another stream.
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -15,6 +15,7 @@
 from mothpass.adapters import relay_listener
 from mothpass.core import errors
 from mothpass.core import prompts
+from mothpass.core import replaced_targets
 from mothpass.core import suspects
 from mothpass.core import target_table
 from mothpass.ports import relay
@@ -67,6 +68,7 @@
     Attributes:
         is_leaving: Whether this daemon is shutting down.
         crash_suspects: Requests that are suspected to crash targets.
+        replaced_targets: Targets that this daemon has found replaced.
     """
 
     __slots__ = (
@@ -94,6 +96,7 @@
         "_watcher_wait_s",
         "crash_suspects",
         "is_leaving",
+        "replaced_targets",
     )
 
     def __init__(
@@ -118,6 +121,7 @@
         self._state = state
         self._random = random
         self.crash_suspects = suspects.SuspectTable(own_id=settings.id)
+        self.replaced_targets = replaced_targets.ReplacedTargets()
         self._started_ms = int(time.time() * 1000)
         self._sequence_number = 0
         self.is_leaving = False
@@ -304,6 +308,7 @@
                 for target in busy
                 if target.prefill_backlog_tokens >= gossip.MIN_REPORTED_TOKENS
             },
+            replaced_targets=self.replaced_targets.export(now),
         )
 
     def _handle_change(self, replica: replicas.Replica) -> None:
@@ -328,6 +333,12 @@
             self.crash_suspects.merge(
                 peer.message.crash_suspects, now=loop.time()
             )
+        if peer.message.replaced_targets:
+            self.replaced_targets.merge(
+                peer.message.replaced_targets,
+                self._state.targets.targets,
+                loop.time(),
+            )
         if peer.message.cached_prompts:
             self._prompt_caches.merge(peer.message.cached_prompts, loop.time())
         for name, version in peer.message.versions.items():
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -11,6 +11,7 @@
 from mothpass.core import fleet_retry_budget
 from mothpass.core import prompts
 from mothpass.core import queue_admission
+from mothpass.core import replaced_targets
 from mothpass.core import results
 from mothpass.core import route_table
 from mothpass.core import target_choice
@@ -59,6 +60,7 @@
         "_queues",
         "_random",
         "_read_request",
+        "_replaced_targets",
         "_sender",
         "_write_request",
     )
@@ -74,6 +76,7 @@
         count_daemons: abc.Callable[[], int],
         count_prefill_backlog: target_choice.CountPrefillBacklog,
         crash_detector: crashes.CrashDetector,
+        replaced: replaced_targets.ReplacedTargets,
         metrics: metrics_module.Metrics,
         read_request: relay.ReadRequest,
         write_request: relay.WriteRequest,
@@ -91,6 +94,7 @@
             count_prefill_backlog: Counts the tokens that a target has yet to
                 prefill.
             crash_detector: Detects crashes of targets.
+            replaced: Targets that this daemon has found replaced.
             metrics: Counters and histograms.
             read_request: Decodes a client's request.
             write_request: Encodes a target's request.
@@ -105,6 +109,7 @@
         self._count_daemons = count_daemons
         self._count_prefill_backlog = count_prefill_backlog
         self._crash_detector = crash_detector
+        self._replaced_targets = replaced
         self._metrics = metrics
         self._read_request = read_request
         self._write_request = write_request
@@ -181,7 +186,7 @@
         outcome: attempts.Outcome,
     ) -> bool:
         """Records how an attempt ended; returns whether to make another."""
-        if outcome.is_reachable or outcome.end is not attempts.End.NOT_RUN:
+        if outcome.has_arrived:
             progress.reached_attempts += 1
         if outcome.end is attempts.End.NOT_RUN:
             progress.not_run_attempts += 1
@@ -202,6 +207,7 @@
         self, admitted: admission.Admitted, progress: progress_module.Progress
     ) -> target_choice.Choice | errors.Refusal:
         """Returns a slot at a target for the next attempt, or a refusal."""
+        now = asyncio.get_running_loop().time()
         return await self._queues.acquire_slot(
             request_queues.SlotRequest(
                 request_id=admitted.request.id,
@@ -212,6 +218,9 @@
                 priority=admitted.priority,
                 team="" if admitted.team is None else admitted.team.name,
                 deadline=admitted.deadline,
+                alive_since=self._replaced_targets.find_start(now)
+                if progress.not_run_attempts
+                else None,
             )
         )
 
@@ -322,6 +331,8 @@
                 target, admitted.fingerprint, crashes.AFTER_LAST_POSITION
             )
             return
+        if outcome.is_replaced:
+            self._record_replaced(admitted, target, now)
         if not outcome.is_reachable:
             target.record_failure(now)
         else:
@@ -329,6 +340,27 @@
         if outcome.is_disconnected:
             self._crash_detector.probe(target)
 
+    def _record_replaced(
+        self,
+        admitted: admission.Admitted,
+        target: target_table.Target,
+        now: float,
+    ) -> None:
+        """Stops using a target at whose address another one answered."""
+        self._replaced_targets.record(target, now)
+        self._metrics.count(
+            "replaced_targets", service=target.registration.service
+        )
+        event_log.log(
+            _logger,
+            "target_replaced",
+            logging.WARNING,
+            request_id=admitted.request.id,
+            target=target.id,
+            address=target.registration.address,
+            hold_s=replaced_targets.REPLACED_HOLD_S,
+        )
+
     def _spend_retry(self, admitted: admission.Admitted) -> bool:
         budget = self._get_budget(admitted.service.name)
         now = asyncio.get_running_loop().time()
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -78,6 +78,7 @@
         crash_suspects: Requests that are suspected to crash targets.
         cached_prompts: Prompts that targets have cached for its requests.
         prefill_backlogs: Tokens that targets have yet to prefill for it.
+        replaced_targets: Ids of targets that it has found replaced.
     """
 
     id: str
@@ -94,6 +95,7 @@
     # two releases understand each other during a rolling update.
     cached_prompts: list[prompts.CachedPrompt] = []
     prefill_backlogs: dict[str, int] = {}
+    replaced_targets: list[str] = []
 
 
 class Peer:
@@ -336,12 +338,14 @@
                 last.versions,
                 last.crash_suspects,
                 last.cached_prompts,
+                last.replaced_targets,
             )
             == (
                 message.counts,
                 message.versions,
                 message.crash_suspects,
                 message.cached_prompts,
+                message.replaced_targets,
             )
             and last.is_store_reader == message.is_store_reader
         )
--- a/mothpass/relay/request_queues.py
+++ b/mothpass/relay/request_queues.py
@@ -43,6 +43,8 @@
         priority: Priority of the request; 0 is the most urgent.
         team: Team whose requests are queued fairly beside other teams'.
         deadline: Monotonic seconds at which the final answer is due.
+        alive_since: Monotonic seconds; targets that have answered since then
+            go first. None for no preference.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     priority: int
     team: str
     deadline: float
+    alive_since: float | None = None
 
 
 _SlotFuture = asyncio.Future[target_choice.Choice | errors.Refusal]
@@ -98,7 +101,9 @@
         service_queue = self._queues.setdefault(
             slot_request.service, _ServiceQueue()
         )
-        usable = self._targets.list_usable(slot_request.service)
+        usable = self._targets.list_usable(
+            slot_request.service, asyncio.get_running_loop().time()
+        )
         if all(target.id in slot_request.avoided for target in usable):
             return _make_refusal(
                 results.Code.NO_TARGET, "no target", NO_TARGET_RETRY_AFTER_MS
@@ -212,12 +217,13 @@
         """Chooses a target and reserves a slot there; None if none fits."""
         now = asyncio.get_running_loop().time()
         choice = self._chooser.choose(
-            self._targets.list_usable(slot_request.service),
+            self._targets.list_usable(slot_request.service, now),
             registered=self._targets.list_registered(slot_request.service),
             key=slot_request.key,
             avoided=slot_request.avoided,
             can_fetch=slot_request.can_fetch,
             now=now,
+            alive_since=slot_request.alive_since,
         )
         if choice is not None:
             choice.target.in_flight += 1
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -181,9 +181,9 @@
         table = target_table.TargetTable()
         table.put(self.make_registration(), 0.0)
         table.set_closed_zones(["zone-a"], cold_s=3.0, now=1.0)
-        self.assertEqual(table.list_usable("models"), [])
+        self.assertEqual(table.list_usable("models", 1.0), [])
         table.set_closed_zones([], cold_s=3.0, now=5.0)
-        [target] = table.list_usable("models")
+        [target] = table.list_usable("models", 5.0)
         self.assertTrue(target.is_cold(7.0))
         self.assertFalse(target.is_cold(8.5))
 
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -48,7 +48,7 @@
 
     def list_usable_ids(self) -> list[str]:
         """Returns the ids of the targets that may get requests."""
-        return [target.id for target in self.table.list_usable("models")]
+        return [target.id for target in self.table.list_usable("models", 9.0)]
 
 
 def _make_registration(
