--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
 from bench import killers
 from bench import measures
 from bench import overload
+from bench import replaced_targets
 from bench import reuse
 from bench import skew
 from bench import zones
@@ -29,6 +30,7 @@
     "zones": zones.measure,
     "overload": overload.measure,
     "killers": killers.measure,
+    "replaced": replaced_targets.measure,
 }
 
 
