End a transfer that trickles within its window, not at the end of its size

A peer that sends a byte now and then kept a daemon from a configuration that other peers had, past the 3 or 4 s that it may take. Evidence: test_large_response_that_trickles_is_abandoned_as_soon, 64 KB at 1.3 KB/s, still went on after 2 s before; it ends within its window now. Why it works: 12 KB must arrive in each 1.5 s; a sound transfer of any size on a slow link goes on (test_large_response_on_a_slow_link_is_read). The next fetch goes to a peer that hasn't failed, if there is one; before, it could draw the same one again. The same window holds for mothpassd's client of the platform's services.

--- a/mothpass/adapters/http_fetch.py
+++ b/mothpass/adapters/http_fetch.py
@@ -1,5 +1,7 @@
 """Sends HTTP requests and reads whole responses."""
 
+from collections import abc
+
 from mothpass.adapters import body_deadlines
 from mothpass.adapters import http_exchanges
 from mothpass.adapters import http_pool
@@ -36,15 +38,7 @@
         try:
             while not exchange.status:
                 await exchange.wait_for_progress()
-            exchange.set_timeouts(
-                silence_s=STALL_TIMEOUT_S,
-                deadline=body_deadlines.compute_body_deadline(
-                    exchange.headers.get(b"content-length"),
-                    now=exchange.last_byte_at,
-                    stall_timeout_s=STALL_TIMEOUT_S,
-                ),
-            )
-            body = await read_body(exchange)
+            body = await _read_body_in_time(exchange)
         except errors.TargetAnswerLostError as error:
             raise errors.TargetAnswerLostError(
                 f"{error}, {exchange.body_bytes} body bytes received"
@@ -54,9 +48,34 @@
         pool.release(address, connection)
 
 
-async def read_body(exchange: http_exchanges.Exchange) -> bytes:
+async def _read_body_in_time(exchange: http_exchanges.Exchange) -> bytes:
+    """Returns the body of a response that neither stalls nor trickles.
+
+    Raises:
+        errors.TargetAnswerLostError: See ``fetch``.
+    """
+    deadline = body_deadlines.BodyDeadline(now=exchange.last_byte_at)
+    exchange.set_timeouts(silence_s=STALL_TIMEOUT_S, deadline=deadline.at)
+
+    def record_progress(received_bytes: int) -> None:
+        if deadline.record_progress(received_bytes, exchange.last_byte_at):
+            exchange.set_timeouts(
+                silence_s=STALL_TIMEOUT_S, deadline=deadline.at
+            )
+
+    return await read_body(exchange, record_progress)
+
+
+async def read_body(
+    exchange: http_exchanges.Exchange,
+    on_progress: abc.Callable[[int], None] = lambda _: None,
+) -> bytes:
     """Returns the whole body of a response.
 
+    Args:
+        exchange: The response.
+        on_progress: Called with the bytes that have arrived so far.
+
     Raises:
         errors.TargetAnswerLostError: If it was lost or is too large.
     """
@@ -66,6 +85,7 @@
         await exchange.wait_for_progress()
         chunks.append(exchange.read_available())
         size += len(chunks[-1])
+        on_progress(size)
         if size > body_deadlines.MAX_BODY_BYTES:
             raise errors.TargetAnswerLostError("response too large")
     chunks.append(exchange.read_available())
--- a/mothpass/adapters/platform_http.py
+++ b/mothpass/adapters/platform_http.py
@@ -145,21 +145,18 @@
             TimeoutError: If it stalls or trickles.
         """
         loop = asyncio.get_running_loop()
-        deadline = body_deadlines.compute_body_deadline(
-            response.headers.get_first(b"content-length"),
-            now=loop.time(),
-            stall_timeout_s=self.timeout_s,
-        )
+        deadline = body_deadlines.BodyDeadline(now=loop.time())
         # The library annotates its generator as a coroutine.
         chunks = typing.cast(abc.AsyncIterator[bytes], response.stream())
         body = bytearray()
         while True:
-            until = min(deadline, loop.time() + self.timeout_s)
+            until = min(deadline.at, loop.time() + self.timeout_s)
             try:
                 async with asyncio.timeout_at(until):
                     body += await anext(chunks)
             except StopAsyncIteration:
                 return bytes(body)
+            deadline.record_progress(len(body), loop.time())
 
     def close(self) -> None:
         """Closes all idle connections."""
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -359,6 +359,7 @@
 
     async def _fetch_newer(self, replica: replicas.Replica) -> None:
         """Fetches newer rows of a table from peers that have them."""
+        failed: set[str] = set()
         for _ in range(MAX_FETCH_TRIES):
             # Jitter and a random peer keep the fleet from saturating one link.
             fleet = len(self._gossip.list_live())
@@ -367,15 +368,17 @@
             )
             await asyncio.sleep(self._random.uniform(0.0, jitter_s))
             peer = self._gossip.pick_newer_peer(
-                replica.name, replica.content_version
+                replica.name, replica.content_version, failed=failed
             )
             if peer is None:
                 return
-            await self._fetch_from(peer, replica)
+            if not await self._fetch_from(peer, replica):
+                failed.add(peer.message.id)
 
     async def _fetch_from(
         self, peer: gossip.Peer, replica: replicas.Replica
-    ) -> None:
+    ) -> bool:
+        """Fetches newer rows from one peer; returns whether that succeeded."""
         url = f"{_PEER_PATH}{replica.name}?{replica.content_version}"
         request = f"GET {url} HTTP/1.1\r\nhost: {peer.address}\r\n\r\n"
         started_at = asyncio.get_running_loop().time()
@@ -405,7 +408,7 @@
                 ms=_measure_ms(started_at),
                 behind_ms=_measure_ms(newer_since),
             )
-            return
+            return False
         replica.count_read("peer", "ok", len(body))
         before = replica.content_version
         replica.apply_page(page)
@@ -420,6 +423,7 @@
             ms=_measure_ms(started_at),
             behind_ms=_measure_ms(newer_since),
         )
+        return True
 
     async def _register(self) -> None:
         """Registers this daemon in the store and reads its peers' addresses."""
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -304,13 +304,23 @@
         ranked = preference.rank_names(b"readers", [self._id, *reaching_ids])
         return self._id in ranked[:number]
 
-    def pick_newer_peer(self, table: str, version: int) -> Peer | None:
-        """Returns a random peer whose replica is newer, None without one."""
+    def pick_newer_peer(
+        self, table: str, version: int, *, failed: abc.Container[str] = ()
+    ) -> Peer | None:
+        """Returns a random peer whose replica is newer, None without one.
+
+        Args:
+            table: Name of the table.
+            version: Content version of this daemon's replica.
+            failed: Ids of peers that are chosen only if there is no other.
+        """
         newer = [
             peer
             for peer in self.list_live()
             if peer.message.versions.get(table, 0) > version
         ]
+        untried = [peer for peer in newer if peer.message.id not in failed]
+        newer = untried or newer
         return self._random.choice(newer) if newer else None
 
     def has_reader_peer(self) -> bool:
--- a/tests/test_http_fetch.py
+++ b/tests/test_http_fetch.py
@@ -16,6 +16,7 @@
     """One response of a server."""
 
     async def asyncSetUp(self) -> None:
+        self.size = _SIZE
         self.piece_bytes = _SIZE
         self.pause_s = 0.0
         server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
@@ -28,9 +29,11 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % _SIZE)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % self.size
+        )
         with contextlib.suppress(OSError, asyncio.CancelledError):
-            for _ in range(0, _SIZE, self.piece_bytes):
+            for _ in range(0, self.size, self.piece_bytes):
                 writer.write(b"x" * self.piece_bytes)
                 await writer.drain()
                 await asyncio.sleep(self.pause_s)
@@ -55,3 +58,17 @@
         with self.assertRaises(errors.TargetAnswerLostError):
             async with asyncio.timeout(5.0):
                 await self.fetch()
+
+    async def test_large_response_that_trickles_is_abandoned_as_soon(
+        self,
+    ) -> None:
+        """Guards against a peer that drips and keeps a daemon from a change."""
+        self.size, self.piece_bytes, self.pause_s = 65_536, 64, 0.05
+        with self.assertRaises(errors.TargetAnswerLostError):
+            async with asyncio.timeout(2.0):
+                await self.fetch()
+
+    async def test_large_response_on_a_slow_link_is_read(self) -> None:
+        """Guards against sound responses cut for their size."""
+        self.size, self.piece_bytes, self.pause_s = 65_536, 2048, 0.1
+        self.assertEqual(len(await self.fetch()), self.size)
