Keep each attempt in flight apart, also two of the same request

With two requests of one fingerprint at one target, the first to end took the entry of both, and the other's probe found none. Evidence: test_same_request_twice_at_a_target_that_resets_both failed before (KeyError four times); now each caller gets 502. Why it works: the in-flight table holds attempts, not fingerprints.

--- a/mothpass/relay/crashes.py
+++ b/mothpass/relay/crashes.py
@@ -15,6 +15,23 @@
 _logger = logging.getLogger("mothpass.deaths")
 
 
+class InFlightAttempt:
+    """An attempt in flight at a target.
+
+    Attributes:
+        fingerprint: Fingerprint of its request; that of another attempt there
+            if the same request comes twice.
+        position: Position that it has reached.
+    """
+
+    __slots__ = ("fingerprint", "position")
+
+    def __init__(self, *, fingerprint: int) -> None:
+        """Starts before the first position."""
+        self.fingerprint = fingerprint
+        self.position = 0
+
+
 class CrashDetector:
     """In-flight table by target and detection of crashed targets.
 
@@ -22,7 +39,7 @@
         crash_suspects: Requests that are suspected to crash targets.
     """
 
-    __slots__ = ("_pool", "_positions", "_probing", "_tasks", "crash_suspects")
+    __slots__ = ("_in_flight", "_pool", "_probing", "_tasks", "crash_suspects")
 
     def __init__(
         self,
@@ -32,34 +49,37 @@
     ) -> None:
         """Creates an empty in-flight table."""
         self._pool = pool
-        self._positions: dict[str, dict[int, int]] = {}
+        self._in_flight: dict[str, list[InFlightAttempt]] = {}
         self._probing: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.crash_suspects = crash_suspects
 
     def record_start(
         self, target: target_table.Target, fingerprint: int
-    ) -> None:
+    ) -> InFlightAttempt:
         """Records that a request is in flight at a target."""
-        self._positions.setdefault(target.id, {})[fingerprint] = 0
-
-    def record_end(self, target: target_table.Target, fingerprint: int) -> None:
-        """Records that a request is no longer in flight at a target."""
-        positions = self._positions.get(target.id, {})
-        positions.pop(fingerprint, None)
-        if not positions:
-            self._positions.pop(target.id, None)
+        attempt = InFlightAttempt(fingerprint=fingerprint)
+        self._in_flight.setdefault(target.id, []).append(attempt)
+        return attempt
 
-    def record_progress(
-        self, target: target_table.Target, fingerprint: int, position: int
+    def record_end(
+        self, target: target_table.Target, attempt: InFlightAttempt
     ) -> None:
-        """Records the position that a request has reached at a target."""
-        positions = self._positions.get(target.id)
-        if positions is not None and fingerprint in positions:
-            positions[fingerprint] = position
+        """Records that an attempt is no longer in flight at a target."""
+        in_flight = self._in_flight[target.id]
+        in_flight.remove(attempt)
+        if not in_flight:
+            del self._in_flight[target.id]
+
+    def record_progress(self, attempt: InFlightAttempt, position: int) -> None:
+        """Records the position that an attempt has reached."""
+        attempt.position = position
         if len(self.crash_suspects):
-            now = asyncio.get_running_loop().time()
-            self.crash_suspects.record_progress(fingerprint, position, now=now)
+            self.crash_suspects.record_progress(
+                attempt.fingerprint,
+                position,
+                now=asyncio.get_running_loop().time(),
+            )
 
     def probe(self, target: target_table.Target) -> None:
         """Probes a target that closed a connection early, in the background.
@@ -70,8 +90,10 @@
         if target.id in self._probing:
             return
         running = [
-            suspects.InFlightRequest(fingerprint=fingerprint, position=position)
-            for fingerprint, position in self._positions[target.id].items()
+            suspects.InFlightRequest(
+                fingerprint=attempt.fingerprint, position=attempt.position
+            )
+            for attempt in self._in_flight[target.id]
         ]
         self._probing.add(target.id)
         task = asyncio.get_running_loop().create_task(
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -253,9 +253,7 @@
 
         def record_event(position: int) -> None:
             pending_prefill.finish()
-            self._crash_detector.record_progress(
-                target, admitted.fingerprint, position
-            )
+            self._crash_detector.record_progress(in_flight, position)
 
         attempt = attempts.Attempt(
             request=admitted.request,
@@ -273,7 +271,9 @@
         )
         progress.tried.add(target.id)
         progress.attempt_count += 1
-        self._crash_detector.record_start(target, admitted.fingerprint)
+        in_flight = self._crash_detector.record_start(
+            target, admitted.fingerprint
+        )
         if admitted.prompt_key is not None:
             self._prompt_caches.record(
                 admitted.prompt_key, target.id, now, tokens=shared
@@ -281,11 +281,11 @@
         outcome = _ABANDONED
         try:
             outcome = await self._sender.send(attempt, progress.delivery)
-            self._record_outcome(admitted, target, outcome)
+            self._record_outcome(admitted, target, in_flight, outcome)
         finally:
             pending_prefill.finish()
             self._queues.release_slot(target)
-            self._crash_detector.record_end(target, admitted.fingerprint)
+            self._crash_detector.record_end(target, in_flight)
             if outcome is _ABANDONED and loop.time() >= admitted.deadline:
                 target.record_ambiguous_failure(loop.time())
             event_log.log(
@@ -320,6 +320,7 @@
         self,
         admitted: admission.Admitted,
         target: target_table.Target,
+        in_flight: crashes.InFlightAttempt,
         outcome: attempts.Outcome,
     ) -> None:
         """Updates metrics and the target's health after an attempt."""
@@ -328,7 +329,7 @@
         if outcome.end is attempts.End.DELIVERED:
             target.record_success(now)
             self._crash_detector.record_progress(
-                target, admitted.fingerprint, crashes.AFTER_LAST_POSITION
+                in_flight, crashes.AFTER_LAST_POSITION
             )
             return
         if outcome.is_replaced:
--- a/tests/platform/test_troubles.py
+++ b/tests/platform/test_troubles.py
@@ -29,6 +29,30 @@
             await asyncio.sleep(0.02)
         self.assertEqual(set(statuses), {200})
 
+    async def test_same_request_twice_at_a_target_that_resets_both(
+        self,
+    ) -> None:
+        """Guards against an internal error for the second of two callers.
+
+        The first to end took the entry of both from the in-flight table.
+        """
+
+        async def reset_in_turn(
+            target: target_standin.Target,
+            request: wire.Request,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            target.runs.append(request.headers["attempt-id"])
+            await asyncio.sleep(0.1 * len(target.runs))
+            writer.transport.abort()
+
+        for target in self.plain:
+            target.answer = reset_in_turn
+        answers = await asyncio.gather(
+            *(self.send_request("POST", "/pay/1", body=b"x") for _ in range(6))
+        )
+        self.assertEqual({item.status for item in answers}, {502})
+
     async def test_target_that_fails_all_requests_gets_few(self) -> None:
         self.plain[0].answer = target_standin.fail(500)
         for number in range(60):
