Load the relay's modules without garbage collections

Why it works: modules' objects are never garbage; collections went through them again and again. After the load they are frozen, so that later ones skip them. Ruled out: leaving out ssl and logging, as before (the loop needs them). test_modules_are_loaded_without_garbage_collections failed before.

--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -1,5 +1,6 @@
 """Tests of the program as a process: settings, signals and logs."""
 
+import gc
 import importlib
 import json
 import os
@@ -84,6 +85,7 @@
     def test_sighup_is_ignored_while_the_program_loads(self) -> None:
         before = signal.getsignal(signal.SIGHUP)
         self.addCleanup(signal.signal, signal.SIGHUP, before)
+        self.addCleanup(gc.unfreeze)
         seen = []
 
         def load(name: str) -> types.SimpleNamespace:
@@ -94,6 +96,22 @@
             self.assertEqual(program.main(), 7)
         self.assertEqual(seen, [("mothpass.platform.daemon", signal.SIG_IGN)])
 
+    def test_modules_are_loaded_without_garbage_collections(self) -> None:
+        """Guards against starts that spend their time on collections."""
+        before = signal.getsignal(signal.SIGHUP)
+        self.addCleanup(signal.signal, signal.SIGHUP, before)
+        self.addCleanup(gc.unfreeze)
+        seen = []
+
+        def load(name: str) -> types.SimpleNamespace:
+            del name
+            seen.append(gc.isenabled())
+            return types.SimpleNamespace(main=lambda: int(gc.isenabled()))
+
+        with mock.patch.object(importlib, "import_module", load):
+            self.assertEqual(program.main(), 1)
+        self.assertEqual(seen, [False])
+
     def test_changed_settings_are_applied_with_and_without_a_signal(
         self,
     ) -> None:
