Heed targets that say they leave, or ask for a pause

Why it works: the head of each answer, also of refusals and streams, marks its target. A pause is kept as a deadline of this daemon alone, 30 s at most; values that can't be read are none. Then requests return one at a time until one is answered, so that what waited doesn't arrive at once. Where all targets pause, a request waits if the first is back in half of its time; else it is refused at once, and its Retry-After is the end of the pause and not sooner.

--- a/bench/replaced_targets.py
+++ b/bench/replaced_targets.py
@@ -10,9 +10,9 @@
 
 from bench import clock
 from bench import measures
+from mothpass.core import departures
 from mothpass.core import fleet_retry_budget
 from mothpass.core import prompts
-from mothpass.core import replaced_targets
 from mothpass.core import target_choice
 from mothpass.core import target_table
 
@@ -38,11 +38,11 @@
 class _Daemon:
     """One daemon's own view of the targets."""
 
-    __slots__ = ("budget", "chooser", "replaced", "table")
+    __slots__ = ("budget", "chooser", "departures", "table")
 
     def __init__(self, random: random_module.Random) -> None:
         self.table = target_table.TargetTable()
-        self.replaced = replaced_targets.ReplacedTargets()
+        self.departures = departures.DepartureTable()
         self.budget = fleet_retry_budget.FleetRetryBudget(
             ratio=RETRY_RATIO, extra=RETRY_EXTRA, window_s=WINDOW_S
         )
@@ -125,7 +125,7 @@
 
     def _attempt(self, daemon: _Daemon, key: str, tried: set[str]) -> None:
         now = self._loop.now
-        start = daemon.replaced.find_start(now) if tried else None
+        start = daemon.departures.find_start(now) if tried else None
         choice = daemon.chooser.choose(
             daemon.table.list_usable(_SERVICE, now),
             registered=daemon.table.list_registered(_SERVICE),
@@ -150,7 +150,7 @@
             return
         target.record_failure(now)
         if not self._is_baseline:
-            daemon.replaced.record(target, now)
+            daemon.departures.record_replaced(target, now)
             self._report(daemon)
         is_charged = not self._is_baseline
         if len(tried) >= MAX_ATTEMPTS or (
@@ -165,7 +165,7 @@
         target.record_success(self._loop.now)
 
     def _report(self, daemon: _Daemon) -> None:
-        reported = daemon.replaced.export(self._loop.now)
+        reported = daemon.departures.export(self._loop.now)
         for peer in self._daemons:
             if peer is not daemon:
                 self._loop.call_later(
@@ -174,7 +174,7 @@
                 )
 
     def _merge(self, peer: _Daemon, reported: list[str]) -> None:
-        peer.replaced.merge(reported, peer.table.targets, self._loop.now)
+        peer.departures.merge(reported, peer.table.targets, self._loop.now)
 
     def _replace(self, number: int) -> None:
         old = _make_registration(number, is_new=False)
--- a/mothpass/core/queue_admission.py
+++ b/mothpass/core/queue_admission.py
@@ -5,7 +5,8 @@
 and retry would add load. A request is queued only if a slot is likely to
 become free while its answer still counts. Otherwise it is rejected at once
 with the time of its retry; these times are spread, so that the returning
-clients find free slots.
+clients find free slots. The same holds where all targets of a service have
+asked this daemon for a pause.
 """
 
 import random as random_module
@@ -73,6 +74,34 @@
     )
 
 
+def decide_pause(
+    *,
+    resumes_at: float,
+    now: float,
+    deadline: float,
+    random: random_module.Random,
+) -> Enqueue | Reject:
+    """Decides whether to queue a request while all of its targets pause.
+
+    Args:
+        resumes_at: Monotonic seconds at which the first of them takes requests
+            again.
+        now: Monotonic seconds.
+        deadline: Monotonic seconds at which the final answer is due.
+        random: Source of randomness.
+    """
+    until = now + (deadline - now) * _MAX_QUEUED_SHARE
+    if resumes_at < until:
+        return Enqueue(until=until)
+    pause_ms = (resumes_at - now) * 1000
+    return Reject(
+        retry_after_ms=int(
+            max(_MIN_RETRY_AFTER_MS, pause_ms)
+            * random.uniform(1.0, _RETRY_SPREAD_MULTIPLE)
+        )
+    )
+
+
 def draw_retry_after(
     *,
     expected_s: float,
--- a/mothpass/core/target_choice.py
+++ b/mothpass/core/target_choice.py
@@ -176,6 +176,9 @@
         Requests beyond that would wait at the target out of order, or be
         rejected by it.
         """
+        if target.is_resuming() and target.in_flight:
+            # All requests that its pause held back would come at once.
+            return False
         slots = target.registration.slots
         return (
             slots <= 0
--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -54,9 +54,12 @@
             started.
         in_flight: Attempts of this daemon in flight there.
         is_gone: Whether it is no longer registered.
+        is_leaving: Whether it said in an answer that it leaves.
         last_byte_at: Monotonic seconds of the last byte received from it.
         last_success_at: Monotonic seconds of the last whole answer of it; minus
             infinity before the first.
+        paused_until: Monotonic seconds until which it asked this daemon to send
+            it nothing.
         prefill_backlog_tokens: Prompt tokens that it has yet to prefill for
             attempts of this daemon.
         recent_dispatches: Attempts that this daemon dispatched to it in the
@@ -76,8 +79,10 @@
         "first_seen",
         "in_flight",
         "is_gone",
+        "is_leaving",
         "last_byte_at",
         "last_success_at",
+        "paused_until",
         "prefill_backlog_tokens",
         "recent_dispatches",
         "registration",
@@ -95,6 +100,8 @@
         self.in_flight = 0
         self.prefill_backlog_tokens = 0
         self.is_gone = False
+        self.is_leaving = False
+        self.paused_until = float("-inf")
         self.backoff_until = 0.0
         self.recent_dispatches = windows.SlidingCount(window_s=1.0)
         self._consecutive_failures = 0
@@ -119,6 +126,10 @@
         """Returns whether it failed so recently that other targets go first."""
         return now < self.backoff_until
 
+    def is_resuming(self) -> bool:
+        """Returns whether it has not yet answered since its last pause."""
+        return self.last_success_at < self.paused_until
+
     def record_failure(self, now: float) -> None:
         """Starts a backoff that doubles with each failure in a row."""
         if now - self._last_failure_at > _FAILURE_RESET_S:
@@ -239,12 +250,28 @@
 
     def list_usable(self, service: str, now: float) -> list[Target]:
         """Returns the targets of a service that may get new requests."""
+        return [
+            target
+            for target in self._list_in_service(service, now)
+            if target.paused_until <= now
+        ]
+
+    def list_paused(self, service: str, now: float) -> list[Target]:
+        """Returns the targets that only their own pause excludes."""
+        return [
+            target
+            for target in self._list_in_service(service, now)
+            if target.paused_until > now
+        ]
+
+    def _list_in_service(self, service: str, now: float) -> list[Target]:
         closed = self.closed_zones
         superseded = self._owners.superseded
         return [
             target
             for target in self._by_service.get(service, ())
             if not target.registration.is_draining
+            and not target.is_leaving
             and target.id not in superseded
             and target.replaced_until <= now
             and target.registration.availability_zone not in closed
--- a/mothpass/platform/targets.py
+++ b/mothpass/platform/targets.py
@@ -3,6 +3,9 @@
 from mothpass.ports import relay
 
 _OTHER_INSTANCE = 421
+_UNAVAILABLE = 503
+# A target that asks for more is treated as if it had asked for this.
+MAX_PAUSE_S = 30.0
 
 
 def write_request(request: relay.Request, dispatch: relay.Dispatch) -> bytes:
@@ -46,11 +49,26 @@
         request_id=None if request_id is None else request_id.decode("latin-1"),
         execution_state=execution_state,
         is_other_target=is_other,
+        is_leaving=fields.get(b"server-leaving", b"").strip() == b"1",
+        pause_s=_decode_pause(fields.get(b"retry-after", b""))
+        if status == _UNAVAILABLE
+        else None,
         is_signed=b"server-seal" in fields,
         idle_timeout_s=_decode_idle_timeout(fields.get(b"keep-alive", b"")),
     )
 
 
+def _decode_pause(value: bytes) -> float | None:
+    """Returns the seconds of a Retry-After, None if it has no usable value."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    if not seconds > 0:
+        return None
+    return min(seconds, MAX_PAUSE_S)
+
+
 def _decode_idle_timeout(value: bytes) -> float | None:
     for item in value.split(b","):
         name, _, seconds = item.strip().partition(b"=")
--- a/mothpass/ports/relay.py
+++ b/mothpass/ports/relay.py
@@ -96,6 +96,8 @@
         request_id: Id of the answered request, None without one.
         execution_state: Whether the request ran.
         is_other_target: Whether the address now belongs to another target.
+        is_leaving: Whether the target says that it is about to leave.
+        pause_s: Seconds for which it wants no requests, None without a wish.
         is_signed: Whether the answer has the target's signature.
         idle_timeout_s: Time for which the target keeps an idle connection
             open, None if not stated.
@@ -106,6 +108,8 @@
     request_id: str | None
     execution_state: ExecutionState
     is_other_target: bool
+    is_leaving: bool = False
+    pause_s: float | None = None
     is_signed: bool
     idle_timeout_s: float | None
 
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -123,6 +123,7 @@
         needs_new_connection: Whether a pooled connection may not be reused.
         max_idle_connections: Idle connections that the pool may keep to the
             target.
+        on_head: Called with the head of the answer.
         on_event: Called with the id of the last event forwarded.
     """
 
@@ -133,6 +134,7 @@
     silence_timeout_s: float | None
     needs_new_connection: bool
     max_idle_connections: int
+    on_head: abc.Callable[[relay.AnswerHead], None]
     on_event: abc.Callable[[int], None]
 
 
@@ -225,7 +227,9 @@
         while not exchange.status:
             await exchange.wait_for_progress()
         attempt.target.last_byte_at = exchange.last_byte_at
-        return self._read_head(exchange.status, tuple(exchange.header_list))
+        head = self._read_head(exchange.status, tuple(exchange.header_list))
+        attempt.on_head(head)
+        return head
 
     async def _deliver(
         self,
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -14,9 +14,9 @@
 from mothpass.adapters import http_fetch
 from mothpass.adapters import http_pool
 from mothpass.adapters import relay_listener
+from mothpass.core import departures
 from mothpass.core import errors
 from mothpass.core import prompts
-from mothpass.core import replaced_targets
 from mothpass.core import store_versions
 from mothpass.core import suspects
 from mothpass.core import target_table
@@ -72,7 +72,7 @@
     Attributes:
         is_leaving: Whether this daemon is shutting down.
         crash_suspects: Requests that are suspected to crash targets.
-        replaced_targets: Targets that this daemon has found replaced.
+        departures: Targets that answers show to be gone or leaving.
     """
 
     __slots__ = (
@@ -101,8 +101,8 @@
         "_transfers",
         "_watcher_wait_s",
         "crash_suspects",
+        "departures",
         "is_leaving",
-        "replaced_targets",
     )
 
     def __init__(
@@ -127,7 +127,7 @@
         self._state = state
         self._random = random
         self.crash_suspects = suspects.SuspectTable(own_id=settings.id)
-        self.replaced_targets = replaced_targets.ReplacedTargets()
+        self.departures = departures.DepartureTable()
         self._started_ms = int(time.time() * 1000)
         self._sequence_number = 0
         self.is_leaving = False
@@ -319,7 +319,7 @@
                 for target in busy
                 if target.prefill_backlog_tokens >= gossip.MIN_REPORTED_TOKENS
             },
-            replaced_targets=self.replaced_targets.export(now),
+            departed_targets=self.departures.export(now),
             held_tables=[
                 name
                 for name, replica in self._replicas.items()
@@ -355,9 +355,9 @@
             self.crash_suspects.merge(
                 peer.message.crash_suspects, now=loop.time()
             )
-        if peer.message.replaced_targets:
-            self.replaced_targets.merge(
-                peer.message.replaced_targets,
+        if peer.message.departed_targets:
+            self.departures.merge(
+                peer.message.departed_targets,
                 self._state.targets.targets,
                 loop.time(),
             )
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -2,16 +2,17 @@
 
 import asyncio
 from collections import abc
+import functools
 import logging
 import random as random_module
 
 from mothpass.adapters import event_log
 from mothpass.adapters import relay_listener
+from mothpass.core import departures
 from mothpass.core import errors
 from mothpass.core import fleet_retry_budget
 from mothpass.core import prompts
 from mothpass.core import queue_admission
-from mothpass.core import replaced_targets
 from mothpass.core import results
 from mothpass.core import route_table
 from mothpass.core import target_choice
@@ -60,7 +61,7 @@
         "_queues",
         "_random",
         "_read_request",
-        "_replaced_targets",
+        "_departures",
         "_sender",
         "_write_request",
     )
@@ -76,7 +77,7 @@
         count_daemons: abc.Callable[[], int],
         count_prefill_backlog: target_choice.CountPrefillBacklog,
         crash_detector: crashes.CrashDetector,
-        replaced: replaced_targets.ReplacedTargets,
+        departure_table: departures.DepartureTable,
         metrics: metrics_module.Metrics,
         read_request: relay.ReadRequest,
         write_request: relay.WriteRequest,
@@ -94,7 +95,7 @@
             count_prefill_backlog: Counts the tokens that a target has yet to
                 prefill.
             crash_detector: Detects crashes of targets.
-            replaced: Targets that this daemon has found replaced.
+            departure_table: Targets that answers show to be gone or leaving.
             metrics: Counters and histograms.
             read_request: Decodes a client's request.
             write_request: Encodes a target's request.
@@ -109,7 +110,7 @@
         self._count_daemons = count_daemons
         self._count_prefill_backlog = count_prefill_backlog
         self._crash_detector = crash_detector
-        self._replaced_targets = replaced
+        self._departures = departure_table
         self._metrics = metrics
         self._read_request = read_request
         self._write_request = write_request
@@ -218,7 +219,7 @@
                 priority=admitted.priority,
                 team="" if admitted.team is None else admitted.team.name,
                 deadline=admitted.deadline,
-                alive_since=self._replaced_targets.find_start(now)
+                alive_since=self._departures.find_start(now)
                 if progress.not_run_attempts
                 else None,
             )
@@ -267,6 +268,7 @@
             needs_new_connection=not admitted.route.is_retryable
             or progress.attempt_count > 0,
             max_idle_connections=self._compute_idle_share(admitted),
+            on_head=functools.partial(self._record_head, admitted, target),
             on_event=record_event,
         )
         progress.tried.add(target.id)
@@ -341,6 +343,34 @@
         if outcome.is_disconnected:
             self._crash_detector.probe(target)
 
+    def _record_head(
+        self,
+        admitted: admission.Admitted,
+        target: target_table.Target,
+        head: relay.AnswerHead,
+    ) -> None:
+        """Records what a target says of itself in the head of an answer."""
+        now = asyncio.get_running_loop().time()
+        service = target.registration.service
+        if head.is_leaving and self._departures.record_leaving(target, now):
+            self._metrics.count("leaving_targets", service=service)
+            event_log.log(
+                _logger,
+                "target_leaving",
+                request_id=admitted.request.id,
+                target=target.id,
+            )
+        if head.pause_s is not None:
+            target.paused_until = max(target.paused_until, now + head.pause_s)
+            self._metrics.count("target_pauses", service=service)
+            event_log.log(
+                _logger,
+                "target_paused",
+                request_id=admitted.request.id,
+                target=target.id,
+                pause_s=head.pause_s,
+            )
+
     def _record_replaced(
         self,
         admitted: admission.Admitted,
@@ -348,7 +378,7 @@
         now: float,
     ) -> None:
         """Stops using a target at whose address another one answered."""
-        self._replaced_targets.record(target, now)
+        self._departures.record_replaced(target, now)
         self._metrics.count(
             "replaced_targets", service=target.registration.service
         )
@@ -359,7 +389,7 @@
             request_id=admitted.request.id,
             target=target.id,
             address=target.registration.address,
-            hold_s=replaced_targets.REPLACED_HOLD_S,
+            hold_s=departures.REPLACED_HOLD_S,
         )
 
     def _spend_retry(self, admitted: admission.Admitted) -> bool:
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -78,7 +78,7 @@
         crash_suspects: Requests that are suspected to crash targets.
         cached_prompts: Prompts that targets have cached for its requests.
         prefill_backlogs: Tokens that targets have yet to prefill for it.
-        replaced_targets: Ids of targets that it has found replaced.
+        departed_targets: Ids of targets that it has found replaced or leaving.
         held_tables: Tables of which it keeps rows in place of those of a
             restored store.
     """
@@ -97,7 +97,7 @@
     # two releases understand each other during a rolling update.
     cached_prompts: list[prompts.CachedPrompt] = []
     prefill_backlogs: dict[str, int] = {}
-    replaced_targets: list[str] = []
+    departed_targets: list[str] = []
     held_tables: list[str] = []
 
 
@@ -351,7 +351,7 @@
                 last.versions,
                 last.crash_suspects,
                 last.cached_prompts,
-                last.replaced_targets,
+                last.departed_targets,
                 last.held_tables,
             )
             == (
@@ -359,7 +359,7 @@
                 message.versions,
                 message.crash_suspects,
                 message.cached_prompts,
-                message.replaced_targets,
+                message.departed_targets,
                 message.held_tables,
             )
             and last.is_store_reader == message.is_store_reader
--- a/mothpass/relay/request_queues.py
+++ b/mothpass/relay/request_queues.py
@@ -105,15 +105,53 @@
             slot_request.service, asyncio.get_running_loop().time()
         )
         if all(target.id in slot_request.avoided for target in usable):
-            return _make_refusal(
-                results.Code.NO_TARGET, "no target", NO_TARGET_RETRY_AFTER_MS
-            )
+            return await self._wait_for_resumption(slot_request, service_queue)
         if not len(service_queue.queue):
             choice = self._reserve_slot(slot_request)
             if choice is not None:
                 return choice
         return await self._enqueue(slot_request, service_queue)
 
+    async def _wait_for_resumption(
+        self, slot_request: SlotRequest, service_queue: _ServiceQueue
+    ) -> target_choice.Choice | errors.Refusal:
+        """Queues a request until a target that paused takes requests again."""
+        now = asyncio.get_running_loop().time()
+        paused = self._targets.list_paused(slot_request.service, now)
+        resumption_times = [
+            target.paused_until
+            for target in paused
+            if target.id not in slot_request.avoided
+        ]
+        if not resumption_times:
+            return _make_refusal(
+                results.Code.NO_TARGET, "no target", NO_TARGET_RETRY_AFTER_MS
+            )
+        decision = queue_admission.decide_pause(
+            resumes_at=min(resumption_times),
+            now=now,
+            deadline=slot_request.deadline,
+            random=self._random,
+        )
+        event_log.log(
+            _logger,
+            "targets_paused",
+            request_id=slot_request.request_id,
+            service=slot_request.service,
+            paused=len(resumption_times),
+            resumes_ms=round((min(resumption_times) - now) * 1000),
+            waits=isinstance(decision, queue_admission.Enqueue),
+        )
+        if isinstance(decision, queue_admission.Reject):
+            return _make_refusal(
+                results.Code.OVERLOADED,
+                "all targets asked for a pause",
+                decision.retry_after_ms,
+            )
+        return await self._wait_in_queue(
+            slot_request, service_queue, decision.until
+        )
+
     def release_slot(self, target: target_table.Target) -> None:
         """Releases a slot and dispatches requests of its service."""
         target.in_flight -= 1
@@ -157,21 +195,30 @@
                 "targets are at capacity",
                 decision.retry_after_ms,
             )
+        return await self._wait_in_queue(
+            slot_request, service_queue, decision.until
+        )
+
+    async def _wait_in_queue(
+        self,
+        slot_request: SlotRequest,
+        service_queue: _ServiceQueue,
+        until: float,
+    ) -> target_choice.Choice | errors.Refusal:
+        loop = asyncio.get_running_loop()
         queued = fair_queue.QueuedRequest(
             id=next(self._queue_ids),
             team=slot_request.team,
             weight=1,
             priority=slot_request.priority,
-            deadline=decision.until,
+            deadline=until,
         )
         slot: _SlotFuture = loop.create_future()
         service_queue.slot_requests[queued.id] = (slot_request, slot)
         for evicted in service_queue.queue.offer(queued):
             self._reject_queued(service_queue, evicted)
         # A request that more urgent ones overtake is also rejected in time.
-        timer = loop.call_at(
-            decision.until, self._reject_queued, service_queue, queued
-        )
+        timer = loop.call_at(until, self._reject_queued, service_queue, queued)
         try:
             return await asyncio.shield(slot)
         except asyncio.CancelledError:
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -138,7 +138,7 @@
             crash_detector=crashes.CrashDetector(
                 pool=pool, crash_suspects=self.fleet_sync.crash_suspects
             ),
-            replaced=self.fleet_sync.replaced_targets,
+            departure_table=self.fleet_sync.departures,
             metrics=self._metrics,
             read_request=ports.read_request,
             write_request=ports.write_request,
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -25,6 +25,7 @@
         on_reused_connection: Script of requests on a reused connection, None
             to handle them as others.
         connections: Number of connections opened to it.
+        extra_headers: Headers that its answers carry besides.
     """
 
     def __init__(self, target_id: str) -> None:
@@ -37,6 +38,7 @@
         self.answer: Script = answer_normally
         self.on_reused_connection: Script | None = None
         self.connections = 0
+        self.extra_headers: dict[str, str] = {}
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -134,7 +136,8 @@
         await stream(EVENTS)(target, request, writer)
         return
     target.runs.append(request.headers["attempt-id"])
-    wire.write_answer(writer, 200, make_headers(request), b"done")
+    headers = make_headers(request) | target.extra_headers
+    wire.write_answer(writer, 200, headers, b"done")
 
 
 def start_stream(
@@ -142,7 +145,7 @@
 ) -> int:
     """Writes the head of a stream; returns the number of its first event."""
     target.runs.append(request.headers["attempt-id"])
-    headers = make_headers(request)
+    headers = make_headers(request) | target.extra_headers
     headers["Content-Type"] = "text/event-stream"
     headers["Transfer-Encoding"] = "chunked"
     writer.write(wire.encode_head(200, headers))
@@ -209,8 +212,8 @@
     async def run(
         target: Target, request: wire.Request, writer: asyncio.StreamWriter
     ) -> None:
-        del target, request
-        wire.write_answer(writer, status, headers, b"")
+        del request
+        wire.write_answer(writer, status, headers | target.extra_headers, b"")
 
     return run
 
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -83,7 +83,7 @@
         )
         self.assertEqual(message.peers, ["10.0.0.2:7340"])
         # Later releases only add fields behind those of the first one.
-        added = [message.replaced_targets, message.held_tables]
+        added = [message.departed_targets, message.held_tables]
         self.assertEqual(added, [[], []])
         self.assertEqual(
             msgspec.msgpack.encode(message),
