--- a/tests/test_queue_admission.py
+++ b/tests/test_queue_admission.py
@@ -26,7 +26,7 @@
         registration = target_table.Registration(
             id=f"i-{number}",
             service="plain",
-            address="10.0.0.1:80",
+            address=f"10.0.0.{number}:80",
             availability_zone="zone-a",
             slots=_SLOTS,
             is_draining=False,
