Let starting daemons, and those the store turns away, make fewer calls to it

Cause, from the twin's logs: each starting daemon took itself for a reader of the change feeds until it knew its peers, and followed each change until then; addresses of peers that it learned just after a probe waited 0.9 s for the next one; daemons that the store turns away retried though others read for them; and each reader followed each single change of a burst of targets. Change: feeds are followed from 0.8 s after the start on; new addresses are probed in the next round; only daemons that rank as readers retry; readers other than the watcher pause 0.4 s between calls for changes of targets.

--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -51,6 +51,13 @@
 # charged for, so that the other readers make longer ones.
 CHANGE_FEED_WAIT_S = 10.0
 MIN_WATCHER_WAIT_S = 0.3
+# A daemon that starts knows enough of its peers after this time to tell whether
+# it is one of the few that read the change feeds. Until then its first read of
+# the tables does.
+READER_SETTLE_S = 0.8
+# Changes of targets come in bursts. A reader that isn't the watcher gets the
+# first of a burst from the watcher, and all others with its own next call.
+TARGET_FEED_PAUSE_S = 0.4
 # Part of the time limit for a change that covers the timeout of a silent call,
 # the gossip to other daemons, their poll and the transfer of its answer.
 WATCHER_MARGIN_S = 1.4
@@ -93,6 +100,7 @@
         "_replicas",
         "_seeds",
         "_sequence_number",
+        "_settled_at",
         "_started_ms",
         "_state",
         "_store_era",
@@ -135,6 +143,7 @@
         self._store_unreachable_at = float("-inf")
         self._polled_at = float("-inf")
         self._is_watcher = False
+        self._settled_at = float("inf")
         self._watcher_wait_s = max(
             MIN_WATCHER_WAIT_S,
             settings.change_in_force_ms / 1000 - WATCHER_MARGIN_S,
@@ -168,23 +177,26 @@
                 compare=compare,
                 must_read=self._must_read,
                 get_wait_s=get_wait_s,
+                get_pause_s=get_pause_s,
                 has_reader_peer=self._gossip.has_reader_peer,
                 is_store_stable=self.is_store_stable,
                 on_change=self._handle_change,
                 metrics=metrics,
             )
-            for name, apply_changes, compare, get_wait_s in (
+            for name, apply_changes, compare, get_wait_s, get_pause_s in (
                 (
                     ports.operator_table,
                     state.apply_operator_rows,
                     ports.compare_operator_values,
                     self._get_feed_wait_s,
+                    lambda: 0.0,
                 ),
                 (
                     ports.target_table,
                     state.apply_target_rows,
                     ports.compare_target_values,
                     lambda: CHANGE_FEED_WAIT_S,
+                    self._get_target_feed_pause_s,
                 ),
             )
         }
@@ -206,6 +218,7 @@
             OSError: If the peer address can't be bound.
         """
         loop = asyncio.get_running_loop()
+        self._settled_at = loop.time() + READER_SETTLE_S
         await loop.create_datagram_endpoint(
             lambda: self._gossip, local_addr=(self._host, self._port)
         )
@@ -259,12 +272,18 @@
         now = asyncio.get_running_loop().time()
         return now - self._store_unreachable_at >= state_module.RECOVERY_HOLD_S
 
+    def _is_settled(self) -> bool:
+        return asyncio.get_running_loop().time() >= self._settled_at
+
     def _must_read(self) -> bool:
-        return self._gossip.is_reader(reaches_store=self._reaches_store())
+        return self._is_settled() and self._gossip.is_reader()
 
     def _get_feed_wait_s(self) -> float:
         return self._watcher_wait_s if self._is_watcher else CHANGE_FEED_WAIT_S
 
+    def _get_target_feed_pause_s(self) -> float:
+        return 0.0 if self._is_watcher else TARGET_FEED_PAUSE_S
+
     def _update_watcher(self) -> None:
         """Makes this daemon the watcher if it ranks first for the store."""
         was_watcher = self._is_watcher
@@ -419,6 +438,7 @@
         Returns:
             Whether that succeeded.
         """
+        asked_at = replica.content_version
         url = f"{_PEER_PATH}{replica.name}?{after}"
         request = f"GET {url} HTTP/1.1\r\nhost: {peer.address}\r\n\r\n"
         started_at = asyncio.get_running_loop().time()
@@ -438,7 +458,6 @@
             )
         except (errors.MothpassError, msgspec.DecodeError, zlib.error) as error:
             replica.count_read("peer", "failed")
-        asked_at = replica.content_version
             event_log.log(
                 _logger,
                 "peer_fetch_failed",
@@ -508,7 +527,8 @@
             self._gossip.tick()
             self._update_watcher()
             if (
-                not self._is_store_reader()
+                self._is_settled()
+                and not self._is_store_reader()
                 and not self._gossip.has_reader_peer()
             ):
                 self._store_unreachable_at = asyncio.get_running_loop().time()
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -256,8 +256,12 @@
         now = asyncio.get_running_loop().time()
         known = {peer.address for peer in self.peers.values()}
         for address in addresses:
-            if address != self._address and address not in known:
-                self._candidates.setdefault(address, now + CANDIDATE_LIFETIME_S)
+            if address in known or address in self._candidates:
+                continue
+            if address != self._address:
+                self._candidates[address] = now + CANDIDATE_LIFETIME_S
+                # The next round includes it.
+                self._probed_at = float("-inf")
 
     def list_live(self) -> list[Peer]:
         """Returns the peers that sent a message in time and aren't leaving."""
@@ -282,11 +286,12 @@
             ),
         ]
 
-    def is_reader(self, *, reaches_store: bool) -> bool:
-        """Returns whether this daemon is to read the store's change feed."""
-        if not reaches_store:
-            # It keeps retrying while others read in its place.
-            return True
+    def is_reader(self) -> bool:
+        """Returns whether this daemon is to read the store's change feed.
+
+        One that ranks for it but doesn't reach the store keeps trying, while
+        others, which rank without it, read in its place.
+        """
         return self.ranks_below(self.count_readers())
 
     def count_readers(self) -> int:
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -45,6 +45,7 @@
         "_copy",
         "_feed_call",
         "_follow",
+        "_get_pause_s",
         "_get_wait_s",
         "_has_reader_peer",
         "_is_store_stable",
@@ -67,6 +68,7 @@
         compare: replicas.CompareValues,
         must_read: abc.Callable[[], bool],
         get_wait_s: abc.Callable[[], float],
+        get_pause_s: abc.Callable[[], float],
         has_reader_peer: abc.Callable[[], bool],
         is_store_stable: abc.Callable[[], bool],
         on_change: abc.Callable[["Replica"], None],
@@ -83,6 +85,7 @@
             must_read: Returns whether this daemon is to read the store.
             get_wait_s: Returns for how many seconds the store holds a change
                 feed call.
+            get_pause_s: Returns the seconds between two change feed calls.
             has_reader_peer: Returns whether a peer reads the store.
             is_store_stable: Returns whether a missing row is removed, and
                 didn't just expire during an outage of the store.
@@ -100,6 +103,7 @@
         self._apply_changes = apply_changes
         self._must_read = must_read
         self._get_wait_s = get_wait_s
+        self._get_pause_s = get_pause_s
         self._has_reader_peer = has_reader_peer
         self._is_store_stable = is_store_stable
         self._feed_call: asyncio.Future[replicas.Page | None] | None = None
@@ -138,6 +142,7 @@
                 needs_whole = await self._read_once(
                     needs_whole or not self.version
                 )
+                await asyncio.sleep(self._get_pause_s())
             except (
                 errors.StoreUnavailableError,
                 errors.StoreUnconfirmedError,
@@ -168,12 +173,12 @@
         """
         if not self.version:
             return
+        asked_at = self.content_version
         try:
             page = await self._follow(self.name, self.version, 0.0)
         except (
             errors.StoreUnavailableError,
             errors.StoreUnconfirmedError,
-        asked_at = self.content_version
         ) as error:
             self._record_failure(error)
             return
@@ -216,12 +221,12 @@
         if change.rows or change.is_restore or not before:
             self._apply_changes(change.rows, self._is_store_stable())
             self._on_change(self)
+        return True
 
     def expire_holds(self) -> None:
         """Applies the store's state for rows that weren't written again."""
         if not self._copy.has_holds:
             return
-        return True
         rows = self._copy.expire_holds(asyncio.get_running_loop().time())
         if rows:
             event_log.log(
@@ -253,12 +258,12 @@
 
     async def _read_once(self, needs_whole: bool) -> bool:
         """Reads once; returns whether the next read must be a whole one."""
+        asked_at = self.content_version
         if needs_whole:
             page = await self._read(self.name)
         else:
             followed = await self._wait_for_changes()
             if followed is None:
-        asked_at = self.content_version
                 event_log.log(
                     _logger,
                     "history_gone",
@@ -289,12 +294,12 @@
             before=store_versions.to_pair(before),
             bytes=size,
         )
+        return is_applied
 
     async def _wait_for_changes(self) -> replicas.Page | None:
         # After an outage the answer must come at once to show its end.
         wait_s = self._get_wait_s() if self.is_store_reached else 0.0
         call = asyncio.ensure_future(
-        return is_applied
             self._follow(self.name, self.version, wait_s)
         )
         self._feed_call = call
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -105,6 +105,15 @@
         reached = {host for at, host in self.transport.sent if at >= 4.0}
         self.assertEqual(len(reached), _FLEET - 1)
 
+    def test_daemon_that_others_read_for_is_no_reader(self) -> None:
+        """Guards against retries of all daemons that the store turns away."""
+
+        async def play() -> None:
+            await self.tick(1.0, delivers=True)
+            self.assertFalse(self.gossip.is_reader())
+
+        self.loop.run_all(play())
+
     def test_lost_peers_are_sent_to_but_no_more_often(self) -> None:
         async def play() -> None:
             await self.tick(1.0, delivers=True)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -24,6 +24,7 @@
             compare=lambda *_: 0,
             must_read=lambda: True,
             get_wait_s=lambda: 10.0,
+            get_pause_s=lambda: 0.0,
             has_reader_peer=lambda: False,
             is_store_stable=lambda: True,
             on_change=lambda _: None,
