End a stream whose bytes complete no event within the silence timeout

Seen: operators of similar systems report stalled streams that send a byte now and then and never end. Here such a stream held its caller until the deadline. Cause: the silence timeout starts anew with each byte. Evidence: test_stream_that_only_drips_goes_on_at_another_target failed before: the answer ended at the deadline without its end. Why it works: a stream must complete an event within the same timeout; it then goes on at another target like one that is silent. A stream with pauses of 0.7 s is not cut (test_slow_stream_that_goes_on_is_not_cut). Where a stream may not go on elsewhere nothing changes: the deadline ends it.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -275,6 +275,7 @@
         delivery: Delivery,
     ) -> Outcome:
         splitter = server_sent_events.EventSplitter()
+        last_event_at = exchange.last_byte_at
         while True:
             await exchange.wait_for_progress()
             attempt.target.last_byte_at = exchange.last_byte_at
@@ -284,6 +285,10 @@
                 events = splitter.split(exchange.read_available())
             except ValueError as error:
                 raise errors.TargetAnswerLostError(str(error)) from error
+            if events:
+                last_event_at = exchange.last_byte_at
+            else:
+                _check_event_in_time(attempt, exchange, last_event_at)
             data = _take_new_events(events, delivery)
             if data:
                 _start_stream(head, delivery)
@@ -306,6 +311,21 @@
         delivery.client.start_stream(head.status, head.headers)
 
 
+def _check_event_in_time(
+    attempt: Attempt, exchange: http_exchanges.Exchange, last_event_at: float
+) -> None:
+    """Checks that bytes that arrive also complete an event at times.
+
+    Raises:
+        errors.TargetSilentError: If no event ended within the silence timeout.
+    """
+    timeout_s = attempt.silence_timeout_s
+    if exchange.complete or timeout_s is None:
+        return
+    if exchange.last_byte_at - last_event_at > timeout_s:
+        raise errors.TargetSilentError("no whole event, though bytes arrive")
+
+
 def _take_new_events(
     events: list[server_sent_events.Event], delivery: Delivery
 ) -> bytes:
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -206,6 +206,21 @@
     return run
 
 
+def drip_stream(events: int, *, pause_s: float) -> Script:
+    """Returns a script that sends events, then a byte at a time for good."""
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        for number in range(start_stream(target, request, writer), events):
+            wire.write_chunk(writer, make_event(number))
+        while True:
+            wire.write_chunk(writer, b"x")
+            await asyncio.sleep(pause_s)
+
+    return run
+
+
 def reject(status: int, headers: dict[str, str]) -> Script:
     """Returns a script that rejects the request without running it."""
 
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -239,6 +239,26 @@
         self.assertTrue(answer.is_whole)
         self.assertEqual(sum(len(item.runs) for item in self.models), 1)
 
+    async def test_stream_that_only_drips_goes_on_at_another_target(
+        self,
+    ) -> None:
+        """Guards against a stalled stream that a byte now and then keeps."""
+        self.script_all(self.models, target_standin.drip_stream(1, pause_s=0.1))
+        answer = await self.send_request(
+            "POST", "/chat/1", self.make_chat_headers()
+        )
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body, _make_stream(target_standin.EVENTS))
+
+    async def test_slow_stream_that_goes_on_is_not_cut(self) -> None:
+        """Guards against sound streams that are given up for their pauses."""
+        self.script_all(self.models, target_standin.stream(3, pause_s=0.7))
+        answer = await self.send_request(
+            "POST", "/chat/1", self.make_chat_headers()
+        )
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(sum(len(item.runs) for item in self.models), 1)
+
     async def test_log_has_the_longest_gap_of_a_stream(self) -> None:
         self.script_all(self.models, target_standin.stream(3, pause_s=0.2))
         # A full collection of the test process takes longer than the bound.
