Let the demo's fake processes record themselves before they are stopped

Cause: the fake load ended at once, and the script stopped a fake daemon before its shell had recorded it. What is expected stays as it was.

--- a/tests/test_demo_script.py
+++ b/tests/test_demo_script.py
@@ -12,6 +12,8 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _SCRIPT = _ROOT / "scripts" / "demo.sh"
 _TOTALS_LINE = '{"requests":1}'
+# Daemons, engines, services and the stand-ins of the platform.
+_PROCESSES = 8 + 5 + 3 + 3
 # Replaces the interpreter: records its process id, then behaves like the
 # program that it is asked to run.
 _FAKE_INTERPRETER = """#!/usr/bin/env bash
@@ -19,7 +21,12 @@
 echo "$program $$" >>"{process_list}"
 case $program in
   *mothpassctl) echo accepted ;;
-  *mothpass_load) echo '{line}'; exit {load_status} ;;
+  *mothpass_load)
+    # The script stops all processes after this one, which some of them would
+    # not live to record.
+    until [ "$(grep -cE 'mothpassd|standin' "{process_list}")" -ge {processes} ]
+    do sleep 0.05; done
+    echo '{line}'; exit {load_status} ;;
   *{dying}) exit 1 ;;
   *) exec sleep 60 ;;
 esac
@@ -43,6 +50,7 @@
                 process_list=self.process_list,
                 line=_TOTALS_LINE,
                 load_status=load_status,
+                processes=_PROCESSES,
                 dying=dying,
             )
         )
@@ -69,7 +77,7 @@
         started = self.list_started()
         programs = list(started.values())
         self.assertEqual(programs.count("mothpass.programs.mothpassd"), 8)
-        self.assertEqual(len(programs), 8 + 5 + 3 + 3)
+        self.assertEqual(len(programs), _PROCESSES)
         for process_id in started:
             with self.assertRaises(ProcessLookupError, msg=str(process_id)):
                 os.kill(process_id, 0)
