Follow the feeds at once where there are no other daemons, and after a first read

A daemon without peers waited 0.8 s before it followed a feed, and each daemon paused 0.4 s after its first read of the targets. Both are without use: there is nobody else to follow the feeds, and the first read follows no burst. Change: a daemon whose registration finds no other settles at once; only feed calls are followed by a pause. Tests that start a daemon and order a fault at its feed calls now wait until it makes them (two), or until it has the entry that they write (one, in place of 0.2 s); what they check stays as it was.

--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -508,6 +508,9 @@
                     if row.value
                 )
                 known = {row.key: row.value for row in page.rows}
+                if not known.keys() - {self._id}:
+                    # There are no others that could read the change feeds.
+                    self._settled_at = asyncio.get_running_loop().time()
                 if known.get(self._id) != own:
                     await self._ports.write_row(PEERS_TABLE, self._id, own)
             except errors.MothpassError as error:
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -138,11 +138,11 @@
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
                 needs_whole = False
                 continue
+            is_feed_call = bool(self.version) and not needs_whole
             try:
-                needs_whole = await self._read_once(
-                    needs_whole or not self.version
-                )
-                await asyncio.sleep(self._get_pause_s())
+                needs_whole = await self._read_once(not is_feed_call)
+                if is_feed_call:
+                    await asyncio.sleep(self._get_pause_s())
             except (
                 errors.StoreUnavailableError,
                 errors.StoreUnconfirmedError,
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -227,6 +227,15 @@
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
+    async def wait_until_followed(self) -> None:
+        """Waits until change feed calls of both tables wait at the store.
+
+        A daemon makes them some time after its start.
+        """
+        await self.wait_for(
+            lambda: {"op", "servers"} <= set(self.store.waiting_calls)
+        )
+
     async def wait_for_version(
         self, version: int, timeout_s: float = 2.0
     ) -> None:
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -39,6 +39,7 @@
         delay_s: Delay of each answer.
         loses_answers: Whether writes are applied and their answers lost.
         calls: Paths of the calls that arrived.
+        waiting_calls: Tables of the change feed calls that wait now.
         era: Number of the restores, as each answer states.
         version: Newest version.
     """
@@ -53,6 +54,7 @@
         self.delay_s = 0.0
         self.loses_answers = False
         self.calls: list[str] = []
+        self.waiting_calls: list[str] = []
         self._rows: dict[tuple[str, str], Row] = {}
         self._changes: list[tuple[str, Row]] = []
         self._changed = asyncio.Event()
@@ -217,6 +219,10 @@
             ]
             if rows or loop.time() >= until:
                 return 200, {"rows": rows, "ver": self.version, "nowMs": 0}
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout_at(until):
-                    await self._changed.wait()
+            self.waiting_calls.append(query["table"])
+            try:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout_at(until):
+                        await self._changed.wait()
+            finally:
+                self.waiting_calls.remove(query["table"])
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -96,17 +96,26 @@
         await self.check_leaves(script, "/read/1", is_chat=False)
         target = self.plain[0]
         target.extra_headers = {}
-        self.store.put("servers", target.id, target.encode_entry("plain"))
-        await asyncio.sleep(0.2)
+        # The same start in another state, then a new start.
+        await self.change_entry(target, slots=9)
         await self.send_request("GET", "/read/1")
         self.assertEqual(len(target.requests), 1)
-        entry = target.encode_entry("plain", born=2000)
-        self.store.put("servers", target.id, entry)
-        await asyncio.sleep(0.2)
+        await self.change_entry(target, slots=10, born=2000)
         for number in range(30):
             await self.send_request("GET", f"/read/{number}")
         self.assertGreater(len(target.requests), 1)
 
+    async def change_entry(
+        self, target: target_standin.Target, *, slots: int, born: int = 1000
+    ) -> None:
+        """Writes an entry and waits until the daemon has it."""
+        entry = target.encode_entry("plain", slots=slots, born=born)
+        self.store.put("servers", target.id, entry)
+        known = self.services[0].state.targets.targets
+        await self.wait_for(
+            lambda: known[target.id].registration.slots == slots
+        )
+
 
 class PausingTargetsTest(fleet.FleetTest):
     """Targets that refuse requests and ask for a pause."""
--- a/tests/platform/test_table_transfers.py
+++ b/tests/platform/test_table_transfers.py
@@ -57,6 +57,7 @@
         )
 
     async def test_each_failed_read_is_logged(self) -> None:
+        await self.wait_until_followed()
         with self.assertLogs("mothpass.replicas", "WARNING") as logs:
             self.store.status = 503
             self.store.put("op", "config", fleet.make_document(version=2))
@@ -100,6 +101,7 @@
     async def test_answer_that_stalls_is_abandoned_for_a_new_call(self) -> None:
         link = await self.open_link(self.store.address, 400_000)
         await self.add_daemon(0, link.address)
+        await self.wait_until_followed()
         with self.assertLogs("mothpass.replicas", "WARNING") as logs:
             self.store.put("op", "config", make_large_document(version=2))
             await asyncio.sleep(0.3)
