--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -8,7 +8,6 @@
 
 from mothpass.adapters import event_log
 from mothpass.adapters import relay_listener
-from mothpass.core import departures
 from mothpass.core import errors
 from mothpass.core import fleet_retry_budget
 from mothpass.core import prompts
@@ -24,6 +23,7 @@
 from mothpass.relay import metrics as metrics_module
 from mothpass.relay import progress as progress_module
 from mothpass.relay import request_queues
+from mothpass.relay import target_notices
 
 # A target that is silent for this long beyond the route's target latency is
 # abandoned for another.
@@ -57,11 +57,11 @@
         "_crash_detector",
         "_make_budget",
         "_metrics",
+        "_notices",
         "_prompt_caches",
         "_queues",
         "_random",
         "_read_request",
-        "_departures",
         "_sender",
         "_write_request",
     )
@@ -77,7 +77,7 @@
         count_daemons: abc.Callable[[], int],
         count_prefill_backlog: target_choice.CountPrefillBacklog,
         crash_detector: crashes.CrashDetector,
-        departure_table: departures.DepartureTable,
+        notices: target_notices.TargetNotices,
         metrics: metrics_module.Metrics,
         read_request: relay.ReadRequest,
         write_request: relay.WriteRequest,
@@ -95,7 +95,7 @@
             count_prefill_backlog: Counts the tokens that a target has yet to
                 prefill.
             crash_detector: Detects crashes of targets.
-            departure_table: Targets that answers show to be gone or leaving.
+            notices: Applies what answers say of their targets.
             metrics: Counters and histograms.
             read_request: Decodes a client's request.
             write_request: Encodes a target's request.
@@ -110,7 +110,7 @@
         self._count_daemons = count_daemons
         self._count_prefill_backlog = count_prefill_backlog
         self._crash_detector = crash_detector
-        self._departures = departure_table
+        self._notices = notices
         self._metrics = metrics
         self._read_request = read_request
         self._write_request = write_request
@@ -219,7 +219,7 @@
                 priority=admitted.priority,
                 team="" if admitted.team is None else admitted.team.name,
                 deadline=admitted.deadline,
-                alive_since=self._departures.find_start(now)
+                alive_since=self._notices.find_trouble_start(now)
                 if progress.not_run_attempts
                 else None,
             )
@@ -268,7 +268,9 @@
             needs_new_connection=not admitted.route.is_retryable
             or progress.attempt_count > 0,
             max_idle_connections=self._compute_idle_share(admitted),
-            on_head=functools.partial(self._record_head, admitted, target),
+            on_head=functools.partial(
+                self._notices.record_head, admitted.request.id, target
+            ),
             on_event=record_event,
         )
         progress.tried.add(target.id)
@@ -335,7 +337,7 @@
             )
             return
         if outcome.is_replaced:
-            self._record_replaced(admitted, target, now)
+            self._notices.record_replaced(admitted.request.id, target)
         if not outcome.is_reachable:
             target.record_failure(now)
         else:
@@ -343,55 +345,6 @@
         if outcome.is_disconnected:
             self._crash_detector.probe(target)
 
-    def _record_head(
-        self,
-        admitted: admission.Admitted,
-        target: target_table.Target,
-        head: relay.AnswerHead,
-    ) -> None:
-        """Records what a target says of itself in the head of an answer."""
-        now = asyncio.get_running_loop().time()
-        service = target.registration.service
-        if head.is_leaving and self._departures.record_leaving(target, now):
-            self._metrics.count("leaving_targets", service=service)
-            event_log.log(
-                _logger,
-                "target_leaving",
-                request_id=admitted.request.id,
-                target=target.id,
-            )
-        if head.pause_s is not None:
-            target.paused_until = max(target.paused_until, now + head.pause_s)
-            self._metrics.count("target_pauses", service=service)
-            event_log.log(
-                _logger,
-                "target_paused",
-                request_id=admitted.request.id,
-                target=target.id,
-                pause_s=head.pause_s,
-            )
-
-    def _record_replaced(
-        self,
-        admitted: admission.Admitted,
-        target: target_table.Target,
-        now: float,
-    ) -> None:
-        """Stops using a target at whose address another one answered."""
-        self._departures.record_replaced(target, now)
-        self._metrics.count(
-            "replaced_targets", service=target.registration.service
-        )
-        event_log.log(
-            _logger,
-            "target_replaced",
-            logging.WARNING,
-            request_id=admitted.request.id,
-            target=target.id,
-            address=target.registration.address,
-            hold_s=departures.REPLACED_HOLD_S,
-        )
-
     def _spend_retry(self, admitted: admission.Admitted) -> bool:
         budget = self._get_budget(admitted.service.name)
         now = asyncio.get_running_loop().time()
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -28,6 +28,7 @@
 from mothpass.relay import request_queues
 from mothpass.relay import settings as settings_module
 from mothpass.relay import state as state_module
+from mothpass.relay import target_notices
 
 # Long enough for a connection to another zone, short enough to try another
 # target within the deployments' target latencies.
@@ -138,7 +139,10 @@
             crash_detector=crashes.CrashDetector(
                 pool=pool, crash_suspects=self.fleet_sync.crash_suspects
             ),
-            departure_table=self.fleet_sync.departures,
+            notices=target_notices.TargetNotices(
+                departure_table=self.fleet_sync.departures,
+                metrics=self._metrics,
+            ),
             metrics=self._metrics,
             read_request=ports.read_request,
             write_request=ports.write_request,
--- /dev/null
+++ b/mothpass/relay/target_notices.py
@@ -0,0 +1,86 @@
+"""Applies what the answers of targets say of the targets themselves."""
+
+import asyncio
+import logging
+
+from mothpass.adapters import event_log
+from mothpass.core import departures
+from mothpass.core import target_table
+from mothpass.ports import relay
+from mothpass.relay import metrics as metrics_module
+
+_logger = logging.getLogger("mothpass.requests")
+
+
+class TargetNotices:
+    """Marks targets that are replaced, leave or ask for a pause."""
+
+    __slots__ = ("_departure_table", "_metrics")
+
+    def __init__(
+        self,
+        *,
+        departure_table: departures.DepartureTable,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        """Creates an object without state of its own.
+
+        Args:
+            departure_table: Targets that answers show to be gone or leaving.
+            metrics: Counters and histograms.
+        """
+        self._departure_table = departure_table
+        self._metrics = metrics
+
+    def find_trouble_start(self, now: float) -> float | None:
+        """Returns since when targets have been found replaced, if any were."""
+        return self._departure_table.find_start(now)
+
+    def record_head(
+        self,
+        request_id: str,
+        target: target_table.Target,
+        head: relay.AnswerHead,
+    ) -> None:
+        """Records what a target says of itself in the head of an answer."""
+        now = asyncio.get_running_loop().time()
+        if head.is_leaving and self._departure_table.record_leaving(
+            target, now
+        ):
+            self._count("leaving_targets", target)
+            event_log.log(
+                _logger,
+                "target_leaving",
+                request_id=request_id,
+                target=target.id,
+            )
+        if head.pause_s is not None:
+            target.paused_until = max(target.paused_until, now + head.pause_s)
+            self._count("target_pauses", target)
+            event_log.log(
+                _logger,
+                "target_paused",
+                request_id=request_id,
+                target=target.id,
+                pause_s=head.pause_s,
+            )
+
+    def record_replaced(
+        self, request_id: str, target: target_table.Target
+    ) -> None:
+        """Stops using a target at whose address another one answered."""
+        now = asyncio.get_running_loop().time()
+        self._departure_table.record_replaced(target, now)
+        self._count("replaced_targets", target)
+        event_log.log(
+            _logger,
+            "target_replaced",
+            logging.WARNING,
+            request_id=request_id,
+            target=target.id,
+            address=target.registration.address,
+            hold_s=departures.REPLACED_HOLD_S,
+        )
+
+    def _count(self, name: str, target: target_table.Target) -> None:
+        self._metrics.count(name, service=target.registration.service)
