--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -389,7 +389,11 @@
             if version > replica.content_version:
                 self._newer_since.setdefault(name, (version, loop.time()))
                 self._start_fetch(name, self._fetch_newer(replica))
-            elif name in peer.message.held_tables and not replica.has_memory:
+            elif (
+                version == replica.content_version
+                and name in peer.message.held_tables
+                and not replica.has_memory
+            ):
                 # A restored store has an older state than this peer.
                 self._start_fetch(
                     name,
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -1,8 +1,13 @@
 """Tests of daemons while the store comes back from an older copy."""
 
 import asyncio
+import socket
 
+import msgspec
+
+from mothpass.relay import gossip
 from tests.platform import fleet
+from tests.platform import wire
 
 # A removal is in force after the hold of a copy, and some ticks.
 _HOLD_TIMEOUT_S = 4.0
@@ -63,6 +68,39 @@
         await self.add_daemon(3)
         await self.wait_for_version(2)
 
+    async def test_held_rows_of_a_peer_that_is_behind_are_not_fetched(
+        self,
+    ) -> None:
+        """Guards against a fetch for each datagram of such a peer."""
+        sync = self.services[0].fleet_sync
+        host, _, port = sync.address.rpartition(":")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.bind(("127.0.0.1", 0))
+            for number in range(5):
+                message = gossip.GossipMessage(
+                    id="front-9",
+                    started_ms=1,
+                    sequence_number=number,
+                    versions={"op": 1},
+                    counts={},
+                    reaches_store=False,
+                    is_store_reader=False,
+                    is_leaving=False,
+                    peers=[],
+                    crash_suspects=[],
+                    held_tables=["op"],
+                )
+                data = msgspec.msgpack.encode(message)
+                sender.sendto(data, (host, int(port)))
+                await asyncio.sleep(0.1)
+        client = await wire.Client.connect(
+            f"{host}:{self.services[0].settings.metrics_port}"
+        )
+        client.send("GET", "/metrics", {"Host": host})
+        metrics = (await client.read()).body.decode()
+        client.close()
+        self.assertNotIn('source="peer",end="failed"', metrics)
+
     async def test_hole_in_the_history_is_read_again(self) -> None:
         """Guards against a daemon whose version was given out again."""
         copied = self.store.version
