--- a/mothpass/relay/admission.py
+++ b/mothpass/relay/admission.py
@@ -58,12 +58,18 @@
 class AdmissionControl:
     """Admits or rejects requests by the routes in force."""
 
-    __slots__ = ("_crash_suspects", "_get_routes", "_suspected_parts")
+    __slots__ = (
+        "_crash_suspects",
+        "_get_routes",
+        "_measure_lag_ms",
+        "_suspected_parts",
+    )
 
     def __init__(
         self,
         *,
         get_routes: abc.Callable[[], route_table.RouteTable | None],
+        measure_lag_ms: abc.Callable[[], float | None],
         crash_suspects: suspects.SuspectTable,
         suspected_parts: prompt_suspects.PromptSuspectTable,
     ) -> None:
@@ -71,10 +77,13 @@
 
         Args:
             get_routes: Returns the routes in force, None before any.
+            measure_lag_ms: Returns for how many milliseconds newer routes have
+                been known, None if none are.
             crash_suspects: Requests that are suspected to crash targets.
             suspected_parts: Prompt parts that are suspected to crash targets.
         """
         self._get_routes = get_routes
+        self._measure_lag_ms = measure_lag_ms
         self._crash_suspects = crash_suspects
         self._suspected_parts = suspected_parts
 
@@ -161,6 +170,13 @@
         routes = self._get_routes()
         return None if routes is None else routes.version
 
+    def measure_lag_ms(self, admitted: Admitted | None) -> float | None:
+        """Returns how long a refused request's routes have been outdated.
+
+        None if no newer routes are known, or for an admitted request.
+        """
+        return self._measure_lag_ms() if admitted is None else None
+
 
 def _make_unknown_service(name: str) -> route_table.Service:
     """Returns a service that the routes don't define, by its name."""
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -270,6 +270,11 @@
             wanted=self._gossip.limited_wanted.sum_target(target.id),
         )
 
+    def measure_lag_ms(self) -> float | None:
+        """Returns for how long newer routes have been known, None if none."""
+        newer = self._newer_since.get(self._ports.operator_table)
+        return None if newer is None else _measure_ms(newer[1])
+
     def _owns_trial(self, part: int) -> bool:
         """Returns whether this daemon is the one that tries a barred part."""
         ranked = preference.rank_names(part.to_bytes(8), self.list_sharers())
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -470,6 +470,7 @@
             code=int(code),
             message=message,
             routes_version=self._admission.get_routes_version(admitted),
+            newer_known_ms=self._admission.measure_lag_ms(admitted),
             sends=0 if progress is None else progress.attempt_count,
             runs=0 if progress is None else progress.runs,
             reason="" if progress is None else progress.reason,
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -129,6 +129,7 @@
         self._forwarder = forwarding.Forwarder(
             admission_control=admission.AdmissionControl(
                 get_routes=lambda: state.routes,
+                measure_lag_ms=self.fleet_sync.measure_lag_ms,
                 crash_suspects=self.fleet_sync.crash_suspects,
                 suspected_parts=self.fleet_sync.suspected_parts,
             ),
--- a/tests/platform/test_table_transfers.py
+++ b/tests/platform/test_table_transfers.py
@@ -56,6 +56,12 @@
             metrics, r'table_bytes_total{table="op",source="store"} [1-9]\d\d'
         )
 
+    async def test_refusal_shows_whether_newer_routes_were_known(self) -> None:
+        with self.assertLogs("mothpass.requests", "INFO") as logs:
+            await self.send_request("GET", "/nowhere/1")
+        [record] = logs.records
+        self.assertIsNone(record.__dict__["fields"]["newer_known_ms"])
+
     async def test_each_failed_read_is_logged(self) -> None:
         await self.wait_until_followed()
         with self.assertLogs("mothpass.replicas", "WARNING") as logs:
