--- a/tests/platform/slow_link.py
+++ b/tests/platform/slow_link.py
@@ -11,10 +11,12 @@
 
     Attributes:
         address: ``ip:port`` at which it listens.
+        sent_bytes: Bytes that came back since the rate was set.
     """
 
     def __init__(self, *, upstream: str, bytes_per_s: float) -> None:
         self.address = ""
+        self.sent_bytes = 0
         self._bytes_per_s = bytes_per_s
         self._upstream = upstream
         self._free_at = 0.0
@@ -36,6 +38,7 @@
         """Changes the rate at which the server's bytes arrive."""
         self._bytes_per_s = bytes_per_s
         self._free_at = 0.0
+        self.sent_bytes = 0
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -62,6 +65,7 @@
         with contextlib.suppress(OSError):
             while piece := await source.read(_PIECE_BYTES):
                 if is_paced:
+                    self.sent_bytes += len(piece)
                     await self._wait_for_turn(len(piece))
                 destination.write(piece)
                 await destination.drain()
--- a/tests/platform/test_table_transfers.py
+++ b/tests/platform/test_table_transfers.py
@@ -139,6 +139,37 @@
         self.assertNotIn(failed, await self.read_metrics(daemon=1))
 
 
+class CrawlingPeerTest(_SlowLinkTest):
+    """Two peers, of which the one that is asked first crawls."""
+
+    daemons = 2
+
+    async def test_change_is_fetched_from_another_peer_while_one_crawls(
+        self,
+    ) -> None:
+        """Guards against a change that waits for the peer that was chosen."""
+        other = store_standin.Store()
+        await other.open()
+        self.addCleanup(other.close)
+        other.status = 503
+        peers = [service.fleet_sync.address for service in self.services]
+        links = [await self.open_link(peer, 1e6) for peer in peers]
+        addresses = [link.address for link in links]
+        await self.add_daemon(
+            2, other.address, dict(zip(peers, addresses, strict=True))
+        )
+        # Above the least rate of a transfer, for which it is never abandoned.
+        for link in links:
+            link.set_rate(10_000)
+        document = make_large_document(version=2)
+        self.store.put("op", "config", document)
+        await self.wait_for(lambda: any(link.sent_bytes for link in links))
+        for link in links:
+            if not link.sent_bytes:
+                link.set_rate(1e6)
+        await self.wait_for_version(2, IN_FORCE_S)
+
+
 def make_large_document(version: int) -> dict[str, object]:
     """Returns a document whose names can't be compressed well."""
     random = random_module.Random(version)
