Refuse a request for good only by routes that are known to be recent

Cause: a daemon decides by whatever routes it has, and nothing tells it how old they are. A late change, for whatever reason, becomes an answer that callers may not repeat.

Why this works: each read of the store shows as of when the routes were the newest; a datagram carries the age of its sender's version, one number, so that each daemon knows the age of its own. Past the time that a change may take, less what a datagram may be late, or while a live peer has a newer version, 404 and 401 become 503 with a time to try again. If the version is known to be overdue nothing runs by the old one. Age alone stops no request, so that an outage of the store doesn't stop the fleet. The watcher's calls leave the time that datagrams take in a large fleet, and one call more after each change confirms it.

Guards against too much: unknown routes get 404 all the time while nothing is wrong, and requests are served while the store is down.

--- a/mothpass/relay/admission.py
+++ b/mothpass/relay/admission.py
@@ -9,6 +9,7 @@
 from mothpass.core import prompt_suspects
 from mothpass.core import prompts
 from mothpass.core import results
+from mothpass.core import route_freshness
 from mothpass.core import route_table
 from mothpass.core import suspects
 from mothpass.ports import relay
@@ -17,6 +18,8 @@
 QUARANTINE_RETRY_AFTER_MS = 30_000
 # A daemon loads the routes within a second of its start.
 NO_ROUTES_RETRY_AFTER_MS = 800
+# A peer passes the newest version on within a second.
+UNCONFIRMED_RETRY_AFTER_MS = 800
 MAX_PRIORITY = 9
 
 
@@ -59,6 +62,7 @@
     """Admits or rejects requests by the routes in force."""
 
     __slots__ = (
+        "_assess_routes",
         "_crash_suspects",
         "_get_routes",
         "_measure_lag_ms",
@@ -70,6 +74,7 @@
         *,
         get_routes: abc.Callable[[], route_table.RouteTable | None],
         measure_lag_ms: abc.Callable[[], float | None],
+        assess_routes: abc.Callable[[], route_freshness.Standing],
         crash_suspects: suspects.SuspectTable,
         suspected_parts: prompt_suspects.PromptSuspectTable,
     ) -> None:
@@ -79,11 +84,13 @@
             get_routes: Returns the routes in force, None before any.
             measure_lag_ms: Returns for how many milliseconds newer routes have
                 been known, None if none are.
+            assess_routes: Returns how far these may be relied on.
             crash_suspects: Requests that are suspected to crash targets.
             suspected_parts: Prompt parts that are suspected to crash targets.
         """
         self._get_routes = get_routes
         self._measure_lag_ms = measure_lag_ms
+        self._assess_routes = assess_routes
         self._crash_suspects = crash_suspects
         self._suspected_parts = suspected_parts
 
@@ -97,18 +104,10 @@
                 NO_ROUTES_RETRY_AFTER_MS,
             )
         path = request.url.partition(b"?")[0].decode("latin-1")
-        route = routes.find_route(request.host, path)
-        if route is None or not route.shares:
-            return make_refusal(results.Code.NOT_FOUND, "no route found", None)
-        team = None
-        if route.needs_api_key:
-            team = routes.find_team(request.api_key)
-            if team is None:
-                return make_refusal(
-                    results.Code.UNAUTHENTICATED,
-                    "API key is missing or unknown",
-                    None,
-                )
+        matched = self._match(routes, request, path)
+        if isinstance(matched, errors.Refusal):
+            return matched
+        route, team = matched
         prompt_key = prompts.find_shared_key(request.prompt)
         split_key = (prompt_key or request.id).encode()
         service_name = route.pick_service(split_key)
@@ -145,6 +144,33 @@
             ),
         )
 
+    def _match(
+        self, routes: route_table.RouteTable, request: relay.Request, path: str
+    ) -> tuple[route_table.Route, route_table.Team | None] | errors.Refusal:
+        """Returns the route and the team of a request, or a refusal."""
+        standing = self._assess_routes()
+        if standing is route_freshness.Standing.OUTDATED:
+            return make_refusal(
+                results.Code.CATALOGUE_OUTDATED,
+                "routes are outdated",
+                UNCONFIRMED_RETRY_AFTER_MS,
+            )
+        route = routes.find_route(request.host, path)
+        if route is None or not route.shares:
+            return _reject_by_routes(
+                standing, results.Code.NOT_FOUND, "no route found"
+            )
+        if not route.needs_api_key:
+            return route, None
+        team = routes.find_team(request.api_key)
+        if team is None:
+            return _reject_by_routes(
+                standing,
+                results.Code.UNAUTHENTICATED,
+                "API key is missing or unknown",
+            )
+        return route, team
+
     def check_parts(
         self, shared_parts: dict[int, str]
     ) -> errors.Refusal | None:
@@ -178,6 +204,22 @@
         return self._measure_lag_ms() if admitted is None else None
 
 
+def _reject_by_routes(
+    standing: route_freshness.Standing, code: results.Code, message: str
+) -> errors.Refusal:
+    """Returns a refusal for good, or one to try again elsewhere.
+
+    The newest routes may allow what routes of unknown age don't.
+    """
+    if standing is route_freshness.Standing.CURRENT:
+        return make_refusal(code, message, None)
+    return make_refusal(
+        results.Code.CATALOGUE_OUTDATED,
+        f"{message}, and routes may be outdated",
+        UNCONFIRMED_RETRY_AFTER_MS,
+    )
+
+
 def _make_unknown_service(name: str) -> route_table.Service:
     """Returns a service that the routes don't define, by its name."""
     return route_table.Service(
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -19,6 +19,7 @@
 from mothpass.core import preference
 from mothpass.core import prompt_suspects
 from mothpass.core import prompts
+from mothpass.core import route_freshness
 from mothpass.core import store_versions
 from mothpass.core import suspects
 from mothpass.core import target_limits
@@ -64,6 +65,9 @@
 # Part of the time limit for a change that covers the timeout of a silent call,
 # the gossip to other daemons, their poll and the transfer of its answer.
 WATCHER_MARGIN_S = 1.4
+# The same for the news that nothing has changed, beside the time between two
+# datagrams to a peer: the routes of daemons that get it in time are current.
+CONFIRMATION_MARGIN_S = 0.3
 # Daemons that poll the store when one has lost it: a multiple of the readers
 # and a minimum, as the store may reject a third of the fleet.
 POLLERS_PER_READER = 2
@@ -91,6 +95,7 @@
         "_gossip",
         "_host",
         "_id",
+        "_in_force_s",
         "_is_watcher",
         "_metrics",
         "_newer_since",
@@ -111,7 +116,6 @@
         "_store_restored",
         "_store_unreachable_at",
         "_transfers",
-        "_watcher_wait_s",
         "crash_suspects",
         "departures",
         "is_leaving",
@@ -152,10 +156,7 @@
         self._polled_at = float("-inf")
         self._is_watcher = False
         self._settled_at = float("inf")
-        self._watcher_wait_s = max(
-            MIN_WATCHER_WAIT_S,
-            settings.change_in_force_ms / 1000 - WATCHER_MARGIN_S,
-        )
+        self._in_force_s = settings.change_in_force_ms / 1000
         self._store_era = 0
         self._store_restored = asyncio.Event()
         self._polls: set[asyncio.Task[None]] = set()
@@ -199,7 +200,7 @@
                     ports.target_table,
                     state.apply_target_rows,
                     ports.compare_target_values,
-                    lambda: CHANGE_FEED_WAIT_S,
+                    lambda _: CHANGE_FEED_WAIT_S,
                     self._get_target_feed_pause_s,
                 ),
             )
@@ -275,6 +276,30 @@
         newer = self._newer_since.get(self._ports.operator_table)
         return None if newer is None else _measure_ms(newer[1])
 
+    def assess_routes(self) -> route_freshness.Standing:
+        """Returns how far this daemon may rely on its routes."""
+        replica = self._operator_replica
+        is_newer_known = (
+            replica.name in self._newer_since
+            and self._gossip.has_newer_peer(
+                replica.name, replica.content_version
+            )
+        )
+        return route_freshness.assess(
+            confirmed_at=replica.freshness.confirmed_at,
+            is_newer_known=is_newer_known,
+            limit_s=self._in_force_s,
+            now=asyncio.get_running_loop().time(),
+        )
+
+    @property
+    def _operator_replica(self) -> replicas.Replica:
+        return self._replicas[self._ports.operator_table]
+
+    def _compute_routes_age_ms(self, now: float) -> int | None:
+        age_s = now - self._operator_replica.freshness.confirmed_at
+        return None if age_s == float("inf") else int(age_s * 1000)
+
     def _owns_trial(self, part: int) -> bool:
         """Returns whether this daemon is the one that tries a barred part."""
         ranked = preference.rank_names(part.to_bytes(8), self.list_sharers())
@@ -316,8 +341,20 @@
     def _must_read(self) -> bool:
         return self._is_settled() and self._gossip.is_reader()
 
-    def _get_feed_wait_s(self) -> float:
-        return self._watcher_wait_s if self._is_watcher else CHANGE_FEED_WAIT_S
+    def _get_feed_wait_s(self, had_changes: bool) -> float:
+        """Returns the time for which the store holds a call for the routes."""
+        if not self._is_watcher:
+            return CHANGE_FEED_WAIT_S
+        if had_changes:
+            # The next call shows whether that was the last change.
+            return 0.0
+        margin_s = max(
+            WATCHER_MARGIN_S,
+            route_freshness.AGE_TOLERANCE_S
+            + CONFIRMATION_MARGIN_S
+            + self._gossip.compute_send_interval_s(),
+        )
+        return max(MIN_WATCHER_WAIT_S, self._in_force_s - margin_s)
 
     def _get_target_feed_pause_s(self) -> float:
         return 0.0 if self._is_watcher else TARGET_FEED_PAUSE_S
@@ -390,6 +427,7 @@
             suspected_parts=announcements.suspected_parts,
             stated_limits=target_limits.list_reports(limits, now=now),
             limited_counts=target_limits.list_counts(limits, now=now),
+            routes_age_ms=self._compute_routes_age_ms(now),
         )
 
     def _handle_change(self, replica: replicas.Replica) -> None:
@@ -417,6 +455,7 @@
         if peer.has_just_lost_store:
             self._poll_store()
         self._merge_reports(peer.message, loop.time())
+        self._merge_confirmation(peer.message, loop.time())
         for name, version in peer.message.versions.items():
             replica = self._replicas.get(name)
             if replica is None:
@@ -435,6 +474,17 @@
                     self._fetch_from(peer, replica, store_versions.NONE),
                 )
 
+    def _merge_confirmation(
+        self, message: gossip.GossipMessage, now: float
+    ) -> None:
+        """Adopts a peer's age of the version that both have."""
+        replica = self._operator_replica
+        if (
+            message.routes_age_ms is not None
+            and message.versions.get(replica.name) == replica.content_version
+        ):
+            replica.freshness.confirm(now - message.routes_age_ms / 1000)
+
     def _merge_reports(self, message: gossip.GossipMessage, now: float) -> None:
         """Merges what a peer reports of requests and targets."""
         if message.crash_suspects:
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -87,6 +87,8 @@
         stated_limits: Requests per second that targets take from all daemons,
             as their answers to this daemon state.
         limited_counts: Its own requests for targets that state a limit.
+        routes_age_ms: Milliseconds since its version of the operator's table
+            was last known to be the newest, None before that.
     """
 
     id: str
@@ -108,6 +110,7 @@
     suspected_parts: list[prompt_suspects.Record] = []
     stated_limits: dict[str, float] = {}
     limited_counts: dict[str, target_limits.FleetCount] = {}
+    routes_age_ms: int | None = None
 
 
 class Announcements(msgspec.Struct, frozen=True, kw_only=True):
@@ -356,14 +359,21 @@
             version: Content version of this daemon's replica.
             failed: Ids of peers that are chosen only if there is no other.
         """
-        newer = [
+        newer = self._list_newer(table, version)
+        untried = [peer for peer in newer if peer.message.id not in failed]
+        newer = untried or newer
+        return self._random.choice(newer) if newer else None
+
+    def has_newer_peer(self, table: str, version: int) -> bool:
+        """Returns whether a live peer's replica is newer than a version."""
+        return bool(self._list_newer(table, version))
+
+    def _list_newer(self, table: str, version: int) -> list[Peer]:
+        return [
             peer
             for peer in self.list_live()
             if peer.message.versions.get(table, 0) > version
         ]
-        untried = [peer for peer in newer if peer.message.id not in failed]
-        newer = untried or newer
-        return self._random.choice(newer) if newer else None
 
     def has_reader_peer(self) -> bool:
         """Returns whether a live peer reads the store's change feed."""
@@ -378,7 +388,7 @@
             return
         # The interval depends on all known peers: if it depended on the live
         # ones, a saturated link, which loses datagrams, would get even more.
-        interval_s = max(TICK_INTERVAL_S, self._compute_send_interval_s())
+        interval_s = max(TICK_INTERVAL_S, self.compute_send_interval_s())
         if now - self._sent_at < interval_s - _TIMER_SLACK_S:
             return
         self._announcements = self._collect_announcements()
@@ -402,6 +412,7 @@
                 message.held_tables,
             )
             and last.is_store_reader == message.is_store_reader
+            and not _is_confirmed_since(last, message)
             and not self._announcements.has_changed_suspects
         )
         if is_same and now - self._sent_at < HEARTBEAT_INTERVAL_S:
@@ -423,14 +434,14 @@
         )
         self._send(message, addresses)
 
-    def _compute_send_interval_s(self) -> float:
+    def compute_send_interval_s(self) -> float:
         """Returns the time between two datagrams to the same peer."""
         return len(self.peers) / MAX_SENDS_PER_S
 
     def _compute_peer_timeout_s(self) -> float:
         return max(
             MIN_PEER_TIMEOUT_S,
-            PEER_TIMEOUT_INTERVALS * self._compute_send_interval_s(),
+            PEER_TIMEOUT_INTERVALS * self.compute_send_interval_s(),
         )
 
     def send_now(self) -> None:
@@ -503,6 +514,15 @@
         self.limited_wanted.retain(live_ids)
 
 
+def _is_confirmed_since(last: GossipMessage, message: GossipMessage) -> bool:
+    """Returns whether the routes were found current after a message."""
+    if message.routes_age_ms is None:
+        return False
+    return (
+        last.routes_age_ms is None or message.routes_age_ms < last.routes_age_ms
+    )
+
+
 def _is_outdated(message: GossipMessage, known: GossipMessage) -> bool:
     # Start times can't be compared, as the wall clock may jump.
     is_same_start = message.started_ms == known.started_ms
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -7,6 +7,7 @@
 
 from mothpass.adapters import event_log
 from mothpass.core import errors
+from mothpass.core import route_freshness
 from mothpass.core import store_versions
 from mothpass.core import table_copies
 from mothpass.ports import replicas
@@ -36,6 +37,7 @@
 
     Attributes:
         name: Name of the table.
+        freshness: When the replica was last known to be the newest.
         is_store_reached: Whether the last call to the store succeeded.
         is_following_store: Whether it reads the store instead of peers.
     """
@@ -47,12 +49,14 @@
         "_follow",
         "_get_pause_s",
         "_get_wait_s",
+        "_had_changes",
         "_has_reader_peer",
         "_is_store_stable",
         "_metrics",
         "_must_read",
         "_on_change",
         "_read",
+        "freshness",
         "is_following_store",
         "is_store_reached",
         "name",
@@ -67,7 +71,7 @@
         apply_changes: ApplyChanges,
         compare: replicas.CompareValues,
         must_read: abc.Callable[[], bool],
-        get_wait_s: abc.Callable[[], float],
+        get_wait_s: abc.Callable[[bool], float],
         get_pause_s: abc.Callable[[], float],
         has_reader_peer: abc.Callable[[], bool],
         is_store_stable: abc.Callable[[], bool],
@@ -84,7 +88,7 @@
             compare: Compares two values of a key by their content.
             must_read: Returns whether this daemon is to read the store.
             get_wait_s: Returns for how many seconds the store holds a change
-                feed call.
+                feed call; its argument is whether the last one had changes.
             get_pause_s: Returns the seconds between two change feed calls.
             has_reader_peer: Returns whether a peer reads the store.
             is_store_stable: Returns whether a missing row is removed, and
@@ -107,6 +111,8 @@
         self._has_reader_peer = has_reader_peer
         self._is_store_stable = is_store_stable
         self._feed_call: asyncio.Future[replicas.Page | None] | None = None
+        self._had_changes = False
+        self.freshness = route_freshness.Freshness()
         self.is_following_store = True
 
     @property
@@ -174,6 +180,7 @@
         if not self.version:
             return
         asked_at = self.content_version
+        called_at = asyncio.get_running_loop().time()
         try:
             page = await self._follow(self.name, self.version, 0.0)
         except (
@@ -183,8 +190,8 @@
             self._record_failure(error)
             return
         self._record_success()
-        if page is not None:
-            self._apply_store_page(page, asked_at)
+        if page is not None and self._apply_store_page(page, asked_at):
+            self.freshness.confirm(called_at)
 
     def apply_page(
         self, page: replicas.Page, *, asked_at: store_versions.Version
@@ -259,10 +266,11 @@
     async def _read_once(self, needs_whole: bool) -> bool:
         """Reads once; returns whether the next read must be a whole one."""
         asked_at = self.content_version
+        confirmed_at = asyncio.get_running_loop().time()
         if needs_whole:
             page = await self._read(self.name)
         else:
-            followed = await self._wait_for_changes()
+            followed, confirmed_at = await self._wait_for_changes()
             if followed is None:
                 event_log.log(
                     _logger,
@@ -274,6 +282,8 @@
             page = followed
         self._record_success()
         is_applied = self._apply_store_page(page, asked_at)
+        if is_applied:
+            self.freshness.confirm(confirmed_at)
         return needs_whole and not is_applied
 
     def _apply_store_page(
@@ -296,24 +306,39 @@
         )
         return is_applied
 
-    async def _wait_for_changes(self) -> replicas.Page | None:
+    async def _wait_for_changes(self) -> tuple[replicas.Page | None, float]:
+        """Calls the change feed.
+
+        Returns:
+            The changes, None if the history is gone, and the time as of which
+            there are no others.
+        """
         # After an outage the answer must come at once to show its end.
-        wait_s = self._get_wait_s() if self.is_store_reached else 0.0
+        wait_s = 0.0
+        if self.is_store_reached:
+            wait_s = self._get_wait_s(self._had_changes)
+        loop = asyncio.get_running_loop()
+        called_at = loop.time()
         call = asyncio.ensure_future(
             self._follow(self.name, self.version, wait_s)
         )
         self._feed_call = call
         try:
-            return await call
+            page = await call
         except asyncio.CancelledError:
             # The cancellation is that of the call, unless this task is
             # cancelled as well.
             task = asyncio.current_task()
             if task is None or task.cancelling():
                 raise
-            return replicas.Page(version=self.version, rows=[], is_whole=False)
+            page = replicas.Page(version=self.version, rows=[], is_whole=False)
+            return page, float("-inf")
         finally:
             self._feed_call = None
+        self._had_changes = page is not None and bool(page.rows)
+        # A call that the store held for its time shows that nothing came.
+        is_held = not self._had_changes and loop.time() - called_at >= wait_s
+        return page, called_at + wait_s if is_held else called_at
 
     def _record_failure(self, error: Exception) -> None:
         self.count_read("store", "failed")
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -130,6 +130,7 @@
             admission_control=admission.AdmissionControl(
                 get_routes=lambda: state.routes,
                 measure_lag_ms=self.fleet_sync.measure_lag_ms,
+                assess_routes=self.fleet_sync.assess_routes,
                 crash_suspects=self.fleet_sync.crash_suspects,
                 suspected_parts=self.fleet_sync.suspected_parts,
             ),
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -23,7 +23,7 @@
             apply_changes=lambda *_: None,
             compare=lambda *_: 0,
             must_read=lambda: True,
-            get_wait_s=lambda: 10.0,
+            get_wait_s=lambda _: 10.0,
             get_pause_s=lambda: 0.0,
             has_reader_peer=lambda: False,
             is_store_stable=lambda: True,
