Ask another peer for a newer table while the first takes long

Cause: a daemon fetched a table from one peer at a time. A peer on a slow or busy link kept the fetch for as long as it sent 8 KB/s, while others had the version at hand; and as nothing else was tried meanwhile, an answer had to start within 0.6 s.

Why this works: after 0.5 s another peer is asked beside the first, three at most, so that an answer may take 1 s to start without being waited for alone; the first that brings the version ends the others.

--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -34,14 +34,17 @@
 from mothpass.relay import state as state_module
 
 PEERS_TABLE = "daemons"
-# Times until an answer starts; its body may take as long as it arrives. A peer
-# that is partitioned or busy is abandoned for another while the change can
-# still be in force in time.
-PEER_ANSWER_TIMEOUT_S = 0.6
+# Times until an answer starts; its body may take as long as it arrives. A busy
+# link delays an answer, and asking again would add to its load.
+PEER_ANSWER_TIMEOUT_S = 1.0
 # A daemon without a replica has no other way; its peer may have several
 # transfers ahead of this one on a 5 Mbit/s link.
 WHOLE_ANSWER_TIMEOUT_S = 5.0
 MAX_FETCH_TRIES = 4
+# Most changes have arrived by then. A peer that is slow, or whose link is, isn't
+# waited for alone.
+SECOND_FETCH_DELAY_S = 0.5
+MAX_PARALLEL_FETCHES = 3
 # A fleet of 75 daemons spreads its fetches over 0.3 s.
 FETCH_JITTER_PER_DAEMON_S = 0.004
 MAX_FETCH_JITTER_S = 0.3
@@ -524,23 +527,42 @@
         self._fetching.discard(name)
 
     async def _fetch_newer(self, replica: replicas.Replica) -> None:
-        """Fetches newer rows of a table from peers that have them."""
-        failed: set[str] = set()
-        for _ in range(MAX_FETCH_TRIES):
-            # Jitter and a random peer keep the fleet from saturating one link.
-            fleet = len(self._gossip.list_live())
-            jitter_s = min(
-                MAX_FETCH_JITTER_S, fleet * FETCH_JITTER_PER_DAEMON_S
-            )
-            await asyncio.sleep(self._random.uniform(0.0, jitter_s))
-            peer = self._gossip.pick_newer_peer(
-                replica.name, replica.content_version, failed=failed
-            )
-            if peer is None:
-                return
-            after = replica.content_version
-            if not await self._fetch_from(peer, replica, after):
-                failed.add(peer.message.id)
+        """Fetches newer rows of a table from peers that have them.
+
+        While a fetch takes long, another peer is asked as well.
+        """
+        tried: set[str] = set()
+        running: set[asyncio.Task[bool]] = set()
+        try:
+            for _ in range(MAX_FETCH_TRIES):
+                # Jitter and a random peer keep the fleet from saturating one
+                # link.
+                await asyncio.sleep(self._draw_fetch_jitter())
+                peer = self._gossip.pick_newer_peer(
+                    replica.name, replica.content_version, failed=tried
+                )
+                if peer is None:
+                    return
+                tried.add(peer.message.id)
+                fetch = self._fetch_from(peer, replica, replica.content_version)
+                running.add(asyncio.ensure_future(fetch))
+                is_full = len(running) >= MAX_PARALLEL_FETCHES
+                _, running = await asyncio.wait(
+                    running,
+                    timeout=None if is_full else SECOND_FETCH_DELAY_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            if running:
+                await asyncio.wait(running)
+        finally:
+            for task in running:
+                task.cancel()
+
+    def _draw_fetch_jitter(self) -> float:
+        fleet = len(self._gossip.list_live())
+        return self._random.uniform(
+            0.0, min(MAX_FETCH_JITTER_S, fleet * FETCH_JITTER_PER_DAEMON_S)
+        )
 
     async def _fetch_from(
         self, peer: gossip.Peer, replica: replicas.Replica, after: int
