Refuse nothing for good in mothpassd by a catalogue known to be outdated

Read in the code, not seen in a run. It learns of versions by datagrams and loads them at its next poll, up to 2 s later; CatalogueReplica knows that it is behind. While it is, such refusals become 503 with code 210 and a time to try again.

The test fails on the code before for want of the attribute that it sets. mothpassd still has no age of its catalogue: a daemon that hears nobody refuses for good, and a known newer version stops no request. Both are open.

--- a/mothpass/daemon/callers.py
+++ b/mothpass/daemon/callers.py
@@ -20,6 +20,16 @@
 from mothpass.ports import clock
 from mothpass.ports import targets
 
+# Refusals that a newer catalogue may lift.
+_DECIDED_BY_CATALOGUE = frozenset(
+    {
+        results.Code.UNAUTHENTICATED,
+        results.Code.FORBIDDEN,
+        results.Code.UNKNOWN_MODEL,
+        results.Code.UNKNOWN_SERVICE,
+    }
+)
+
 _logger = logging.getLogger(__name__)
 
 # Validates a team's request from its headers and body.
@@ -47,15 +57,23 @@
         accepting: Whether new requests are accepted.
         catalogue_index: Index of the catalogue in force, None before the
             first.
+        is_catalogue_behind: Returns whether a newer catalogue is known of.
         leaving: Whether the daemon is shutting down.
         ready: Whether the load balancer should send new requests.
     """
 
-    __slots__ = ("accepting", "catalogue_index", "leaving", "ready")
+    __slots__ = (
+        "accepting",
+        "catalogue_index",
+        "is_catalogue_behind",
+        "leaving",
+        "ready",
+    )
 
     def __init__(self) -> None:
         """Starts without a catalogue."""
         self.catalogue_index: client_requests.CatalogueIndex | None = None
+        self.is_catalogue_behind: abc.Callable[[], bool] = lambda: False
         self.leaving = False
         self.ready = False
         self.accepting = True
@@ -257,13 +275,22 @@
             raise client_messages.build_retryable_rejection(
                 results.Code.NO_CATALOGUE, "no catalogue is in force yet"
             )
-        team = catalogue_index.authenticate(
-            client_messages.read_header(http_request, b"authorization")
-        )
-        body = await client_messages.read_body(
-            http_request, self._body_limit_bytes
-        )
-        return read_request(catalogue_index, team, headers, body)
+        try:
+            team = catalogue_index.authenticate(
+                client_messages.read_header(http_request, b"authorization")
+            )
+            body = await client_messages.read_body(
+                http_request, self._body_limit_bytes
+            )
+            return read_request(catalogue_index, team, headers, body)
+        except errors.RefusalError as error:
+            is_lifted = error.refusal.code in _DECIDED_BY_CATALOGUE
+            if is_lifted and self._state.is_catalogue_behind():
+                raise client_messages.build_retryable_rejection(
+                    results.Code.CATALOGUE_OUTDATED,
+                    f"{error.refusal.message}, and a newer catalogue is known",
+                ) from error
+            raise
 
     async def _handle_chat(
         self,
--- a/mothpass/daemon/catalogues.py
+++ b/mothpass/daemon/catalogues.py
@@ -91,6 +91,11 @@
         """Whether the version is confirmed; an empty store confirms 0."""
         return self._history.is_confirmed()
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a newer version than the loaded one is known of."""
+        return self._history.is_behind()
+
     @property
     def newest(self) -> revisions.Revision:
         """Newest loaded revision, which may not be in force yet."""
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -54,6 +54,9 @@
                 on_tick=self._run_tick,
             ),
         )
+        self._components.core.state.is_catalogue_behind = lambda: (
+            self._components.catalogues.is_behind
+        )
         self._control_cost = control_cost.ControlCost(
             traffic=self._components.control.traffic,
             store=self._components.platform.store,
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -41,8 +41,8 @@
 # transfers ahead of this one on a 5 Mbit/s link.
 WHOLE_ANSWER_TIMEOUT_S = 5.0
 MAX_FETCH_TRIES = 4
-# Most changes have arrived by then. A peer that is slow, or whose link is, isn't
-# waited for alone.
+# Most changes have arrived by then. A peer on a slow link isn't waited for
+# alone.
 SECOND_FETCH_DELAY_S = 0.5
 MAX_PARALLEL_FETCHES = 3
 # A fleet of 75 daemons spreads its fetches over 0.3 s.
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -117,6 +117,21 @@
         answer = await self._post(_CHAT + b"}", key=daemon_parts.OTHER_TEAM_KEY)
         self._check_error(answer, results.Code.FORBIDDEN)
 
+    async def test_refusals_that_a_newer_catalogue_may_lift_are_temporary(
+        self,
+    ) -> None:
+        """Guards against 401, 403 and 404 by a catalogue known to be old."""
+        self.state.is_catalogue_behind = lambda: True
+        unknown_model = _CHAT.replace(b"advice", b"newest") + b"}"
+        for body, key in (
+            (_CHAT + b"}", "wrong"),
+            (_CHAT + b"}", daemon_parts.OTHER_TEAM_KEY),
+            (unknown_model, daemon_parts.TEAM_KEY),
+        ):
+            answer = await self._post(body, key=key)
+            error = self._check_error(answer, results.Code.CATALOGUE_OUTDATED)
+            self.assertIsNotNone(error["retry_after_ms"])
+
     async def test_body_that_is_not_json(self) -> None:
         answer = await self._post(b"{")
         self._check_error(answer, results.Code.BAD_REQUEST)
