--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -32,6 +32,7 @@
         cold_left_s: Remaining time for which it is cold, counted from the
             registration.
         started_at_ms: Unix milliseconds of its start, None where unknown.
+        software_version: Version of its software; "" if it names none.
     """
 
     id: str
@@ -42,6 +43,7 @@
     is_draining: bool
     cold_left_s: float
     started_at_ms: int | None
+    software_version: str = ""
 
 
 class Target:
--- a/mothpass/platform/clients.py
+++ b/mothpass/platform/clients.py
@@ -48,6 +48,7 @@
         prompt=prompt,
         prompt_tokens=_decode_prompt_tokens(fields.get(b"token-count", b"")),
         position=_decode_position(fields.get(b"last-event-id")),
+        resumed_id=_decode_resumed_id(fields.get(b"resumes", b"")),
         arrived_at=head.arrived_at,
     )
 
@@ -94,3 +95,7 @@
 
 def _decode_position(value: bytes | None) -> int | None:
     return int(value) if value is not None and value.isdigit() else None
+
+
+def _decode_resumed_id(value: bytes) -> str | None:
+    return value.strip().decode("latin-1") or None
--- a/mothpass/platform/members.py
+++ b/mothpass/platform/members.py
@@ -18,6 +18,7 @@
     addr: str
     zone: str
     state: str
+    version: str = ""
     slots: int = 0
     cold_left_ms: float = 0.0
     born: int | None = None
@@ -48,6 +49,7 @@
         is_draining=entry.state == _DRAINING,
         cold_left_s=max(0.0, entry.cold_left_ms / 1000),
         started_at_ms=entry.born,
+        software_version=entry.version,
     )
 
 
--- a/mothpass/ports/relay.py
+++ b/mothpass/ports/relay.py
@@ -41,6 +41,8 @@
         prompt_tokens: Tokens of the whole prompt, 0 if not stated.
         position: Id of the last event that the client has received, None
             without one.
+        resumed_id: Id of the request that began the stream, None if the
+            request begins one or doesn't name it.
         arrived_at: Monotonic seconds at which the request arrived.
     """
 
@@ -55,6 +57,7 @@
     prompt: tuple[prompts.Part, ...]
     prompt_tokens: int
     position: int | None
+    resumed_id: str | None = None
     arrived_at: float
 
 
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -239,6 +239,7 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         target = choice.target
+        registration = target.registration
         cache_source = choice.cache_source
         dispatch = relay.Dispatch(
             target_id=target.id,
@@ -318,6 +319,7 @@
                 status=outcome.status,
                 reason=outcome.reason,
                 is_reused=outcome.is_reused,
+                software=registration.software_version,
                 ms=round((loop.time() - now) * 1000, 1),
             )
         return outcome
@@ -474,6 +476,8 @@
             sends=0 if progress is None else progress.attempt_count,
             runs=0 if progress is None else progress.runs,
             reason="" if progress is None else progress.reason,
+            began_as=request.resumed_id,
+            position=request.position,
             first_ms=first_ms,
             gap_ms=0.0
             if progress is None
--- a/mothpass/relay/state.py
+++ b/mothpass/relay/state.py
@@ -169,6 +169,7 @@
             target=key,
             service=registration.service,
             address=registration.address,
+            software=registration.software_version,
             draining=registration.is_draining,
             cold_s=registration.cold_left_s,
         )
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -107,10 +107,11 @@
             await service.close()
 
     async def add_target(
-        self, service: str, **fields: object
+        self, service: str, version: str = "v1", **fields: object
     ) -> target_standin.Target:
-        """Starts a target and registers it."""
+        """Starts a target of a software version and registers it."""
         target = target_standin.Target(f"i-{next(_ids):08x}")
+        target.version = version
         await target.open()
         self.addCleanup(target.close)
         entry = target.encode_entry(service, **fields)
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -26,6 +26,7 @@
             to handle them as others.
         connections: Number of connections opened to it.
         extra_headers: Headers that its answers carry besides.
+        version: Version of its software; events of two versions differ.
     """
 
     def __init__(self, target_id: str) -> None:
@@ -39,6 +40,7 @@
         self.on_reused_connection: Script | None = None
         self.connections = 0
         self.extra_headers: dict[str, str] = {}
+        self.version = "v1"
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -60,7 +62,7 @@
             "service": service,
             "addr": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "coldLeftMs": 0,
@@ -123,9 +125,10 @@
     }
 
 
-def make_event(number: int) -> bytes:
-    """Returns an event of a stream, the same at each target."""
-    return b"id: %d\ndata: part %d\n\n" % (number, number)
+def make_event(number: int, version: str = "v1") -> bytes:
+    """Returns an event of a stream, the same at each target of a version."""
+    written_by = "" if version == "v1" else f" of {version}"
+    return f"id: {number}\ndata: part {number}{written_by}\n\n".encode()
 
 
 async def answer_normally(
@@ -169,7 +172,7 @@
         first = start_stream(target, request, writer)
         await asyncio.sleep(first_s)
         for number in range(first, events):
-            wire.write_chunk(writer, make_event(number))
+            wire.write_chunk(writer, make_event(number, target.version))
             await asyncio.sleep(pause_s)
         wire.write_chunk(writer, b"")
 
@@ -183,7 +186,7 @@
         target: Target, request: wire.Request, writer: asyncio.StreamWriter
     ) -> None:
         for number in range(start_stream(target, request, writer), events):
-            wire.write_chunk(writer, make_event(number))
+            wire.write_chunk(writer, make_event(number, target.version))
         if rest:
             wire.write_chunk(writer, rest)
         await writer.drain()
@@ -200,7 +203,7 @@
         target: Target, request: wire.Request, writer: asyncio.StreamWriter
     ) -> None:
         for number in range(start_stream(target, request, writer), events):
-            wire.write_chunk(writer, make_event(number))
+            wire.write_chunk(writer, make_event(number, target.version))
         await asyncio.sleep(3600)
 
     return run
@@ -213,7 +216,7 @@
         target: Target, request: wire.Request, writer: asyncio.StreamWriter
     ) -> None:
         for number in range(start_stream(target, request, writer), events):
-            wire.write_chunk(writer, make_event(number))
+            wire.write_chunk(writer, make_event(number, target.version))
         while True:
             wire.write_chunk(writer, b"x")
             await asyncio.sleep(pause_s)
