--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -118,3 +118,103 @@
         self.assertEqual(fields["request"]["began_as"], "abc")
         self.assertEqual(fields["request"]["position"], 1)
         self.assertIn(fields["attempt"]["software"], _VERSIONS)
+
+
+class WithinDaemonTest(_VersionsTest):
+    """Streams that break while a daemon forwards them."""
+
+    daemons = 1
+
+    async def test_broken_stream_goes_on_at_the_version_that_began_it(
+        self,
+    ) -> None:
+        """Guards against answers that two software versions wrote."""
+        for target in self.models:
+            target.answer = _break_first_run
+        answers = [await self.send_chat(n, 0) for n in range(_STREAMS)]
+        for _, answer in answers:
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(len(list_versions(answer.body)), 1, answer.body)
+        resumed = [
+            item
+            for target in self.models
+            for item in target.requests
+            if "last-event-id" in item.headers
+        ]
+        self.assertTrue(resumed)
+        self.assertTrue(any(item.is_whole for _, item in answers))
+
+
+class AcrossDaemonsTest(_VersionsTest):
+    """Streams that clients take up at other daemons."""
+
+    async def test_stream_taken_up_elsewhere_goes_on_at_its_version(
+        self,
+    ) -> None:
+        """Guards against streams that go on at another software version."""
+        interrupted = await self.interrupt_streams(0)
+        await asyncio.sleep(0.5)
+        served = await self.check_taken_up(interrupted, 1)
+        self.assertEqual(served, _STREAMS)
+
+    async def test_stream_taken_up_at_a_daemon_that_has_just_started(
+        self,
+    ) -> None:
+        """Guards against a start that forgets which version began a stream."""
+        interrupted = await self.interrupt_streams(0)
+        await asyncio.sleep(0.5)
+        await self.add_daemon(2)
+        await self.wait_for(self.has_all_targets)
+        served = await self.check_taken_up(interrupted, 2)
+        self.assertEqual(served, _STREAMS)
+
+    async def test_stream_of_a_daemon_that_is_gone_goes_on(self) -> None:
+        """Guards against an origin that only the daemon itself had."""
+        interrupted = await self.interrupt_streams(0)
+        await asyncio.sleep(0.5)
+        await self.services.pop(0).close()
+        self.addresses.pop(0)
+        served = await self.check_taken_up(interrupted, 0)
+        self.assertEqual(served, _STREAMS)
+
+    async def test_stream_whose_version_is_unknown_is_refused_at_once(
+        self,
+    ) -> None:
+        """Guards against a guess at the version of a stream."""
+        _, answer = await self.send_chat(
+            1, 0, Last_Event_Id="1", Resumes="nobody-knows"
+        )
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.assertFalse(any(target.runs for target in self.models))
+
+    async def test_stream_whose_version_is_gone_is_refused_at_once(
+        self,
+    ) -> None:
+        """Guards against a wait for a version that no target has."""
+        interrupted = await self.interrupt_streams(0)
+        await asyncio.sleep(0.5)
+        gone = [item for item in self.models if item.version == "v1"]
+        for target in gone:
+            self.store.remove("servers", target.id)
+        self.models = [item for item in self.models if item not in gone]
+        await self.wait_for(self.has_all_targets)
+        for number, (began_as, begun) in enumerate(interrupted.items()):
+            answer = await self.take_up(began_as, begun, 1, number)
+            expected = 503 if list_versions(begun.body) == {"v1"} else 200
+            self.assertEqual(answer.status, expected)
+
+
+async def _break_first_run(
+    target: target_standin.Target,
+    request: wire.Request,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Breaks the first run of a request off after an event."""
+    is_first = "last-event-id" not in request.headers
+    script = (
+        target_standin.break_stream(1)
+        if is_first
+        else target_standin.answer_normally
+    )
+    await script(target, request, writer)
