Let a stream go on only at the software version that began it

Cause: a broken stream went on at any target that hadn't been tried, and one that a client took up at whichever target its prompt ranks first. Nothing read the version in a target's entry, and a second daemon had no way to know where a stream began. Class: a continuation that is placed without the state that it continues.

Why this works: the first event of a resumable stream fixes its version for all further attempts. The daemon records it under the id of the request that began it, before the event is sent, and tells it to all others, 24 origins a datagram at most, each in two rounds. A daemon that takes a stream up without a record asks three peers; they have it also when it has itself just started, or when the daemon of the beginning is gone. A stream that nobody knows goes on only if a single version can have begun it: one version within the last 20 s, at a daemon that new versions reach. Else it is refused at once with 503.

Guards against too much: streams of unknown origin go on where one version serves, also after the loss of all daemons.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -126,7 +126,7 @@
         max_idle_connections: Idle connections that the pool may keep to the
             target.
         on_head: Called with the head of the answer.
-        on_event: Called with the id of the last event forwarded.
+        on_event: Called with the id of the last event to forward.
     """
 
     request: relay.Request
@@ -293,10 +293,12 @@
                 _check_event_in_time(attempt, exchange, last_event_at)
             data = _take_new_events(events, delivery)
             if data:
+                # The client may disconnect, and the stream be taken up
+                # elsewhere, while the write is pending.
+                attempt.on_event(delivery.position or 0)
                 _start_stream(head, delivery)
                 delivery.record_sent()
                 await delivery.client.write_chunk(data)
-                attempt.on_event(delivery.position or 0)
             if is_last:
                 break
         if splitter.has_partial_event or exchange.read_until_close:
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -21,6 +21,7 @@
 from mothpass.core import prompts
 from mothpass.core import route_freshness
 from mothpass.core import store_versions
+from mothpass.core import stream_origins
 from mothpass.core import suspects
 from mothpass.core import target_limits
 from mothpass.core import target_table
@@ -65,6 +66,8 @@
 # Changes of targets come in bursts. A reader that isn't the watcher gets the
 # first of a burst from the watcher, and all others with its own next call.
 TARGET_FEED_PAUSE_S = 0.4
+# A daemon whose targets are older than this may lack some.
+MAX_TARGET_LAG_S = 1.0
 # Part of the time limit for a change that covers the timeout of a silent call,
 # the gossip to other daemons, their poll and the transfer of its answer.
 WATCHER_MARGIN_S = 1.4
@@ -91,6 +94,7 @@
         crash_suspects: Requests that are suspected to crash targets.
         suspected_parts: Prompt parts that are suspected to crash targets.
         departures: Targets that answers show to be gone or leaving.
+        stream_origins: Which software versions began which streams.
     """
 
     __slots__ = (
@@ -122,6 +126,7 @@
         "crash_suspects",
         "departures",
         "is_leaving",
+        "stream_origins",
         "suspected_parts",
     )
 
@@ -151,6 +156,7 @@
             owns_trial=self._owns_trial, random=random
         )
         self.departures = departures.DepartureTable()
+        self.stream_origins = stream_origins.StreamOrigins()
         self._started_ms = int(time.time() * 1000)
         self._sequence_number = 0
         self.is_leaving = False
@@ -250,6 +256,10 @@
         """Returns the ids of the live peers."""
         return [peer.message.id for peer in self._gossip.list_live()]
 
+    def list_peer_addresses(self) -> list[str]:
+        """Returns the ``ip:port`` of the live peers."""
+        return [peer.address for peer in self._gossip.list_live()]
+
     def list_sharers(self) -> list[str]:
         """Returns the ids of all daemons that share the fleet's limits."""
         return self._gossip.list_sharers()
@@ -295,6 +305,14 @@
             now=asyncio.get_running_loop().time(),
         )
 
+    def is_in_touch(self) -> bool:
+        """Returns whether new targets and routes reach this daemon in time."""
+        now = asyncio.get_running_loop().time()
+        _, since = self._newer_since.get(self._ports.target_table, (0, now))
+        standing = self.assess_routes()
+        is_current = standing is route_freshness.Standing.CURRENT
+        return is_current and now - since <= MAX_TARGET_LAG_S
+
     @property
     def _operator_replica(self) -> replicas.Replica:
         return self._replicas[self._ports.operator_table]
@@ -317,6 +335,9 @@
             ),
             suspected_parts=self.suspected_parts.take_records(now=now),
             has_changed_suspects=has_changes,
+            started_streams=self.stream_origins.take_announcements(
+                gossip.MAX_STREAM_ORIGINS_PER_MESSAGE
+            ),
         )
 
     def _reaches_store(self) -> bool:
@@ -431,6 +452,7 @@
             stated_limits=target_limits.list_reports(limits, now=now),
             limited_counts=target_limits.list_counts(limits, now=now),
             routes_age_ms=self._compute_routes_age_ms(now),
+            started_streams=announcements.started_streams,
         )
 
     def _handle_change(self, replica: replicas.Replica) -> None:
@@ -508,6 +530,7 @@
             target = self._state.targets.targets.get(target_id)
             if target is not None:
                 target.limit.merge_report(per_s, now=now)
+        self.stream_origins.merge(message.started_streams, now)
         if message.cached_prompts:
             self._prompt_caches.merge(message.cached_prompts, now)
 
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -23,6 +23,7 @@
 from mothpass.relay import metrics as metrics_module
 from mothpass.relay import progress as progress_module
 from mothpass.relay import request_queues
+from mothpass.relay import stream_resumption
 from mothpass.relay import target_notices
 
 # A target that is silent for this long beyond the route's target latency is
@@ -62,6 +63,7 @@
         "_queues",
         "_random",
         "_read_request",
+        "_resumption",
         "_sender",
         "_write_request",
     )
@@ -78,6 +80,7 @@
         count_prefill_backlog: target_choice.CountPrefillBacklog,
         crash_detector: crashes.CrashDetector,
         notices: target_notices.TargetNotices,
+        resumption: stream_resumption.StreamResumption,
         metrics: metrics_module.Metrics,
         read_request: relay.ReadRequest,
         write_request: relay.WriteRequest,
@@ -96,6 +99,7 @@
                 prefill.
             crash_detector: Detects crashes of targets.
             notices: Applies what answers say of their targets.
+            resumption: Finds the version at which a stream goes on.
             metrics: Counters and histograms.
             read_request: Decodes a client's request.
             write_request: Encodes a target's request.
@@ -111,6 +115,7 @@
         self._count_prefill_backlog = count_prefill_backlog
         self._crash_detector = crash_detector
         self._notices = notices
+        self._resumption = resumption
         self._metrics = metrics
         self._read_request = read_request
         self._write_request = write_request
@@ -139,9 +144,15 @@
         )
         delivery = attempts.Delivery(client=client, position=request.position)
         progress = progress_module.Progress(delivery=delivery)
+        refusal: errors.Refusal | None
         try:
             async with asyncio.timeout_at(admitted.deadline):
-                refusal = await self._make_attempts(admitted, progress)
+                version = await self._resumption.find_version(admitted)
+                if isinstance(version, errors.Refusal):
+                    refusal = version
+                else:
+                    progress.version = version
+                    refusal = await self._make_attempts(admitted, progress)
         except TimeoutError:
             refusal = progress_module.make_timeout_refusal(progress)
         except asyncio.CancelledError:
@@ -219,6 +230,7 @@
                 priority=admitted.priority,
                 team="" if admitted.team is None else admitted.team.name,
                 deadline=admitted.deadline,
+                version=progress.version,
                 alive_since=self._notices.find_trouble_start(now)
                 if progress.not_run_attempts
                 else None,
@@ -261,6 +273,10 @@
         def record_event(position: int) -> None:
             pending_prefill.finish()
             self._crash_detector.record_progress(in_flight, position)
+            if progress.version is None and admitted.route.is_resumable:
+                progress.version = self._resumption.record_start(
+                    admitted.request.id, registration
+                )
 
         attempt = attempts.Attempt(
             request=admitted.request,
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -17,6 +17,7 @@
 from mothpass.core import preference
 from mothpass.core import prompt_suspects
 from mothpass.core import prompts
+from mothpass.core import stream_origins
 from mothpass.core import suspects
 from mothpass.core import target_limits
 
@@ -30,6 +31,8 @@
 MAX_SUSPECTS_PER_MESSAGE = 8
 # Each cached prompt takes some 30 bytes.
 MAX_CACHED_PROMPTS_PER_MESSAGE = 12
+# Each origin takes some 20 bytes.
+MAX_STREAM_ORIGINS_PER_MESSAGE = 24
 # A smaller prefill backlog is gone before peers receive it.
 MIN_REPORTED_TOKENS = 2000
 # A daemon sends its state at least this often, even if nothing changed.
@@ -89,6 +92,7 @@
         limited_counts: Its own requests for targets that state a limit.
         routes_age_ms: Milliseconds since its version of the operator's table
             was last known to be the newest, None before that.
+        started_streams: Streams that began at it of late.
     """
 
     id: str
@@ -111,6 +115,7 @@
     stated_limits: dict[str, float] = {}
     limited_counts: dict[str, target_limits.FleetCount] = {}
     routes_age_ms: int | None = None
+    started_streams: list[stream_origins.Origin] = []
 
 
 class Announcements(msgspec.Struct, frozen=True, kw_only=True):
@@ -120,9 +125,11 @@
         cached_prompts: Prompts that targets have cached.
         suspected_parts: Prompt parts that are suspected to crash targets.
         has_changed_suspects: Whether some of these have changed.
+        started_streams: Streams that began at this daemon.
     """
 
     cached_prompts: list[prompts.CachedPrompt] = []
+    started_streams: list[stream_origins.Origin] = []
     suspected_parts: list[prompt_suspects.Record] = []
     has_changed_suspects: bool = False
 
@@ -402,6 +409,7 @@
                 last.cached_prompts,
                 last.departed_targets,
                 last.held_tables,
+                last.started_streams,
             )
             == (
                 message.counts,
@@ -410,6 +418,7 @@
                 message.cached_prompts,
                 message.departed_targets,
                 message.held_tables,
+                message.started_streams,
             )
             and last.is_store_reader == message.is_store_reader
             and not _is_confirmed_since(last, message)
--- a/mothpass/relay/progress.py
+++ b/mothpass/relay/progress.py
@@ -39,6 +39,8 @@
         not_run_attempts: Attempts in which the request didn't run.
         failure: Last attempt whose target answered with a failure.
         reason: Why the last attempt ended.
+        version: Fingerprint of the software version that began the stream,
+            None before its first event.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "reason",
         "runs",
         "tried",
+        "version",
     )
 
     def __init__(self, *, delivery: attempts.Delivery) -> None:
@@ -62,6 +65,7 @@
         self.not_run_attempts = 0
         self.failure: attempts.Outcome | None = None
         self.reason = ""
+        self.version: int | None = None
 
 
 def make_timeout_refusal(progress: Progress) -> errors.Refusal:
--- a/mothpass/relay/request_queues.py
+++ b/mothpass/relay/request_queues.py
@@ -12,6 +12,7 @@
 from mothpass.core import fair_queue
 from mothpass.core import queue_admission
 from mothpass.core import results
+from mothpass.core import stream_origins
 from mothpass.core import target_choice
 from mothpass.core import target_table
 from mothpass.core import windows
@@ -45,6 +46,8 @@
         deadline: Monotonic seconds at which the final answer is due.
         alive_since: Monotonic seconds; targets that have answered since then
             go first. None for no preference.
+        version: Fingerprint of the only software version that may take the
+            request, None for any.
     """
 
     request_id: str
@@ -56,6 +59,13 @@
     team: str
     deadline: float
     alive_since: float | None = None
+    version: int | None = None
+
+    def fits(self, target: target_table.Target) -> bool:
+        """Returns whether a target has the required software version."""
+        return self.version is None or self.version == (
+            stream_origins.fingerprint_version(target.registration)
+        )
 
 
 _SlotFuture = asyncio.Future[target_choice.Choice | errors.Refusal]
@@ -101,8 +111,8 @@
         service_queue = self._queues.setdefault(
             slot_request.service, _ServiceQueue()
         )
-        usable = self._targets.list_usable(
-            slot_request.service, asyncio.get_running_loop().time()
+        usable = self._list_usable(
+            slot_request, asyncio.get_running_loop().time()
         )
         if all(target.id in slot_request.avoided for target in usable):
             return await self._wait_for_resumption(slot_request, service_queue)
@@ -122,6 +132,7 @@
             target.paused_until
             for target in paused
             if target.id not in slot_request.avoided
+            and slot_request.fits(target)
         ]
         if not resumption_times:
             return _make_refusal(
@@ -266,7 +277,7 @@
         """Chooses a target and reserves a slot there; None if none fits."""
         now = asyncio.get_running_loop().time()
         choice = self._chooser.choose(
-            self._targets.list_usable(slot_request.service, now),
+            self._list_usable(slot_request, now),
             registered=self._targets.list_registered(slot_request.service),
             key=slot_request.key,
             avoided=slot_request.avoided,
@@ -281,6 +292,12 @@
             choice.target.limit.dispatches.record(now)
         return choice
 
+    def _list_usable(
+        self, slot_request: SlotRequest, now: float
+    ) -> list[target_table.Target]:
+        usable = self._targets.list_usable(slot_request.service, now)
+        return [target for target in usable if slot_request.fits(target)]
+
     def _reject_queued(
         self, service_queue: _ServiceQueue, queued: fair_queue.QueuedRequest
     ) -> None:
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -24,10 +24,12 @@
 from mothpass.relay import fleet_sync
 from mothpass.relay import forwarding
 from mothpass.relay import metrics as metrics_module
+from mothpass.relay import origin_questions
 from mothpass.relay import ports as ports_module
 from mothpass.relay import request_queues
 from mothpass.relay import settings as settings_module
 from mothpass.relay import state as state_module
+from mothpass.relay import stream_resumption
 from mothpass.relay import target_notices
 
 # Long enough for a connection to another zone, short enough to try another
@@ -72,6 +74,7 @@
         "_pool",
         "_queues",
         "_random",
+        "_resumption",
         "_servers",
         "_tasks",
         "fleet_sync",
@@ -126,6 +129,18 @@
         self._queues = request_queues.RequestQueues(
             chooser=chooser, targets=state.targets, random=random
         )
+        self._resumption = stream_resumption.StreamResumption(
+            origins=self.fleet_sync.stream_origins,
+            versions=state.versions,
+            targets=state.targets,
+            ask_origin=origin_questions.OriginQuestions(
+                pool=pool,
+                list_peer_addresses=self.fleet_sync.list_peer_addresses,
+                random=random,
+            ).ask,
+            is_in_touch=self.fleet_sync.is_in_touch,
+            metrics=self._metrics,
+        )
         self._forwarder = forwarding.Forwarder(
             admission_control=admission.AdmissionControl(
                 get_routes=lambda: state.routes,
@@ -153,6 +168,7 @@
                 departure_table=self.fleet_sync.departures,
                 metrics=self._metrics,
             ),
+            resumption=self._resumption,
             metrics=self._metrics,
             read_request=ports.read_request,
             write_request=ports.write_request,
@@ -175,7 +191,7 @@
         ]
         for address, handle in (
             (settings.health, self._answer_health),
-            (self.fleet_sync.address, self.fleet_sync.answer_peer),
+            (self.fleet_sync.address, self._answer_peer),
             (
                 f"{settings.address}:{settings.metrics_port}",
                 self._answer_metrics,
@@ -325,6 +341,20 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._pool.prune()
 
+    async def _answer_peer(
+        self,
+        head: relay.ClientHead,
+        body: bytes,
+        client: relay_listener.ClientConnection,
+    ) -> None:
+        """Answers another daemon."""
+        question = origin_questions.read_question(head.url.decode("latin-1"))
+        if question is None:
+            await self.fleet_sync.answer_peer(head, body, client)
+            return
+        answer = self._resumption.answer(question)
+        client.write_response(200, (), msgspec.msgpack.encode(answer))
+
     async def _answer_health(
         self,
         head: relay.ClientHead,
--- a/mothpass/relay/state.py
+++ b/mothpass/relay/state.py
@@ -8,6 +8,7 @@
 
 from mothpass.adapters import event_log
 from mothpass.core import route_table
+from mothpass.core import stream_origins
 from mothpass.core import target_table
 from mothpass.ports import replicas
 
@@ -31,6 +32,7 @@
         routes: Routes in force, None before any are known.
         targets: Registered targets.
         has_targets: Whether the targets' table has been read.
+        versions: Software versions that have served each service.
     """
 
     __slots__ = (
@@ -44,6 +46,7 @@
         "has_targets",
         "routes",
         "targets",
+        "versions",
     )
 
     def __init__(
@@ -71,6 +74,7 @@
         self.routes: route_table.RouteTable | None = None
         self.targets = targets
         self.has_targets = False
+        self.versions = stream_origins.VersionHistory()
         self._document_key = document_key
         self._closed_zone_prefix = closed_zone_prefix
         self._decode_routes = decode_routes
@@ -106,6 +110,7 @@
             else:
                 self._apply_entry(row.key, row.value, now)
         self.has_targets = True
+        self.versions.record_start(now)
 
     def expire_held_targets(self) -> None:
         """Removes held targets that didn't register again after an outage."""
@@ -156,8 +161,10 @@
             registration = self._decode_entry(key, raw)
         except ValueError as error:
             event_log.log(_logger, "entry_rejected", reason=str(error))
+            self._record_departure(key, now)
             self.targets.remove(key)
             return
+        self._record_departure(key, now)
         is_new = self.targets.put(
             registration, now, may_predate_daemon=not self.has_targets
         )
@@ -185,8 +192,14 @@
             _logger, "target_held", target=key, hold_s=RECOVERY_HOLD_S
         )
 
+    def _record_departure(self, key: str, now: float) -> None:
+        target = self.targets.targets.get(key)
+        if target is not None:
+            self.versions.record_departure(target.registration, now)
+
     def _remove(self, key: str, reason: str) -> None:
         self._held_until.pop(key, None)
+        self._record_departure(key, asyncio.get_running_loop().time())
         self.targets.remove(key)
         self._remove_cached_prompts(key)
         event_log.log(_logger, "target_gone", target=key, reason=reason)
