Give the soak's targets software versions, and let its clients take streams up

Events name the version that wrote them; clients take interrupted streams up at any daemon, and a check holds each stream to one version over all its tries.

--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -27,7 +27,13 @@
 
 
 class SentRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A request that a client sent; times are monotonic seconds."""
+    """A request that a client sent; times are monotonic seconds.
+
+    Attributes:
+        began_as: Id of the request that began the stream, which this one takes
+            up; "" for a request that takes up none.
+        position: Id of the last event that the client had, -1 for none.
+    """
 
     id: str
     kind: str
@@ -35,6 +41,8 @@
     daemon: int
     at: float
     deadline: float
+    began_as: str = ""
+    position: int = -1
 
 
 class ReceivedAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -127,14 +135,25 @@
     return f"body of {request_id}"
 
 
-def make_stream(request_id: str, events: int) -> str:
-    """Returns the only correct body of a stream."""
+def make_event(began_as: str, number: int, version: str) -> str:
+    """Returns an event as targets of a software version write it."""
+    return f"id: {number}\ndata: {began_as} {number} {version}\n\n"
+
+
+def make_stream(
+    began_as: str, events: int, *, version: str = "v1", first: int = 0
+) -> str:
+    """Returns the only correct body of a stream that a version wrote."""
     return "".join(
-        f"id: {number}\ndata: {request_id} {number}\n\n"
-        for number in range(events)
+        make_event(began_as, number, version) for number in range(first, events)
     )
 
 
+def find_versions(body: str) -> list[str]:
+    """Returns the software versions of the whole events of a stream."""
+    return [event.split(" ")[-1] for event in body.split("\n\n")[:-1]]
+
+
 def check_at_most_once(history: History) -> list[str]:
     """Checks that a request that may not be retried runs at most once."""
     kinds = {item.id: item.kind for item in history.sent}
@@ -163,13 +182,10 @@
 
 def check_whole_answers(history: History) -> list[str]:
     """Checks that a success is complete, signed and of its request."""
-    kinds = {item.id: item.kind for item in history.sent}
+    sent = {item.id: item for item in history.sent}
     violations = []
     for item in history.answers:
-        is_stream = kinds[item.id] in (CHAT, ONCE)
-        expected = (
-            make_stream(item.id, EVENTS) if is_stream else make_body(item.id)
-        )
+        expected = _make_expected(sent[item.id], item.body)
         if item.status != 200:
             continue
         if not item.is_signed:
@@ -181,6 +197,33 @@
     return violations
 
 
+def _make_expected(sent: SentRequest, body: str) -> str:
+    """Returns the only correct body, by the version of its first event."""
+    if sent.kind not in (CHAT, ONCE):
+        return make_body(sent.id)
+    version = next(iter(find_versions(body)), "")
+    return make_stream(
+        sent.began_as or sent.id,
+        EVENTS,
+        version=version,
+        first=sent.position + 1,
+    )
+
+
+def check_one_version(history: History) -> list[str]:
+    """Checks that one software version writes a stream, over all its tries."""
+    began_as = {item.id: item.began_as or item.id for item in history.sent}
+    versions: dict[str, set[str]] = collections.defaultdict(set)
+    for item in history.answers:
+        if item.status == 200:
+            versions[began_as[item.id]].update(find_versions(item.body))
+    return [
+        f"{name} was written by {', '.join(sorted(found))}"
+        for name, found in versions.items()
+        if len(found) > 1
+    ]
+
+
 def check_requested(history: History) -> list[str]:
     """Checks that targets run only unchanged requests of the right team."""
     sent = {item.id: item for item in history.sent}
@@ -274,6 +317,7 @@
     "at-most-once": check_at_most_once,
     "true-refusals": check_rejections,
     "whole-answers": check_whole_answers,
+    "one-version": check_one_version,
     "asked": check_requested,
     "answered": check_answered,
     "removed-keys": check_removed_keys,
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -5,6 +5,8 @@
 import itertools
 import random
 
+import msgspec
+
 from tests.platform import fleet
 from tests.platform import wire
 from tests.soak import checkers
@@ -14,6 +16,7 @@
 _DISCONNECT_SHARE = 0.03
 # Time after the deadline for which a client waits for an answer.
 _ANSWER_GRACE_S = 3.0
+_MAX_TAKE_UPS = 3
 
 
 class Clients:
@@ -73,18 +76,58 @@
             at=now,
             deadline=now + DEADLINE_S,
         )
-        self._history.sent.append(sent)
-        method = "GET" if kind == checkers.READ else "POST"
-        body = b"" if method == "GET" else b"x" * 200
-        client.send(method, f"/{kind}/1", self._make_headers(sent), body)
+        self._send(client, sent)
         if self._random.random() < _DISCONNECT_SHARE:
             await asyncio.sleep(self._random.uniform(0, 0.1))
             self._record_answer(sent, wire.Answer())
             return None
         answer = await client.read(DEADLINE_S + _ANSWER_GRACE_S)
         self._record_answer(sent, answer)
+        if kind == checkers.CHAT and answer.status == 200:
+            await self._take_up(sent, answer)
         return answer
 
+    async def _take_up(
+        self, begun: checkers.SentRequest, answer: wire.Answer
+    ) -> None:
+        """Takes an interrupted stream up, at any daemon, until it is whole."""
+        position = begun.position
+        for _ in range(_MAX_TAKE_UPS):
+            events = checkers.find_versions(answer.body.decode("latin-1"))
+            position += len(events)
+            if answer.is_whole and answer.status == 200 or position < 0:
+                return
+            daemon = self._random.randrange(len(self._addresses))
+            now = asyncio.get_running_loop().time()
+            sent = msgspec.structs.replace(
+                begun,
+                id=f"{self._seed:08x}{next(self._ids):08x}",
+                daemon=daemon,
+                at=now,
+                deadline=now + DEADLINE_S,
+                began_as=begun.id,
+                position=position,
+            )
+            answer = await self._send_alone(sent)
+
+    async def _send_alone(self, sent: checkers.SentRequest) -> wire.Answer:
+        """Makes a request over a new connection."""
+        answer = wire.Answer()
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                client = await wire.Client.connect(self._addresses[sent.daemon])
+            self._send(client, sent)
+            answer = await client.read(DEADLINE_S + _ANSWER_GRACE_S)
+            client.close()
+            self._record_answer(sent, answer)
+        return answer
+
+    def _send(self, client: wire.Client, sent: checkers.SentRequest) -> None:
+        self._history.sent.append(sent)
+        method = "GET" if sent.kind == checkers.READ else "POST"
+        body = b"" if method == "GET" else b"x" * 200
+        client.send(method, f"/{sent.kind}/1", self._make_headers(sent), body)
+
     def _make_headers(self, sent: checkers.SentRequest) -> dict[str, str]:
         headers = {
             "Host": fleet.HOST,
@@ -92,6 +135,9 @@
             "Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "Authorization": f"Bearer {sent.key}",
         }
+        if sent.began_as:
+            headers["Resumes"] = sent.began_as
+            headers["Last-Event-Id"] = str(sent.position)
         if sent.kind in (checkers.CHAT, checkers.ONCE):
             shared = self._random.randrange(6)
             headers["Model"] = "m"
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -23,6 +23,8 @@
 _TARGETS = {"plain": 2, "models": 3}
 _FAULT_SHARE = 0.05
 _TEAMS = ("red", "blue", "green")
+# What two versions of a target write doesn't fit together.
+_SOFTWARE_VERSIONS = ("v1", "v1", "v1.1")
 _GRACE_S = 6.0
 
 
@@ -66,9 +68,12 @@
 class TargetProcess:
     """A target process behind a proxy."""
 
-    def __init__(self, name: str, service: str, folder: pathlib.Path) -> None:
+    def __init__(
+        self, name: str, service: str, version: str, folder: pathlib.Path
+    ) -> None:
         self.name = name
         self.service = service
+        self.version = version
         self.child = processes.Child(name, folder / f"{name}.log")
         self.proxy = proxy.Proxy("")
         self.ledger: asyncio.Task[None] | None = None
@@ -186,13 +191,15 @@
                 await asyncio.sleep(0.05)
 
     async def _add_target(self, service: str) -> TargetProcess:
-        name = f"i-{next(self._names):08x}"
-        target = TargetProcess(name, service, self._folder)
+        number = next(self._names)
+        name = f"i-{number:08x}"
+        version = _SOFTWARE_VERSIONS[number % len(_SOFTWARE_VERSIONS)]
+        target = TargetProcess(name, service, version, self._folder)
         address = f"{self._target_host}:{next(self._target_ports)}"
         target.proxy = proxy.Proxy(address)
         await target.proxy.open("127.0.0.1")
         seed = str(self._random.randrange(1 << 30))
-        arguments = ["-m", "tests.soak.target", name, address]
+        arguments = ["-m", "tests.soak.target", name, version, address]
         arguments += [str(_FAULT_SHARE), seed]
         await target.child.start(arguments, {}, pipes=True)
         target.ledger = asyncio.ensure_future(
@@ -208,7 +215,7 @@
             "service": target.service,
             "addr": target.proxy.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": target.version,
             "slots": 16,
             "state": state,
             "coldLeftMs": 0,
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -15,9 +15,10 @@
     """Answers with bodies that name the request, and fails at random."""
 
     def __init__(
-        self, *, target_id: str, fault_share: float, seed: int
+        self, *, target_id: str, version: str, fault_share: float, seed: int
     ) -> None:
         self._id = target_id
+        self._version = version
         self._fault_share = fault_share
         self._random = random.Random(seed)
 
@@ -61,10 +62,10 @@
         writer: asyncio.StreamWriter,
         is_broken: bool,
     ) -> None:
-        name = request.headers["attempt-id"]
+        name = request.headers.get("resumes", request.headers["attempt-id"])
         first = target_standin.start_stream(target, request, writer)
         for number in range(first, checkers.EVENTS):
-            event = f"id: {number}\ndata: {name} {number}\n\n".encode()
+            event = checkers.make_event(name, number, self._version).encode()
             if is_broken and number == checkers.EVENTS // 2:
                 wire.write_chunk(writer, event[: len(event) // 2])
                 await asyncio.sleep(0.02)
@@ -85,12 +86,14 @@
         print(json.dumps(line), flush=True)
 
 
-async def run(target_id: str, address: str, share: float, seed: int) -> None:
+async def run(
+    target_id: str, version: str, address: str, share: float, seed: int
+) -> None:
     """Serves until the process is killed."""
     host, _, port = address.rpartition(":")
     target = target_standin.Target(target_id)
     target.answer = SoakTarget(
-        target_id=target_id, fault_share=share, seed=seed
+        target_id=target_id, version=version, fault_share=share, seed=seed
     ).answer
     await target.open(host, int(port))
     await asyncio.Event().wait()
@@ -98,5 +101,11 @@
 
 if __name__ == "__main__":
     asyncio.run(
-        run(sys.argv[1], sys.argv[2], float(sys.argv[3]), int(sys.argv[4]))
+        run(
+            sys.argv[1],
+            sys.argv[2],
+            sys.argv[3],
+            float(sys.argv[4]),
+            int(sys.argv[5]),
+        )
     )
