Bound what a daemon sends of its tables by bytes, as copies kept links full

Cause: the bound of four transfers counts answers until they are in the socket's buffer, where a compressed document of 27 KB is at once.

Why this works: a token bucket admits 500 KB/s after 100 KB; the others get 503 at once and ask another daemon, of which there are more after each round. An encoded page is kept for those that ask for the same, so that a refusal costs no encoding.

--- a/mothpass/core/buckets.py
+++ b/mothpass/core/buckets.py
@@ -19,12 +19,21 @@
         self._tokens = burst
         self._refilled_at = now
 
-    def try_take(self, now: float) -> bool:
-        """Takes one token. Returns whether there was one."""
+    def try_take(self, now: float, amount: float = 1.0) -> bool:
+        """Takes tokens if there are enough.
+
+        Args:
+            now: Monotonic seconds.
+            amount: Tokens to take; for more than the bucket holds, it must be
+                full, and is in debt afterwards.
+
+        Returns:
+            Whether they were taken.
+        """
         refill = max(0.0, now - self._refilled_at) * self._rate
         self._tokens = min(self._burst, self._tokens + refill)
         self._refilled_at = max(now, self._refilled_at)
-        if self._tokens < 1.0:
+        if self._tokens < min(amount, self._burst):
             return False
-        self._tokens -= 1.0
+        self._tokens -= amount
         return True
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -14,6 +14,7 @@
 from mothpass.adapters import http_fetch
 from mothpass.adapters import http_pool
 from mothpass.adapters import relay_listener
+from mothpass.core import buckets
 from mothpass.core import departures
 from mothpass.core import errors
 from mothpass.core import preference
@@ -52,6 +53,10 @@
 # Transfers of tables to peers at a time. A rejected peer fetches from another,
 # so that a change spreads in rounds over links of 5 Mbit/s.
 MAX_CONCURRENT_TRANSFERS = 4
+# Leaves a part of a 5 Mbit/s link to clients and gossip. Answers that fit into
+# a socket's buffer end at once, so that only their size bounds them.
+TRANSFER_BYTES_PER_S = 500_000.0
+TRANSFER_BURST_BYTES = 100_000.0
 _PEER_PATH = "/tables/"
 # Time for which the store holds a change feed call. A connection may fail
 # silently. One daemon, the watcher, makes shorter calls to detect that in time
@@ -109,6 +114,7 @@
         "_prompt_caches",
         "_polled_at",
         "_polls",
+        "_pages",
         "_pool",
         "_port",
         "_ports",
@@ -122,6 +128,7 @@
         "_store_era",
         "_store_restored",
         "_store_unreachable_at",
+        "_transfer_bytes",
         "_transfers",
         "crash_suspects",
         "departures",
@@ -161,6 +168,11 @@
         self._sequence_number = 0
         self.is_leaving = False
         self._transfers = 0
+        self._transfer_bytes = buckets.TokenBucket(
+            rate=TRANSFER_BYTES_PER_S, burst=TRANSFER_BURST_BYTES, now=0.0
+        )
+        # By table, the last encoded page and the versions that it is for.
+        self._pages: dict[str, tuple[tuple[int, int], bytes]] = {}
         self._store_unreachable_at = float("-inf")
         self._polled_at = float("-inf")
         self._is_watcher = False
@@ -712,15 +724,31 @@
         if self._transfers >= MAX_CONCURRENT_TRANSFERS:
             client.write_response(503, (), b"")
             return
-        page = msgspec.msgpack.encode(replica.make_page(int(after)))
+        page = self._encode_page(replica, int(after))
+        now = asyncio.get_running_loop().time()
+        if not self._transfer_bytes.try_take(now, len(page)):
+            client.write_response(503, (), b"")
+            return
         self._transfers += 1
         try:
-            client.write_response(200, (), zlib.compress(page, level=1))
+            client.write_response(200, (), page)
             # A slow link occupies its transfer until the answer is sent.
             await client.wait_until_sent()
         finally:
             self._transfers -= 1
 
+    def _encode_page(self, replica: replicas.Replica, after: int) -> bytes:
+        """Returns the changes since a version; many peers ask for the same."""
+        versions = (replica.content_version, after)
+        known, page = self._pages.get(replica.name, (None, b""))
+        # Rows that are kept through a restore change without a version.
+        if known != versions or replica.has_holds:
+            page = zlib.compress(
+                msgspec.msgpack.encode(replica.make_page(after)), level=1
+            )
+            self._pages[replica.name] = (versions, page)
+        return page
+
 
 def _measure_ms(since: float) -> float:
     """Returns the milliseconds since a time of the event loop."""
--- a/tests/platform/test_table_transfers.py
+++ b/tests/platform/test_table_transfers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random as random_module
 
+from mothpass.relay import fleet_sync
 from tests.platform import fleet
 from tests.platform import slow_link
 from tests.platform import store_standin
@@ -75,6 +76,33 @@
         self.assertEqual(fields["reason"], "status 503")
 
 
+class BusyPeerTest(TransferTest):
+    """A daemon from which a whole fleet fetches at the same moment."""
+
+    async def test_daemon_sends_only_what_its_link_bears_at_once(self) -> None:
+        """Guards against a link that copies of a table keep full."""
+        self.store.put("op", "config", make_large_document(version=2))
+        await self.wait_for_version(2)
+        address = self.services[0].fleet_sync.address
+
+        async def fetch() -> wire.Answer:
+            client = await wire.Client.connect(address)
+            client.send("GET", "/tables/op?1", {"Host": address})
+            answer = await client.read()
+            client.close()
+            return answer
+
+        answers = await asyncio.gather(*(fetch() for _ in range(40)))
+        served = [item for item in answers if item.status == 200]
+        self.assertTrue(served)
+        self.assertLessEqual(
+            sum(len(item.body) for item in served),
+            fleet_sync.TRANSFER_BURST_BYTES
+            + fleet_sync.TRANSFER_BYTES_PER_S * 0.2,
+        )
+        self.assertEqual({item.status for item in answers}, {200, 503})
+
+
 class _SlowLinkTest(TransferTest):
     """Base class: links on which a document takes longer than a call."""
 
