--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -14,7 +14,6 @@
 from mothpass.adapters import http_fetch
 from mothpass.adapters import http_pool
 from mothpass.adapters import relay_listener
-from mothpass.core import buckets
 from mothpass.core import departures
 from mothpass.core import errors
 from mothpass.core import preference
@@ -34,6 +33,7 @@
 from mothpass.relay import replicas
 from mothpass.relay import settings as settings_module
 from mothpass.relay import state as state_module
+from mothpass.relay import table_server
 
 PEERS_TABLE = "daemons"
 # Times until an answer starts; its body may take as long as it arrives. A busy
@@ -50,14 +50,6 @@
 # A fleet of 75 daemons spreads its fetches over 0.3 s.
 FETCH_JITTER_PER_DAEMON_S = 0.004
 MAX_FETCH_JITTER_S = 0.3
-# Transfers of tables to peers at a time. A rejected peer fetches from another,
-# so that a change spreads in rounds over links of 5 Mbit/s.
-MAX_CONCURRENT_TRANSFERS = 4
-# Leaves a part of a 5 Mbit/s link to clients and gossip. Answers that fit into
-# a socket's buffer end at once, so that only their size bounds them.
-TRANSFER_BYTES_PER_S = 500_000.0
-TRANSFER_BURST_BYTES = 100_000.0
-_PEER_PATH = "/tables/"
 # Time for which the store holds a change feed call. A connection may fail
 # silently. One daemon, the watcher, makes shorter calls to detect that in time
 # for a change to be in force, and others then poll the store once. Calls are
@@ -114,13 +106,13 @@
         "_prompt_caches",
         "_polled_at",
         "_polls",
-        "_pages",
         "_pool",
         "_port",
         "_ports",
         "_random",
         "_replicas",
         "_seeds",
+        "_server",
         "_sequence_number",
         "_settled_at",
         "_started_ms",
@@ -128,8 +120,6 @@
         "_store_era",
         "_store_restored",
         "_store_unreachable_at",
-        "_transfer_bytes",
-        "_transfers",
         "crash_suspects",
         "departures",
         "is_leaving",
@@ -167,12 +157,6 @@
         self._started_ms = int(time.time() * 1000)
         self._sequence_number = 0
         self.is_leaving = False
-        self._transfers = 0
-        self._transfer_bytes = buckets.TokenBucket(
-            rate=TRANSFER_BYTES_PER_S, burst=TRANSFER_BURST_BYTES, now=0.0
-        )
-        # By table, the last encoded page and the versions that it is for.
-        self._pages: dict[str, tuple[tuple[int, int], bytes]] = {}
         self._store_unreachable_at = float("-inf")
         self._polled_at = float("-inf")
         self._is_watcher = False
@@ -227,6 +211,8 @@
             )
         }
 
+        self._server = table_server.TableServer(replicas=self._replicas)
+
     @property
     def address(self) -> str:
         """``ip:port`` at which peers reach this daemon."""
@@ -608,7 +594,7 @@
             Whether that succeeded.
         """
         asked_at = replica.content_version
-        url = f"{_PEER_PATH}{replica.name}?{after}"
+        url = f"{table_server.PATH}{replica.name}?{after}"
         request = f"GET {url} HTTP/1.1\r\nhost: {peer.address}\r\n\r\n"
         started_at = asyncio.get_running_loop().time()
         is_whole = not after
@@ -716,38 +702,7 @@
     ) -> None:
         """Serves this daemon's replica of a table to a peer."""
         del body
-        path, _, after = head.url.decode("latin-1").partition("?")
-        replica = self._replicas.get(path.removeprefix(_PEER_PATH))
-        if replica is None or not after.isdigit():
-            client.write_response(404, (), b"")
-            return
-        if self._transfers >= MAX_CONCURRENT_TRANSFERS:
-            client.write_response(503, (), b"")
-            return
-        page = self._encode_page(replica, int(after))
-        now = asyncio.get_running_loop().time()
-        if not self._transfer_bytes.try_take(now, len(page)):
-            client.write_response(503, (), b"")
-            return
-        self._transfers += 1
-        try:
-            client.write_response(200, (), page)
-            # A slow link occupies its transfer until the answer is sent.
-            await client.wait_until_sent()
-        finally:
-            self._transfers -= 1
-
-    def _encode_page(self, replica: replicas.Replica, after: int) -> bytes:
-        """Returns the changes since a version; many peers ask for the same."""
-        versions = (replica.content_version, after)
-        known, page = self._pages.get(replica.name, (None, b""))
-        # Rows that are kept through a restore change without a version.
-        if known != versions or replica.has_holds:
-            page = zlib.compress(
-                msgspec.msgpack.encode(replica.make_page(after)), level=1
-            )
-            self._pages[replica.name] = (versions, page)
-        return page
+        await self._server.answer(head, client)
 
 
 def _measure_ms(since: float) -> float:
--- a/tests/platform/test_table_transfers.py
+++ b/tests/platform/test_table_transfers.py
@@ -3,7 +3,7 @@
 import asyncio
 import random as random_module
 
-from mothpass.relay import fleet_sync
+from mothpass.relay import table_server
 from tests.platform import fleet
 from tests.platform import slow_link
 from tests.platform import store_standin
@@ -97,8 +97,8 @@
         self.assertTrue(served)
         self.assertLessEqual(
             sum(len(item.body) for item in served),
-            fleet_sync.TRANSFER_BURST_BYTES
-            + fleet_sync.TRANSFER_BYTES_PER_S * 0.2,
+            table_server.TRANSFER_BURST_BYTES
+            + table_server.TRANSFER_BYTES_PER_S * 0.2,
         )
         self.assertEqual({item.status for item in answers}, {200, 503})
 
