Pick the service of a stream that is taken up by the id of its beginning

The rest came from another service, and is refused since streams keep to their version. The test fails without the change.

--- a/mothpass/relay/admission.py
+++ b/mothpass/relay/admission.py
@@ -109,7 +109,7 @@
             return matched
         route, team = matched
         prompt_key = prompts.find_shared_key(request.prompt)
-        split_key = (prompt_key or request.id).encode()
+        split_key = (prompt_key or request.resumed_id or request.id).encode()
         service_name = route.pick_service(split_key)
         service = routes.services.get(service_name) or _make_unknown_service(
             service_name
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -252,6 +252,48 @@
         self.assertEqual(answer.status, 200)
 
 
+class SplitRouteTest(_VersionsTest):
+    """A route whose streams two services share."""
+
+    versions = ("v1", "v1")
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        document = fleet.make_document(version=2)
+        routes = document["routes"]
+        assert isinstance(routes, list)
+        shares = [{"service": name, "weight": 1} for name in ("models", "more")]
+        routes.append(
+            fleet.make_route(
+                "chat", "stream", streamResume=True, trafficSplit=shares
+            )
+        )
+        document["routes"] = routes[-1:]
+        self.models += [await self.add_target("more") for _ in range(2)]
+        self.store.put("op", "config", document)
+        await self.wait_for_version(2)
+        await self.wait_for(self.has_all_targets)
+
+    async def send_chat(
+        self, number: int, daemon: int, **fields: str
+    ) -> tuple[str, wire.Answer]:
+        """Sends a model request without prompt parts that can be read."""
+        del number
+        headers = self.make_chat_headers(**fields)
+        headers["Prompt-Prefix"] = "unread"
+        answer = await self.send_request(
+            "POST", "/chat/1", headers, b"x", daemon
+        )
+        return headers["Attempt-Id"], answer
+
+    async def test_stream_goes_on_at_the_service_that_began_it(self) -> None:
+        """Guards against a split that is drawn anew for the rest."""
+        interrupted = await self.interrupt_streams(0)
+        await asyncio.sleep(0.5)
+        served = await self.check_taken_up(interrupted, 1)
+        self.assertEqual(served, _STREAMS)
+
+
 async def _break_first_run(
     target: target_standin.Target,
     request: wire.Request,
