Sample the counts of limited targets, as those with high ids were never reported

Cause, by a simulation of 87 daemons and 126 targets that state limits at once: a message carries 32 counts, the largest first and among equal ones those with the lowest ids. Nearly all counts of a daemon are one or two, so that all daemons left out the same targets, and what was wanted from these was underrated by the whole fleet. Class: truncation in a fixed order, which biases a sum.

Why this works: a message that can't carry all counts carries some at random, scaled up, so that sums over the fleet stay right on average; and it carries 56.

--- a/mothpass/core/target_limits.py
+++ b/mothpass/core/target_limits.py
@@ -38,6 +38,8 @@
 # REPORT_TTL_S, no report is passed on.
 OWN_ANSWER_TTL_S = REPORT_TTL_S + 1.0
 MAX_REPORTED = 32
+# Counts in a message, each some 14 bytes.
+MAX_COUNTED = 56
 
 
 class FleetCount(msgspec.Struct, frozen=True, array_like=True):
@@ -186,17 +188,37 @@
 
 
 def list_counts(
-    limits: abc.Mapping[str, StatedLimit], *, now: float
+    limits: abc.Mapping[str, StatedLimit],
+    *,
+    now: float,
+    random: random_module.Random,
 ) -> dict[str, FleetCount]:
-    """Returns the counts of this daemon to report, the largest first.
+    """Returns the counts of this daemon to report.
+
+    If there are more than a message carries, it carries some at random, scaled
+    up so that the sums over a fleet stay right.
 
     Args:
         limits: Limits by id of the target.
         now: Monotonic seconds.
+        random: Source of randomness.
     """
-    counts = [
-        (limit.count(now), target_id) for target_id, limit in limits.items()
-    ]
-    counts = [item for item in counts if item[0].wanted]
-    counts.sort(key=lambda item: (-item[0].wanted, item[1]))
-    return {target_id: count for count, target_id in counts[:MAX_REPORTED]}
+    counts = {
+        target_id: limit.count(now) for target_id, limit in limits.items()
+    }
+    counts = {key: count for key, count in counts.items() if count.wanted}
+    if len(counts) <= MAX_COUNTED:
+        return counts
+    scale = len(counts) / MAX_COUNTED
+    return {
+        target_id: FleetCount(
+            _round_randomly(counts[target_id].sent * scale, random),
+            _round_randomly(counts[target_id].wanted * scale, random),
+        )
+        for target_id in random.sample(sorted(counts), MAX_COUNTED)
+    }
+
+
+def _round_randomly(value: float, random: random_module.Random) -> int:
+    """Returns a neighbouring whole number, the value on average."""
+    return int(value + random.random())
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -448,7 +448,9 @@
             ],
             suspected_parts=announcements.suspected_parts,
             stated_limits=target_limits.list_reports(limits, now=now),
-            limited_counts=target_limits.list_counts(limits, now=now),
+            limited_counts=target_limits.list_counts(
+                limits, now=now, random=self._random
+            ),
             routes_age_ms=self._compute_routes_age_ms(now),
             started_streams=announcements.started_streams,
         )
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -151,6 +151,89 @@
                 self.assertGreaterEqual(mean, 0.9 * 5.0 * 4.0)
 
 
+class _ManyTargets:
+    """A fleet whose requests go on to the next of many limited targets.
+
+    All daemons see the newest message of each, so that sums are kept once.
+    """
+
+    def __init__(self, *, daemons: int, targets: int, per_s: float) -> None:
+        self.random = random.Random(7)
+        self.names = [f"i-{number:08x}" for number in range(targets)]
+        self.limits = [
+            {name: target_limits.StatedLimit() for name in self.names}
+            for _ in range(daemons)
+        ]
+        for limits in self.limits:
+            for limit in limits.values():
+                limit.record_answer(per_s, now=0.0)
+        self.reports: list[dict[str, target_limits.FleetCount]] = [
+            {} for _ in range(daemons)
+        ]
+        self.sums = {name: target_limits.FleetCount() for name in self.names}
+        self.arrivals: dict[str, list[float]] = {x: [] for x in self.names}
+
+    def report(self, number: int, now: float) -> None:
+        """Replaces what the fleet knows of one daemon."""
+        counts = target_limits.list_counts(
+            self.limits[number], now=now, random=self.random
+        )
+        for sign, report in ((-1, self.reports[number]), (1, counts)):
+            for name, count in report.items():
+                total = self.sums[name]
+                self.sums[name] = target_limits.FleetCount(
+                    total.sent + sign * count.sent,
+                    total.wanted + sign * count.wanted,
+                )
+        self.reports[number] = counts
+
+    def handle(self, number: int, now: float) -> None:
+        """Sends a request to the first of its targets that admits it."""
+        for name in self.random.sample(self.names, 6):
+            own = self.reports[number].get(name, target_limits.FleetCount())
+            peers = target_limits.FleetCount(
+                self.sums[name].sent - own.sent,
+                self.sums[name].wanted - own.wanted,
+            )
+            limit = self.limits[number][name]
+            if limit.admit(peers=peers, now=now, random=self.random):
+                limit.dispatches.record(now)
+                self.arrivals[name].append(now)
+                return
+
+    def play(self, per_daemon_s: float, interval_s: float) -> None:
+        """Plays a load for some seconds."""
+        steps_per_report = round(interval_s / _STEP_S)
+        for step in range(int(12.0 / _STEP_S)):
+            now = step * _STEP_S
+            for number in range(len(self.limits)):
+                if (step + number) % steps_per_report == 0:
+                    self.report(number, now)
+                if self.random.random() < per_daemon_s * _STEP_S:
+                    self.handle(number, now)
+
+
+class ManyTargetsTest(unittest.TestCase):
+    """Nearly all targets of a large fleet state limits at once."""
+
+    def test_each_target_of_many_gets_no_more_than_it_states(self) -> None:
+        """Guards against counts that don't fit into a message."""
+        per_s = 4.5
+        fleet = _ManyTargets(daemons=87, targets=126, per_s=per_s)
+        fleet.play(per_daemon_s=11.0, interval_s=0.5)
+        allowed = per_s * target_limits.WINDOW_S
+        served = []
+        for name, times in fleet.arrivals.items():
+            starts = [at for at in times if at >= _STABILITY_WINDOW_S]
+            most = max(
+                sum(1 for at in times if start <= at < start + 4.0)
+                for start in starts
+            )
+            self.assertLessEqual(most, 1.5 * allowed + 5, name)
+            served.append(sum(1 for at in times if 4.0 <= at < 12.0) / 8.0)
+        self.assertGreaterEqual(sum(served) / len(served), per_s / 2)
+
+
 class StatedLimitTest(unittest.TestCase):
     """What one daemon knows of a limit."""
 
@@ -204,7 +287,10 @@
         reports = target_limits.list_reports(limits, now=1.0)
         self.assertEqual(len(reports), target_limits.MAX_REPORTED)
         self.assertIn("i-00000063", reports)
-        counts = target_limits.list_counts(limits, now=1.0)
+        counts = target_limits.list_counts(
+            limits, now=1.0, random=random.Random(1)
+        )
+        self.assertEqual(len(counts), target_limits.MAX_COUNTED)
         self.assertLess(len(msgspec.msgpack.encode([reports, counts])), 1500)
 
     def test_limit_that_was_read_long_ago_is_not_reported(self) -> None:
