Give up an answer whose head, framing or trailers never end

What callers would see: a daemon that holds what one target sends until it runs out of memory, and a request that waits for its deadline.

Cause: a response's headers, interim responses and trailers had no bound, and a head that drips restarted the limit on silence with each byte. Class: a party decides how much another one holds.

Why this works: all bytes of an exchange that are no body count against 256 KB; past that the connection is closed and the attempt ends as one whose request may have run. Bytes of a head that isn't whole are no progress. The same connection serves targets, peers, the store and probes. The other bounds of the issue (one event, all buffered bodies of a daemon together, mothpassd's listeners) and streams that end with their connection are open.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -10,6 +10,11 @@
 
 # Bytes buffered and not yet read above which reading is paused.
 MAX_BUFFERED_BYTES = 262_144
+# Bytes of an exchange that are no body of its response: heads, interim
+# responses, framing and trailers, and late responses to earlier requests.
+MAX_OVERHEAD_BYTES = 262_144
+# Framing that a piece of a body may have in addition.
+_PIECE_OVERHEAD_BYTES = 64
 # Statuses whose responses have no body, whatever their headers say.
 _BODILESS_STATUSES = (204, 304)
 
@@ -182,10 +187,14 @@
         self.complete = True
 
     def record_progress(self) -> None:
-        """Restarts the silence timeout after bytes have arrived."""
+        """Restarts the silence timeout after bytes have arrived.
+
+        Bytes of a head that isn't whole are no progress.
+        """
         self.response_started = True
         self.last_byte_at = self._loop.time()
-        self._silence_deadline = self.last_byte_at + self._silence_s
+        if self.status:
+            self._silence_deadline = self.last_byte_at + self._silence_s
 
     def wake_reader(self) -> None:
         """Wakes the task in ``wait_for_progress``."""
@@ -230,6 +239,7 @@
         "_keep_alive",
         "_loop",
         "_on_message_end",
+        "_overhead_bytes",
         "_parser",
         "_skips_message",
         "_transport",
@@ -248,6 +258,7 @@
         self._accepts_response: AcceptsResponse = accept_any
         self._headers: list[tuple[bytes, bytes]] = []
         self._skips_message = False
+        self._overhead_bytes = 0
         self.idle_deadline = 0.0
         self.exchange_count = 0
 
@@ -280,6 +291,7 @@
                 "connection lost, request not sent"
             )
         self.exchange_count += 1
+        self._overhead_bytes = 0
         self._accepts_response = accepts_response
         self._exchange = Exchange(
             loop=self._loop,
@@ -347,12 +359,23 @@
             self.close()
             return
         exchange.record_progress()
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             exchange.fail(errors.TargetAnswerLostError("response is not HTTP"))
             self.close()
             return
+        # A body may not earn room for trailers.
+        self._overhead_bytes = max(0, self._overhead_bytes)
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            exchange.fail(
+                errors.TargetAnswerLostError(
+                    f"over {MAX_OVERHEAD_BYTES} bytes that are no body"
+                )
+            )
+            self.close()
+            return
         exchange.wake_reader()
         if exchange.complete:
             self._run_message_end_callback()
@@ -392,6 +415,7 @@
     def on_body(self, body: bytes) -> None:
         """Passes a body chunk to the exchange."""
         if self._exchange is not None and not self._skips_message:
+            self._overhead_bytes -= len(body) + _PIECE_OVERHEAD_BYTES
             self._exchange.append_body(body)
 
     def on_message_complete(self) -> None:
