Go on asking for a newer table while peers refuse

Found when reading the diff: a fetch ended after four tries, and then waited for those that still ran. As busy peers now refuse at once, the tries could be spent within a second, and a crawling peer be waited for alone again. Fetches now go on, at a bounded rate, for as long as a live peer has a newer version.

--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -42,7 +42,8 @@
 # A daemon without a replica has no other way; its peer may have several
 # transfers ahead of this one on a 5 Mbit/s link.
 WHOLE_ANSWER_TIMEOUT_S = 5.0
-MAX_FETCH_TRIES = 4
+# Between two fetches of a table, as a peer may refuse at once.
+MIN_FETCH_PAUSE_S = 0.05
 # Most changes have arrived by then. A peer on a slow link isn't waited for
 # alone.
 SECOND_FETCH_DELAY_S = 0.5
@@ -557,15 +558,11 @@
         tried: set[str] = set()
         running: set[asyncio.Task[bool]] = set()
         try:
-            for _ in range(MAX_FETCH_TRIES):
-                # Jitter and a random peer keep the fleet from saturating one
-                # link.
-                await asyncio.sleep(self._draw_fetch_jitter())
-                peer = self._gossip.pick_newer_peer(
-                    replica.name, replica.content_version, failed=tried
-                )
-                if peer is None:
-                    return
+            # Jitter and a random peer keep the fleet from saturating one link.
+            await asyncio.sleep(self._draw_fetch_jitter())
+            while peer := self._gossip.pick_newer_peer(
+                replica.name, replica.content_version, failed=tried
+            ):
                 tried.add(peer.message.id)
                 fetch = self._fetch_from(peer, replica, replica.content_version)
                 running.add(asyncio.ensure_future(fetch))
@@ -575,8 +572,9 @@
                     timeout=None if is_full else SECOND_FETCH_DELAY_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-            if running:
-                await asyncio.wait(running)
+                await asyncio.sleep(
+                    MIN_FETCH_PAUSE_S + self._draw_fetch_jitter()
+                )
         finally:
             for task in running:
                 task.cancel()
--- a/tests/platform/test_table_transfers.py
+++ b/tests/platform/test_table_transfers.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import random as random_module
+from unittest import mock
 
+from mothpass.adapters import relay_listener
+from mothpass.ports import relay
+from mothpass.relay import fleet_sync
 from mothpass.relay import table_server
 from tests.platform import fleet
 from tests.platform import slow_link
@@ -198,6 +202,43 @@
         await self.wait_for_version(2, IN_FORCE_S)
 
 
+class RefusingPeerTest(_SlowLinkTest):
+    """One peer crawls, and the other turns fetches away for a time."""
+
+    daemons = 2
+
+    async def test_change_is_fetched_once_a_peer_stops_refusing(self) -> None:
+        """Guards against a few refusals after which one peer is waited for."""
+        other = store_standin.Store()
+        await other.open()
+        self.addCleanup(other.close)
+        other.status = 503
+        crawling, refusing = (service.fleet_sync for service in self.services)
+        link = await self.open_link(crawling.address, 1e6)
+        await self.add_daemon(
+            2, other.address, {crawling.address: link.address}
+        )
+        answer_peer = fleet_sync.FleetSync.answer_peer
+        loop = asyncio.get_running_loop()
+        refuses_until = loop.time() + 2.0
+
+        async def refuse(
+            sync: fleet_sync.FleetSync,
+            head: relay.ClientHead,
+            body: bytes,
+            client: relay_listener.ClientConnection,
+        ) -> None:
+            if sync is refusing and loop.time() < refuses_until:
+                client.write_response(503, (), b"")
+                return
+            await answer_peer(sync, head, body, client)
+
+        link.set_rate(10_000)
+        with mock.patch.object(fleet_sync.FleetSync, "answer_peer", refuse):
+            self.store.put("op", "config", make_large_document(version=2))
+            await self.wait_for_version(2, IN_FORCE_S)
+
+
 def make_large_document(version: int) -> dict[str, object]:
     """Returns a document whose names can't be compressed well."""
     random = random_module.Random(version)
