Take the version of a peer with its page, as a copy could stay behind for good

Cause: a copy's content version was the newest version of the rows whose content had changed for it. Daemons with the same rows could come to different ones: where a row was written again as it was, came back with a restore, or was gone before a daemon started, as after a zone was closed and opened. Class: a version compared between copies that each derive it from their own history.

Evidence: the test of a daemon that starts after a zone was opened again fails before, 503 by daemons on which nothing is wrong; the unit test too, for want of the argument.

Why this works: a page of a peer brings all that the peer has, so that its content version holds for the copy as well. Pages of the store carry a version of the whole store, and are treated as before. The model of the copies (mothpass-spec table_copies) passes with it.

--- a/mothpass/core/table_copies.py
+++ b/mothpass/core/table_copies.py
@@ -111,6 +111,7 @@
         now: float,
         *,
         asked_at: store_versions.Version,
+        is_from_peer: bool = False,
     ) -> Change | None:
         """Applies a page of the store or of a peer.
 
@@ -118,6 +119,7 @@
             page: Rows of the store, or of a peer's copy.
             now: Seconds of the caller's clock.
             asked_at: Content version of the copy when it was asked for.
+            is_from_peer: Whether the version of the page is a content version.
 
         Returns:
             The effect, None if the page is older than the copy.
@@ -147,8 +149,10 @@
                 store_versions.make_version(era, 1),
                 *(row.version for row in changed),
             )
-        if is_restore:
-            self.content_version = page.version
+        if is_restore or is_from_peer:
+            # This copy now has all that the peer has, also where its rows were
+            # the same or removed before it had them.
+            self.content_version = max(self.content_version, page.version)
         return Change(
             rows=changed,
             is_restore=is_restore,
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -626,7 +626,7 @@
             return False
         replica.count_read("peer", "ok", len(reply.body))
         before = replica.content_version
-        replica.apply_page(page, asked_at=asked_at)
+        replica.apply_page(page, asked_at=asked_at, is_from_peer=True)
         event_log.log(
             _logger,
             "table_from_peer",
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -194,20 +194,28 @@
             self.freshness.confirm(called_at)
 
     def apply_page(
-        self, page: replicas.Page, *, asked_at: store_versions.Version
+        self,
+        page: replicas.Page,
+        *,
+        asked_at: store_versions.Version,
+        is_from_peer: bool = False,
     ) -> bool:
         """Applies rows of the store or of a peer, unless they are outdated.
 
         Args:
             page: The rows.
             asked_at: Content version of this replica when it asked for them.
+            is_from_peer: Whether they are a peer's.
 
         Returns:
             Whether they were applied.
         """
         before = self._copy.content_version
         change = self._copy.apply_page(
-            page, asyncio.get_running_loop().time(), asked_at=asked_at
+            page,
+            asyncio.get_running_loop().time(),
+            asked_at=asked_at,
+            is_from_peer=is_from_peer,
         )
         if change is None:
             self._metrics.count("table_pages_dropped", table=self.name)
--- a/spec/table_copies.py
+++ b/spec/table_copies.py
@@ -178,11 +178,15 @@
     page_key: "_PageKey",
     asked_document: int,
     asked_at: store_versions.Version | None = None,
+    *,
+    is_from_peer: bool = False,
 ) -> Daemon:
     copy: table_copies.TableCopy = frozen.thaw(daemon.copy)
     if asked_at is None:
         asked_at = copy.content_version
-    copy.apply_page(page_key.page, 0.0, asked_at=asked_at)
+    copy.apply_page(
+        page_key.page, 0.0, asked_at=asked_at, is_from_peer=is_from_peer
+    )
     return _observe(daemon, copy, asked_document)
 
 
@@ -328,7 +332,7 @@
             )
         is_current = sent.version >= copy.content_version
         asked = _read_value(peer_copy, _DOCUMENT) or 0 if is_current else 0
-        after = _apply(daemon, _PageKey(sent), asked)
+        after = _apply(daemon, _PageKey(sent), asked, is_from_peer=True)
         yield (
             f"{index} asks {peer_index}",
             _replace_daemon(state, index, after),
--- a/tests/platform/test_outdated_routes.py
+++ b/tests/platform/test_outdated_routes.py
@@ -129,6 +129,26 @@
         self.assertEqual(answer.status, 200)
 
 
+class RestartedDaemonTest(fleet.FleetTest):
+    """A daemon that starts after rows have come and gone."""
+
+    daemons = 3
+
+    async def test_daemon_that_starts_after_a_row_is_gone_serves(self) -> None:
+        """Guards against a version that a daemon can never reach."""
+        await self.wait_until_followed()
+        self.store.put("op", "evacuate/zone-z", {})
+        await asyncio.sleep(0.3)
+        self.store.remove("op", "evacuate/zone-z")
+        await asyncio.sleep(0.3)
+        await self.add_daemon(3)
+        await asyncio.sleep(1.5 * IN_FORCE_S)
+        for daemon in range(4):
+            for path, status in (("/read/1", 200), ("/nowhere/1", 404)):
+                answer = await self.send_request("GET", path, daemon=daemon)
+                self.assertEqual(answer.status, status, daemon)
+
+
 class CurrentRoutesTest(fleet.FleetTest):
     """Daemons that are in touch with each other and the store."""
 
--- a/tests/test_table_copies.py
+++ b/tests/test_table_copies.py
@@ -36,6 +36,32 @@
     )
 
 
+class PeerPageTest(unittest.TestCase):
+    """Pages of peers whose content version came about in another way."""
+
+    def test_copy_has_the_version_of_a_peer_after_its_page(self) -> None:
+        """Guards against a copy that stays behind its peers for good."""
+        old = table_copies.TableCopy(compare=compare_numbers)
+        new = table_copies.TableCopy(compare=compare_numbers)
+        row = make_row("config", 0, 10, "1")
+        old.apply_page(make_page(0, 10, row), 0.0, asked_at=store_versions.NONE)
+        for page in (
+            make_page(0, 20, make_row("zone-a", 0, 20, "x"), is_whole=False),
+            make_page(0, 30, make_row("zone-a", 0, 30, None), is_whole=False),
+        ):
+            old.apply_page(page, 0.0, asked_at=old.content_version)
+        new.apply_page(make_page(0, 30, row), 0.0, asked_at=store_versions.NONE)
+        self.assertLess(new.content_version, old.content_version)
+        new.apply_page(
+            old.make_page(new.content_version),
+            0.0,
+            asked_at=new.content_version,
+            is_from_peer=True,
+        )
+        self.assertEqual(new.content_version, old.content_version)
+        self.assertEqual(new.rows, old.rows)
+
+
 class RestoreTest(unittest.TestCase):
     """One copy, before and after a restore."""
 
