--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -91,8 +91,10 @@
             message.suspected_parts,
             message.stated_limits,
             message.limited_counts,
+            message.routes_age_ms,
+            message.started_streams,
         ]
-        self.assertEqual(added, [[], [], [], {}, {}])
+        self.assertEqual(added, [[], [], [], {}, {}, None, []])
         self.assertEqual(
             msgspec.msgpack.encode(message),
             msgspec.msgpack.encode(msgspec.msgpack.decode(data) + added),
