--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import unittest
 
 from mothpass.adapters import http_exchanges
@@ -44,14 +45,12 @@
         ) -> None:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(first)
-            try:
+            with contextlib.suppress(OSError, asyncio.CancelledError):
                 while self.sent_bytes < _MAX_SENT_BYTES:
                     writer.write(rest)
                     self.sent_bytes += len(rest)
                     await writer.drain()
                     await asyncio.sleep(pause_s)
-            except OSError:
-                pass
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
