Ask each peer for a table only once at a time

While one peer refused, all three fetches could go to the one that crawls, and with three running the next waited for one of them to end, 8 s.

--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -556,22 +556,31 @@
         While a fetch takes long, another peer is asked as well.
         """
         tried: set[str] = set()
-        running: set[asyncio.Task[bool]] = set()
+        running: dict[asyncio.Task[bool], str] = {}
         try:
             # Jitter and a random peer keep the fleet from saturating one link.
             await asyncio.sleep(self._draw_fetch_jitter())
-            while peer := self._gossip.pick_newer_peer(
-                replica.name, replica.content_version, failed=tried
+            while self._gossip.has_newer_peer(
+                replica.name, replica.content_version
             ):
-                tried.add(peer.message.id)
-                fetch = self._fetch_from(peer, replica, replica.content_version)
-                running.add(asyncio.ensure_future(fetch))
-                is_full = len(running) >= MAX_PARALLEL_FETCHES
-                _, running = await asyncio.wait(
+                peer = self._gossip.pick_newer_peer(
+                    replica.name,
+                    replica.content_version,
+                    failed=tried,
+                    asked=set(running.values()),
+                )
+                if peer is not None and len(running) < MAX_PARALLEL_FETCHES:
+                    tried.add(peer.message.id)
+                    after = replica.content_version
+                    fetch = self._fetch_from(peer, replica, after)
+                    running[asyncio.ensure_future(fetch)] = peer.message.id
+                done, _ = await asyncio.wait(
                     running,
-                    timeout=None if is_full else SECOND_FETCH_DELAY_S,
+                    timeout=SECOND_FETCH_DELAY_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
+                for task in done:
+                    del running[task]
                 await asyncio.sleep(
                     MIN_FETCH_PAUSE_S + self._draw_fetch_jitter()
                 )
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -357,7 +357,12 @@
         return self._id in ranked[:number]
 
     def pick_newer_peer(
-        self, table: str, version: int, *, failed: abc.Container[str] = ()
+        self,
+        table: str,
+        version: int,
+        *,
+        failed: abc.Container[str] = (),
+        asked: abc.Container[str] = (),
     ) -> Peer | None:
         """Returns a random peer whose replica is newer, None without one.
 
@@ -365,8 +370,13 @@
             table: Name of the table.
             version: Content version of this daemon's replica.
             failed: Ids of peers that are chosen only if there is no other.
+            asked: Ids of peers that aren't chosen.
         """
-        newer = self._list_newer(table, version)
+        newer = [
+            peer
+            for peer in self._list_newer(table, version)
+            if peer.message.id not in asked
+        ]
         untried = [peer for peer in newer if peer.message.id not in failed]
         newer = untried or newer
         return self._random.choice(newer) if newer else None
