--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -125,6 +125,8 @@
         needs_new_connection: Whether a pooled connection may not be reused.
         max_idle_connections: Idle connections that the pool may keep to the
             target.
+        on_connected: Called once the request is about to be sent over a
+            connection.
         on_head: Called with the head of the answer.
         on_event: Called with the id of the last event to forward.
     """
@@ -136,6 +138,7 @@
     silence_timeout_s: float | None
     needs_new_connection: bool
     max_idle_connections: int
+    on_connected: abc.Callable[[], None]
     on_head: abc.Callable[[relay.AnswerHead], None]
     on_event: abc.Callable[[int], None]
 
@@ -171,6 +174,7 @@
                 is_reachable=False,
                 has_arrived=False,
             )
+        attempt.on_connected()
         is_reused = connection.exchange_count > 0
         idle_timeout_s = 0.0
         exchange = None
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -270,6 +270,12 @@
             target=target, tokens=own if choice.is_cached else shared + own
         )
 
+        connected_at: float | None = None
+
+        def record_connected() -> None:
+            nonlocal connected_at
+            connected_at = loop.time()
+
         def record_event(position: int) -> None:
             pending_prefill.finish()
             self._crash_detector.record_progress(in_flight, position)
@@ -290,6 +296,7 @@
             needs_new_connection=not admitted.route.is_retryable
             or progress.attempt_count > 0,
             max_idle_connections=self._compute_idle_share(admitted),
+            on_connected=record_connected,
             on_head=functools.partial(
                 self._notices.record_head, admitted.request.id, target
             ),
@@ -317,8 +324,13 @@
             pending_prefill.finish()
             self._queues.release_slot(target)
             self._crash_detector.record_end(target, in_flight)
-            if outcome is _ABANDONED and loop.time() >= admitted.deadline:
-                target.record_ambiguous_failure(loop.time())
+            if outcome is _ABANDONED:
+                self._metrics.count(
+                    "abandoned_attempts",
+                    phase="connecting" if connected_at is None else "sent",
+                )
+                if loop.time() >= admitted.deadline:
+                    target.record_ambiguous_failure(loop.time())
             event_log.log(
                 _logger,
                 "attempt",
@@ -335,6 +347,9 @@
                 status=outcome.status,
                 reason=outcome.reason,
                 is_reused=outcome.is_reused,
+                connect_ms=None
+                if connected_at is None
+                else round((connected_at - now) * 1000, 1),
                 software=registration.software_version,
                 ms=round((loop.time() - now) * 1000, 1),
             )
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -1,11 +1,15 @@
 """Base of tests: relay daemons and stand-ins of the platform in one loop."""
 
 import asyncio
+from collections import abc
+import enum
 import itertools
+import typing
 import unittest
 
 from mothpass.adapters import http_exchanges
 from mothpass.adapters import http_pool
+from mothpass.core import errors
 from mothpass.platform import daemon as daemon_module
 from mothpass.relay import service as service_module
 from mothpass.relay import settings as settings_module
@@ -72,15 +76,83 @@
     }
 
 
-class _LinkedPool(http_pool.ConnectionPool):
-    """Connects to the links in front of addresses, where there are any."""
+class _DeafTransport:
+    """Transport of a connection over which nothing gets through any more."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        transport.pause_reading()
+
+    def write(self, data: bytes) -> None:
+        del data
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return self._transport.is_closing()
+
+    def abort(self) -> None:
+        self._transport.abort()
+
+
+class Cut(enum.StrEnum):
+    """What a cut link does.
+
+    SILENT: nothing gets through. RESET: connections are reset, new ones are
+    refused. REFUSED: connections live on, new ones are refused.
+    """
+
+    SILENT = "silent"
+    RESET = "reset"
+    REFUSED = "refused"
+
+
+class LinkedPool(http_pool.ConnectionPool):
+    """Connects over links that can be replaced and cut."""
 
     def __init__(self, links: dict[str, str]) -> None:
         super().__init__(connect_timeout_ms=service_module.CONNECT_TIMEOUT_MS)
         self._links = links
+        self._cuts: dict[str, Cut] = {}
+        self._opened: dict[str, list[http_exchanges.Connection]] = {}
+
+    def cut(self, addresses: abc.Iterable[str], how: Cut) -> None:
+        """Cuts the links to addresses."""
+        for address in addresses:
+            self._cuts[address] = how
+            for connection in self._opened.pop(address, ()):
+                _cut_connection(connection, how)
+
+    def heal(self) -> None:
+        """Ends all cuts; silent connections stay silent."""
+        self._cuts.clear()
 
     async def _connect(self, address: str) -> http_exchanges.Connection:
-        return await super()._connect(self._links.get(address, address))
+        how = self._cuts.get(address)
+        if how is not None:
+            if how is Cut.SILENT:
+                await asyncio.sleep(service_module.CONNECT_TIMEOUT_MS / 1000)
+            raise errors.TargetUnreachableError(
+                f"no connection to {address}: cut"
+            )
+        connection = await super()._connect(self._links.get(address, address))
+        self._opened.setdefault(address, []).append(connection)
+        return connection
+
+
+def _cut_connection(connection: http_exchanges.Connection, how: Cut) -> None:
+    transport = connection._transport
+    if transport is None or how is Cut.REFUSED:
+        return
+    if how is Cut.RESET:
+        transport.abort()
+    else:
+        deaf = _DeafTransport(transport)
+        connection._transport = typing.cast(asyncio.Transport, deaf)
 
 
 class FleetTest(unittest.IsolatedAsyncioTestCase):
@@ -97,6 +169,7 @@
         self.document = make_document()
         self.store.put("op", "config", self.document)
         self.services: list[service_module.Service] = []
+        self.pools: list[LinkedPool] = []
         self.addresses: list[str] = []
         self._base = next(_ports)
         for number in range(self.daemons):
@@ -142,6 +215,7 @@
         number: int,
         store: str = "",
         links: dict[str, str] | None = None,
+        cut: Cut | None = None,
     ) -> None:
         """Starts a daemon and waits until it is ready.
 
@@ -149,6 +223,7 @@
             number: Its number, unique in the fleet.
             store: Address of its store, if not that of the others.
             links: Addresses that it connects to in place of others.
+            cut: How its links to the targets are cut from the start.
         """
         host = f"127.0.1.{number + 1}"
         settings = settings_module.Settings(
@@ -163,7 +238,10 @@
             metrics_port=self._base + 3,
             grace_s=4.0,
         )
-        pool = _LinkedPool(links or {})
+        pool = LinkedPool(links or {})
+        self.pools.append(pool)
+        if cut is not None:
+            self.cut_daemon(number, cut)
         service = daemon_module.build_service(
             settings, pool, daemon_module.build_store(settings, pool)
         )
@@ -172,6 +250,11 @@
         self.addresses.append(settings.clients)
         await self.wait_until_ready(settings.health)
 
+    def cut_daemon(self, number: int, how: Cut) -> None:
+        """Cuts the links of a daemon to all targets."""
+        targets = [*self.plain, *self.models]
+        self.pools[number].cut([item.address for item in targets], how)
+
     async def wait_until_ready(self, address: str) -> None:
         """Waits until a daemon reports that it is ready."""
         for _ in range(200):
