Forward requests to a peer while this daemon has no path to targets

Cause: a daemon called targets itself or not at all.

Why this fix works: two targets in a row that can't be connected to, or a slow failure with no connection opened meanwhile, are held against the path. A peer that doesn't report the service as cut off then handles the request, with the time, attempts and version that are left. It is the peer that sends, so that pauses, limits, cold rates, the bound on load and the budget of repeats hold as for its own callers. Its answer is final, as a peer that is lost may have run the request; a second one is asked only where the first took no part. Where nobody has a path, the request is refused at once.

--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -38,6 +38,36 @@
 ]
 
 
+class Responder(typing.Protocol):
+    """Writes the response to one request; see ``ClientConnection``."""
+
+    @property
+    def response_started(self) -> bool:
+        """Whether any byte of the response was written."""
+
+    def write_response(
+        self, status: int, headers: abc.Iterable[relay.Header], body: bytes
+    ) -> None:
+        """Writes a complete response."""
+
+    def write_rejection(self, refusal: errors.Refusal) -> None:
+        """Writes a refusal."""
+
+    def start_stream(
+        self, status: int, headers: abc.Iterable[relay.Header]
+    ) -> None:
+        """Writes the head of a stream."""
+
+    async def write_chunk(self, data: bytes) -> None:
+        """Writes a part of a stream and waits while the buffer is full."""
+
+    def end_stream(self) -> None:
+        """Writes the end of a stream."""
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+
+
 class ListenerState:
     """State that all connections of a listener share.
 
@@ -55,6 +85,10 @@
         self.connections: set[ClientConnection] = set()
         self.is_closing = False
 
+    def has_requests(self) -> bool:
+        """Returns whether any connection has a request."""
+        return any(not item.is_idle for item in self.connections)
+
     def close_idle(self) -> None:
         """Closes the connections without a request."""
         for connection in list(self.connections):
--- a/mothpass/ports/relay.py
+++ b/mothpass/ports/relay.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from mothpass.core import errors
 from mothpass.core import prompts
 
 # Name and value of a header, in the bytes of the wire.
@@ -106,6 +107,8 @@
         is_signed: Whether the answer has the target's signature.
         idle_timeout_s: Time for which the target keeps an idle connection
             open, None if not stated.
+        refusal: Refusal of the peer that the request was forwarded to, None in
+            the answer of a target.
     """
 
     status: int
@@ -118,6 +121,7 @@
     limit_per_s: float | None = None
     is_signed: bool
     idle_timeout_s: float | None
+    refusal: errors.Refusal | None = None
 
 
 class ClientHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -12,12 +12,14 @@
 from mothpass.adapters import relay_listener
 from mothpass.core import errors
 from mothpass.core import server_sent_events
-from mothpass.core import target_table
 from mothpass.ports import relay
 
 # Targets state their idle timeout in whole seconds; a connection that is about
 # to be closed isn't reused.
 IDLE_TIMEOUT_MARGIN_S = 1.0
+# Time by which an attempt may outlive the deadline of its request, which
+# passes first and decides the answer.
+DEADLINE_MARGIN_S = 0.25
 # For targets that state no idle timeout.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 _EVENT_STREAM = b"text/event-stream"
@@ -71,7 +73,7 @@
     """State of the answer to a client, over all attempts.
 
     Attributes:
-        client: Connection of the client.
+        client: Writes the answer to the client.
         position: Id of the last event sent to the client, None for none.
         is_streaming: Whether the head of a stream was sent.
         first_byte_at: Monotonic seconds of the first bytes, None before.
@@ -90,7 +92,7 @@
     def __init__(
         self,
         *,
-        client: relay_listener.ClientConnection,
+        client: relay_listener.Responder,
         position: int | None,
     ) -> None:
         """Creates the state before any byte is sent."""
@@ -117,8 +119,8 @@
 
     Attributes:
         request: The request.
-        target: Target of the attempt.
-        data: Encoded request for the target.
+        address: ``ip:port`` of the target, or of a peer to forward to.
+        data: Encoded request for it.
         deadline: Monotonic seconds at which the attempt times out.
         silence_timeout_s: Time without a byte after which the attempt is
             abandoned; None to wait until the deadline.
@@ -126,19 +128,21 @@
         max_idle_connections: Idle connections that the pool may keep to the
             target.
         on_connected: Called once the request is about to be sent over a
-            connection.
+            connection, with whether it was opened for this.
+        on_bytes: Called with the monotonic seconds of the last byte received.
         on_head: Called with the head of the answer.
         on_event: Called with the id of the last event to forward.
     """
 
     request: relay.Request
-    target: target_table.Target
+    address: str
     data: bytes
     deadline: float
     silence_timeout_s: float | None
     needs_new_connection: bool
     max_idle_connections: int
-    on_connected: abc.Callable[[], None]
+    on_connected: abc.Callable[[bool], None]
+    on_bytes: abc.Callable[[float], None]
     on_head: abc.Callable[[relay.AnswerHead], None]
     on_event: abc.Callable[[int], None]
 
@@ -162,7 +166,7 @@
 
     async def send(self, attempt: Attempt, delivery: Delivery) -> Outcome:
         """Sends a request and forwards the answer to the client."""
-        address = attempt.target.registration.address
+        address = attempt.address
         try:
             connection = await self._pool.acquire(
                 address, fresh=attempt.needs_new_connection
@@ -174,8 +178,8 @@
                 is_reachable=False,
                 has_arrived=False,
             )
-        attempt.on_connected()
         is_reused = connection.exchange_count > 0
+        attempt.on_connected(not is_reused)
         idle_timeout_s = 0.0
         exchange = None
         try:
@@ -232,7 +236,7 @@
     ) -> relay.AnswerHead:
         while not exchange.status:
             await exchange.wait_for_progress()
-        attempt.target.last_byte_at = exchange.last_byte_at
+        attempt.on_bytes(exchange.last_byte_at)
         head = self._read_head(exchange.status, tuple(exchange.header_list))
         attempt.on_head(head)
         return head
@@ -247,7 +251,7 @@
         if head.status == 200 and _is_event_stream(head):
             return await self._forward_stream(attempt, exchange, head, delivery)
         body = await http_fetch.read_body(exchange)
-        attempt.target.last_byte_at = exchange.last_byte_at
+        attempt.on_bytes(exchange.last_byte_at)
         if head.execution_state is relay.ExecutionState.NOT_RUN:
             reason = "other target" if head.is_other_target else "refused"
             return Outcome(
@@ -256,6 +260,7 @@
                 status=head.status,
                 is_reachable=not head.is_other_target,
                 is_replaced=head.is_other_target,
+                head=head,
             )
         if delivery.is_streaming:
             # A started stream can only be resumed by another stream.
@@ -284,7 +289,7 @@
         last_event_at = exchange.last_byte_at
         while True:
             await exchange.wait_for_progress()
-            attempt.target.last_byte_at = exchange.last_byte_at
+            attempt.on_bytes(exchange.last_byte_at)
             # Read before the bytes, as more may arrive in between.
             is_last = exchange.complete
             try:
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -24,11 +24,13 @@
 from mothpass.core import stream_origins
 from mothpass.core import suspects
 from mothpass.core import target_limits
+from mothpass.core import target_paths
 from mothpass.core import target_table
 from mothpass.ports import relay
 from mothpass.ports import replicas as replica_ports
 from mothpass.relay import gossip
 from mothpass.relay import metrics as metrics_module
+from mothpass.relay import path_probes
 from mothpass.relay import ports as ports_module
 from mothpass.relay import replicas
 from mothpass.relay import settings as settings_module
@@ -92,10 +94,12 @@
         crash_suspects: Requests that are suspected to crash targets.
         suspected_parts: Prompt parts that are suspected to crash targets.
         departures: Targets that answers show to be gone or leaving.
+        path_monitor: To which services this daemon has no path.
         stream_origins: Which software versions began which streams.
     """
 
     __slots__ = (
+        "_availability_zone",
         "_fetching",
         "_gossip",
         "_host",
@@ -124,6 +128,7 @@
         "crash_suspects",
         "departures",
         "is_leaving",
+        "path_monitor",
         "stream_origins",
         "suspected_parts",
     )
@@ -142,6 +147,7 @@
         """Creates the replicas and the gossip; see ``service.Service``."""
         self._prompt_caches = prompt_caches
         self._id = settings.id
+        self._availability_zone = settings.availability_zone
         self._host = settings.address
         self._port = settings.peer_ports[0]
         self._seeds = settings.seeds or []
@@ -155,6 +161,13 @@
         )
         self.departures = departures.DepartureTable()
         self.stream_origins = stream_origins.StreamOrigins()
+        self.path_monitor = path_probes.PathMonitor(
+            pool=pool,
+            targets=state.targets,
+            announce=self.announce,
+            metrics=metrics,
+            random=random,
+        )
         self._started_ms = int(time.time() * 1000)
         self._sequence_number = 0
         self.is_leaving = False
@@ -248,7 +261,8 @@
         self._gossip.send_now()
 
     def close(self) -> None:
-        """Stops gossip."""
+        """Stops gossip and probes."""
+        self.path_monitor.close()
         self._gossip.close()
 
     def list_peer_ids(self) -> list[str]:
@@ -259,6 +273,18 @@
         """Returns the ``ip:port`` of the live peers."""
         return [peer.address for peer in self._gossip.list_live()]
 
+    def list_peer_paths(self) -> list[target_paths.PeerPath]:
+        """Returns what the live peers say of their paths to targets."""
+        return [
+            target_paths.PeerPath(
+                id=peer.message.id,
+                address=peer.address,
+                availability_zone=peer.message.availability_zone,
+                cut_off_services=peer.message.cut_off_services,
+            )
+            for peer in self._gossip.list_live()
+        ]
+
     def list_sharers(self) -> list[str]:
         """Returns the ids of all daemons that share the fleet's limits."""
         return self._gossip.list_sharers()
@@ -454,6 +480,8 @@
             ),
             routes_age_ms=self._compute_routes_age_ms(now),
             started_streams=announcements.started_streams,
+            availability_zone=self._availability_zone,
+            cut_off_services=self.path_monitor.list_cut_off(),
         )
 
     def _handle_change(self, replica: replicas.Replica) -> None:
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -21,6 +21,9 @@
 from mothpass.relay import attempts
 from mothpass.relay import crashes
 from mothpass.relay import metrics as metrics_module
+from mothpass.relay import path_probes
+from mothpass.relay import peer_forwarding as peer_forwarding_module
+from mothpass.relay import peer_requests
 from mothpass.relay import progress as progress_module
 from mothpass.relay import request_queues
 from mothpass.relay import stream_resumption
@@ -34,8 +37,6 @@
 # A target with a prefill backlog is silent for longer. The engines of the
 # deployments prefill 55,000 tokens a second, fewer beside running streams.
 MIN_PREFILL_TOKENS_PER_S = 20_000
-# Time by which an attempt may outlive the deadline of its request.
-ATTEMPT_DEADLINE_MARGIN_S = 0.25
 # Attempts that end without a run before the request is rejected.
 MAX_NOT_RUN_ATTEMPTS = 4
 
@@ -59,6 +60,8 @@
         "_make_budget",
         "_metrics",
         "_notices",
+        "_path_monitor",
+        "_peer_forwarding",
         "_prompt_caches",
         "_queues",
         "_random",
@@ -81,6 +84,8 @@
         crash_detector: crashes.CrashDetector,
         notices: target_notices.TargetNotices,
         resumption: stream_resumption.StreamResumption,
+        path_monitor: path_probes.PathMonitor,
+        peer_forwarding: peer_forwarding_module.PeerForwarding,
         metrics: metrics_module.Metrics,
         read_request: relay.ReadRequest,
         write_request: relay.WriteRequest,
@@ -100,6 +105,8 @@
             crash_detector: Detects crashes of targets.
             notices: Applies what answers say of their targets.
             resumption: Finds the version at which a stream goes on.
+            path_monitor: To which services this daemon has no path.
+            peer_forwarding: Forwards requests to peers.
             metrics: Counters and histograms.
             read_request: Decodes a client's request.
             write_request: Encodes a target's request.
@@ -116,6 +123,8 @@
         self._crash_detector = crash_detector
         self._notices = notices
         self._resumption = resumption
+        self._path_monitor = path_monitor
+        self._peer_forwarding = peer_forwarding
         self._metrics = metrics
         self._read_request = read_request
         self._write_request = write_request
@@ -133,25 +142,45 @@
         client: relay_listener.ClientConnection,
     ) -> None:
         """Handles one request; see ``relay_listener.Handle``."""
-        request = self._read_request(head, body)
+        await self._serve(self._read_request(head, body), client)
+
+    async def handle_forwarded(
+        self,
+        forwarded: peer_requests.ForwardedRequest,
+        client: relay_listener.ClientConnection,
+    ) -> None:
+        """Handles a request that a peer has forwarded."""
+        self._metrics.count("requests_from_peers")
+        responder = peer_requests.PeerResponder(client)
+        await self._serve(forwarded.request, responder, forwarded)
+
+    async def _serve(
+        self,
+        request: relay.Request,
+        client: relay_listener.Responder,
+        forwarded: peer_requests.ForwardedRequest | None = None,
+    ) -> None:
         admitted = self._admission.admit(request)
         if isinstance(admitted, errors.Refusal):
             self._log_end(request, None, None, admitted.code, admitted.message)
             client.write_rejection(admitted)
             return
-        self._get_budget(admitted.service.name).record_request(
-            asyncio.get_running_loop().time()
+        if forwarded is None:
+            self._get_budget(admitted.service.name).record_request(
+                asyncio.get_running_loop().time()
+            )
+        progress = progress_module.Progress(
+            delivery=attempts.Delivery(
+                client=client, position=request.position
+            ),
+            max_attempts=admitted.route.max_attempts,
+            forwarded=forwarded,
         )
-        delivery = attempts.Delivery(client=client, position=request.position)
-        progress = progress_module.Progress(delivery=delivery)
         refusal: errors.Refusal | None
         try:
             async with asyncio.timeout_at(admitted.deadline):
-                version = await self._resumption.find_version(admitted)
-                if isinstance(version, errors.Refusal):
-                    refusal = version
-                else:
-                    progress.version = version
+                refusal = await self._find_version(admitted, progress)
+                if refusal is None:
                     refusal = await self._make_attempts(admitted, progress)
         except TimeoutError:
             refusal = progress_module.make_timeout_refusal(progress)
@@ -166,6 +195,18 @@
             raise
         self._finish(admitted, progress, refusal)
 
+    async def _find_version(
+        self, admitted: admission.Admitted, progress: progress_module.Progress
+    ) -> errors.Refusal | None:
+        """Sets the software version at which a stream goes on, if it must."""
+        if progress.version is not None:
+            return None
+        version = await self._resumption.find_version(admitted)
+        if isinstance(version, errors.Refusal):
+            return version
+        progress.version = version
+        return None
+
     async def _make_attempts(
         self, admitted: admission.Admitted, progress: progress_module.Progress
     ) -> errors.Refusal | None:
@@ -179,6 +220,10 @@
             # An attempt that never reached a target needs no retry budget.
             if progress.reached_attempts and not self._spend_retry(admitted):
                 return self._make_final_refusal(admitted, progress)
+            if self._lacks_path(admitted, progress):
+                is_final, refusal = await self._forward(admitted, progress)
+                if is_final:
+                    return refusal
             choice = await self._acquire_slot(admitted, progress)
             if isinstance(choice, errors.Refusal):
                 if not progress.attempt_count:
@@ -191,6 +236,64 @@
             if not self._may_try_again(admitted, progress, outcome):
                 return self._make_final_refusal(admitted, progress)
 
+    def _lacks_path(
+        self, admitted: admission.Admitted, progress: progress_module.Progress
+    ) -> bool:
+        """Returns whether this daemon may have no path to the targets."""
+        return progress.lacks_path or self._path_monitor.is_cut_off(
+            admitted.service.name
+        )
+
+    async def _forward(
+        self, admitted: admission.Admitted, progress: progress_module.Progress
+    ) -> tuple[bool, errors.Refusal | None]:
+        """Forwards a request to a peer, as this daemon may have no path.
+
+        Returns:
+            Whether that ends the request, and the refusal to send; see
+            ``_make_attempts``.
+        """
+        outcome = None
+        if not progress.is_forwarded:
+            outcome = await self._peer_forwarding.forward(admitted, progress)
+        progress.lacks_path = False
+        if outcome is not None:
+            return True, self._conclude(admitted, progress, outcome)
+        if progress.is_forwarded or self._path_monitor.has_tried_all(
+            admitted.service.name
+        ):
+            return True, self._make_no_path_refusal(admitted, progress)
+        return False, None
+
+    def _conclude(
+        self,
+        admitted: admission.Admitted,
+        progress: progress_module.Progress,
+        outcome: attempts.Outcome,
+    ) -> errors.Refusal | None:
+        """Returns the refusal of a request that a peer has handled, if any."""
+        progress.reason = outcome.reason
+        if outcome.end is attempts.End.DELIVERED:
+            return None
+        refusal = None if outcome.head is None else outcome.head.refusal
+        if refusal is not None and not progress.runs:
+            return refusal
+        progress.runs += 1
+        if outcome.end is attempts.End.FAILED:
+            progress.failure = outcome
+        return self._make_final_refusal(admitted, progress)
+
+    def _make_no_path_refusal(
+        self, admitted: admission.Admitted, progress: progress_module.Progress
+    ) -> errors.Refusal:
+        if progress.runs:
+            return self._make_final_refusal(admitted, progress)
+        return admission.make_refusal(
+            results.Code.NO_TARGET,
+            "no path to the targets",
+            request_queues.NO_TARGET_RETRY_AFTER_MS,
+        )
+
     def _may_try_again(
         self,
         admitted: admission.Admitted,
@@ -213,7 +316,7 @@
             admitted.fingerprint, now=asyncio.get_running_loop().time()
         ):
             return False
-        return progress.runs < admitted.route.max_attempts
+        return progress.runs < progress.max_attempts
 
     async def _acquire_slot(
         self, admitted: admission.Admitted, progress: progress_module.Progress
@@ -272,9 +375,14 @@
 
         connected_at: float | None = None
 
-        def record_connected() -> None:
+        def record_connected(is_new: bool) -> None:
             nonlocal connected_at
             connected_at = loop.time()
+            if is_new:
+                self._path_monitor.record_connected(registration.service)
+
+        def record_bytes(at: float) -> None:
+            target.last_byte_at = at
 
         def record_event(position: int) -> None:
             pending_prefill.finish()
@@ -286,10 +394,9 @@
 
         attempt = attempts.Attempt(
             request=admitted.request,
-            target=target,
+            address=registration.address,
             data=self._write_request(admitted.request, dispatch),
-            # The request's own deadline passes first and decides the answer.
-            deadline=admitted.deadline + ATTEMPT_DEADLINE_MARGIN_S,
+            deadline=admitted.deadline + attempts.DEADLINE_MARGIN_S,
             silence_timeout_s=self._compute_silence_timeout(
                 admitted, progress, target
             ),
@@ -297,6 +404,7 @@
             or progress.attempt_count > 0,
             max_idle_connections=self._compute_idle_share(admitted),
             on_connected=record_connected,
+            on_bytes=record_bytes,
             on_head=functools.partial(
                 self._notices.record_head, admitted.request.id, target
             ),
@@ -320,6 +428,10 @@
         try:
             outcome = await self._sender.send(attempt, progress.delivery)
             self._record_outcome(admitted, target, in_flight, outcome)
+            if not outcome.is_reachable:
+                progress.lacks_path = self._record_unreachable(
+                    target, outcome, attempted_at=now
+                )
         finally:
             pending_prefill.finish()
             self._queues.release_slot(target)
@@ -329,6 +441,7 @@
                     "abandoned_attempts",
                     phase="connecting" if connected_at is None else "sent",
                 )
+                self._path_monitor.check(registration.service)
                 if loop.time() >= admitted.deadline:
                     target.record_ambiguous_failure(loop.time())
             event_log.log(
@@ -389,6 +502,29 @@
         if outcome.is_disconnected:
             self._crash_detector.probe(target)
 
+    def _record_unreachable(
+        self,
+        target: target_table.Target,
+        outcome: attempts.Outcome,
+        *,
+        attempted_at: float,
+    ) -> bool:
+        """Records that a target seems out of reach.
+
+        Returns:
+            Whether that may be due to the path.
+        """
+        service = target.registration.service
+        if outcome.has_arrived:
+            self._path_monitor.check(service)
+            return False
+        self._path_monitor.record_unreachable(target)
+        return self._path_monitor.paths.may_be_cut_off(
+            service,
+            attempted_at=attempted_at,
+            now=asyncio.get_running_loop().time(),
+        )
+
     def _spend_retry(self, admitted: admission.Admitted) -> bool:
         budget = self._get_budget(admitted.service.name)
         now = asyncio.get_running_loop().time()
@@ -417,7 +553,7 @@
     ) -> float | None:
         """Returns the silence after which another target is tried, if any."""
         route = admitted.route
-        is_last = progress.runs + 1 >= route.max_attempts
+        is_last = progress.runs + 1 >= progress.max_attempts
         if not route.is_retryable or is_last:
             return None
         if route.kind is route_table.Kind.STREAM:
@@ -505,6 +641,8 @@
             routes_version=self._admission.get_routes_version(admitted),
             newer_known_ms=self._admission.measure_lag_ms(admitted),
             sends=0 if progress is None else progress.attempt_count,
+            peers=[] if progress is None else sorted(progress.tried_peers),
+            is_forwarded=progress is not None and progress.is_forwarded,
             runs=0 if progress is None else progress.runs,
             reason="" if progress is None else progress.reason,
             began_as=request.resumed_id,
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -93,6 +93,9 @@
         routes_age_ms: Milliseconds since its version of the operator's table
             was last known to be the newest, None before that.
         started_streams: Streams that began at it of late.
+        availability_zone: Its availability zone, "" if its release takes no
+            requests of peers.
+        cut_off_services: Services to whose targets it has no path.
     """
 
     id: str
@@ -116,6 +119,8 @@
     limited_counts: dict[str, target_limits.FleetCount] = {}
     routes_age_ms: int | None = None
     started_streams: list[stream_origins.Origin] = []
+    availability_zone: str = ""
+    cut_off_services: list[str] = []
 
 
 class Announcements(msgspec.Struct, frozen=True, kw_only=True):
@@ -420,6 +425,7 @@
                 last.departed_targets,
                 last.held_tables,
                 last.started_streams,
+                last.cut_off_services,
             )
             == (
                 message.counts,
@@ -429,6 +435,7 @@
                 message.departed_targets,
                 message.held_tables,
                 message.started_streams,
+                message.cut_off_services,
             )
             and last.is_store_reader == message.is_store_reader
             and not _is_confirmed_since(last, message)
--- a/mothpass/relay/progress.py
+++ b/mothpass/relay/progress.py
@@ -5,6 +5,7 @@
 from mothpass.core import target_table
 from mothpass.relay import admission
 from mothpass.relay import attempts
+from mothpass.relay import peer_requests
 
 # Retry-After of a request that timed out before it got a slot.
 TIMEOUT_RETRY_AFTER_MS = 200
@@ -37,6 +38,11 @@
         runs: Attempts in which the request ran, or may have run.
         reached_attempts: Attempts that reached a target, as far as is known.
         not_run_attempts: Attempts in which the request didn't run.
+        tried_peers: Ids of the peers that it was forwarded to.
+        lacks_path: Whether its last attempt may have failed for want of a path
+            to the targets.
+        max_attempts: Attempts in which the request may run.
+        is_forwarded: Whether a peer forwarded the request to this daemon.
         failure: Last attempt whose target answered with a failure.
         reason: Why the last attempt ended.
         version: Fingerprint of the software version that began the stream,
@@ -47,18 +53,39 @@
         "attempt_count",
         "delivery",
         "failure",
+        "is_forwarded",
+        "lacks_path",
+        "max_attempts",
         "not_run_attempts",
         "reached_attempts",
         "reason",
         "runs",
         "tried",
+        "tried_peers",
         "version",
     )
 
-    def __init__(self, *, delivery: attempts.Delivery) -> None:
-        """Creates the progress of a request without attempts."""
+    def __init__(
+        self,
+        *,
+        delivery: attempts.Delivery,
+        max_attempts: int,
+        forwarded: peer_requests.ForwardedRequest | None = None,
+    ) -> None:
+        """Creates the progress of a request without attempts here.
+
+        Args:
+            delivery: State of the answer to the client.
+            max_attempts: Attempts in which its route lets it run.
+            forwarded: The request as a peer forwarded it, None for a request
+                of a client.
+        """
         self.delivery = delivery
+        self.is_forwarded = forwarded is not None
+        self.max_attempts = max_attempts
         self.tried: set[str] = set()
+        self.tried_peers: set[str] = set()
+        self.lacks_path = False
         self.attempt_count = 0
         self.runs = 0
         self.reached_attempts = 0
@@ -66,6 +93,10 @@
         self.failure: attempts.Outcome | None = None
         self.reason = ""
         self.version: int | None = None
+        if forwarded is not None:
+            self.max_attempts = min(max_attempts, forwarded.max_attempts)
+            self.tried.update(forwarded.avoided)
+            self.version = forwarded.version
 
 
 def make_timeout_refusal(progress: Progress) -> errors.Refusal:
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -14,6 +14,7 @@
 from mothpass.core import cold_rates
 from mothpass.core import fleet_retry_budget
 from mothpass.core import prompts
+from mothpass.core import results
 from mothpass.core import route_table
 from mothpass.core import target_choice
 from mothpass.core import target_table
@@ -25,6 +26,8 @@
 from mothpass.relay import forwarding
 from mothpass.relay import metrics as metrics_module
 from mothpass.relay import origin_questions
+from mothpass.relay import peer_forwarding
+from mothpass.relay import peer_requests
 from mothpass.relay import ports as ports_module
 from mothpass.relay import request_queues
 from mothpass.relay import settings as settings_module
@@ -71,6 +74,7 @@
         "_forwarder",
         "_is_leaving",
         "_metrics",
+        "_peers",
         "_pool",
         "_queues",
         "_random",
@@ -169,6 +173,19 @@
                 metrics=self._metrics,
             ),
             resumption=self._resumption,
+            path_monitor=self.fleet_sync.path_monitor,
+            peer_forwarding=peer_forwarding.PeerForwarding(
+                availability_zone=settings.availability_zone,
+                list_peer_paths=self.fleet_sync.list_peer_paths,
+                sender=attempts.AttemptSender(
+                    pool=pool,
+                    read_head=peer_requests.make_read_head(
+                        ports.read_answer_head
+                    ),
+                ),
+                metrics=self._metrics,
+                random=random,
+            ),
             metrics=self._metrics,
             read_request=ports.read_request,
             write_request=ports.write_request,
@@ -177,6 +194,9 @@
         self._clients = relay_listener.ListenerState(
             handle=self._forwarder.handle, find_limits=self._get_limits
         )
+        self._peers = relay_listener.ListenerState(
+            handle=self._answer_peer, find_limits=self._get_peer_limits
+        )
 
     async def start(self) -> None:
         """Opens the listeners and starts replication and gossip.
@@ -187,11 +207,13 @@
         settings = self.settings
         loop = asyncio.get_running_loop()
         self._servers = [
-            await relay_listener.open_listener(self._clients, settings.clients)
+            await relay_listener.open_listener(self._clients, settings.clients),
+            await relay_listener.open_listener(
+                self._peers, self.fleet_sync.address
+            ),
         ]
         for address, handle in (
             (settings.health, self._answer_health),
-            (self.fleet_sync.address, self._answer_peer),
             (
                 f"{settings.address}:{settings.metrics_port}",
                 self._answer_metrics,
@@ -230,7 +252,9 @@
         # close with the answer.
         await asyncio.sleep(BALANCER_DRAIN_S)
         self._servers[0].close()
-        while self._clients.connections and loop.time() < end:
+        while (
+            self._clients.connections or self._peers.has_requests()
+        ) and loop.time() < end:
             self._clients.close_idle()
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         event_log.log(_logger, "stopped", cut=len(self._clients.connections))
@@ -267,6 +291,7 @@
             server.close()
         self.fleet_sync.close()
         self._clients.abort()
+        self._peers.abort()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -276,6 +301,14 @@
         routes = self.state.routes
         return _DEFAULT_LIMITS if routes is None else routes.limits
 
+    def _get_peer_limits(self) -> route_table.RequestLimits:
+        """Returns limits that admit what peers forward."""
+        body_bytes = self._get_limits().body_bytes
+        return msgspec.structs.replace(
+            _DEFAULT_LIMITS,
+            body_bytes=body_bytes + peer_requests.MESSAGE_OVERHEAD_BYTES,
+        )
+
     def _make_budget(self) -> fleet_retry_budget.FleetRetryBudget:
         settings = self.settings
         return fleet_retry_budget.FleetRetryBudget(
@@ -348,6 +381,9 @@
         client: relay_listener.ClientConnection,
     ) -> None:
         """Answers another daemon."""
+        if head.url == peer_requests.PATH:
+            await self._answer_forwarded(body, client)
+            return
         question = origin_questions.read_question(head.url.decode("latin-1"))
         if question is None:
             await self.fleet_sync.answer_peer(head, body, client)
@@ -355,6 +391,27 @@
         answer = self._resumption.answer(question)
         client.write_response(200, (), msgspec.msgpack.encode(answer))
 
+    async def _answer_forwarded(
+        self, body: bytes, client: relay_listener.ClientConnection
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        try:
+            forwarded = peer_requests.decode_request(body, now)
+        except msgspec.DecodeError as error:
+            event_log.log(
+                _logger,
+                "forwarded_request_dropped",
+                logging.WARNING,
+                reason=str(error),
+            )
+            peer_requests.PeerResponder(client).write_rejection(
+                admission.make_refusal(
+                    results.Code.NO_TARGET, "request of another release", None
+                )
+            )
+            return
+        await self._forwarder.handle_forwarded(forwarded, client)
+
     async def _answer_health(
         self,
         head: relay.ClientHead,
--- a/tests/platform/test_fleet_bounds.py
+++ b/tests/platform/test_fleet_bounds.py
@@ -134,6 +134,21 @@
             self.assertTrue(answer.is_whole)
 
 
+class CutDaemonBoundsTest(SharedBoundsTest):
+    """The same limits while the requests of one daemon go through peers."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.wait_for_peers()
+        self.cut_daemon(0, fleet.Cut.SILENT)
+        await self.send_request("GET", "/read/1")
+        await self.send_request("POST", "/chat/1", self.make_chat_headers())
+        monitor = self.services[0].fleet_sync.path_monitor
+        await self.wait_for(
+            lambda: monitor.is_cut_off("plain") and monitor.is_cut_off("models")
+        )
+
+
 class RejectedDaemonTest(fleet.FleetTest):
     """A daemon that the store rejects, beside two that it serves."""
 
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -93,8 +93,10 @@
             message.limited_counts,
             message.routes_age_ms,
             message.started_streams,
+            message.availability_zone,
+            message.cut_off_services,
         ]
-        self.assertEqual(added, [[], [], [], {}, {}, None, []])
+        self.assertEqual(added, [[], [], [], {}, {}, None, [], "", []])
         self.assertEqual(
             msgspec.msgpack.encode(message),
             msgspec.msgpack.encode(msgspec.msgpack.decode(data) + added),
