Send fragile targets no requests to queue

What callers would see: targets that say that they are brittle fall over when they have to turn more requests away in a second than they state, with all that they run. The statement was not read.

Cause: each daemon sends up to 1.5 requests a slot, by counts that are a report old, so that the excess of all daemons meets at a queue that has shrunk.

Why this works: nothing is sent to queue, a daemon has its part of the slots and takes a free one by chance, so that the fleet takes what is free between two reports; one that was turned away keeps away.

--- a/mothpass/core/target_choice.py
+++ b/mothpass/core/target_choice.py
@@ -54,6 +54,10 @@
 # Returns whether one more request may be sent to a cold target now.
 AllowsCold = abc.Callable[[target_table.Target], bool]
 
+# Returns whether a target may get one more request now, as far as it may be
+# fragile.
+AdmitsFragile = abc.Callable[[target_table.Target], bool]
+
 # Returns whether the limit that a target states admits one more request now.
 # The second argument says whether the request has waited for a target.
 AdmitsLimited = abc.Callable[[target_table.Target, bool], bool]
@@ -83,6 +87,7 @@
     """
 
     __slots__ = (
+        "_admits_fragile",
         "_admits_limited",
         "_allows_cold",
         "_count_load",
@@ -99,6 +104,7 @@
         count_prefill_backlog: CountPrefillBacklog,
         allows_cold: AllowsCold,
         admits_limited: AdmitsLimited,
+        admits_fragile: AdmitsFragile = lambda _: True,
         random: random_module.Random,
     ) -> None:
         """Initializes the chooser.
@@ -111,6 +117,8 @@
             allows_cold: Returns whether a cold target may get a request now.
             admits_limited: Returns whether the limit that a target states
                 admits a request now.
+            admits_fragile: Returns whether a target may get a request now
+                without falling over.
             random: Source of randomness.
         """
         self.prompt_caches = prompt_caches
@@ -118,6 +126,7 @@
         self._count_prefill_backlog = count_prefill_backlog
         self._allows_cold = allows_cold
         self._admits_limited = admits_limited
+        self._admits_fragile = admits_fragile
         self._random = random
 
     def choose(
@@ -152,6 +161,7 @@
             if self._has_free_slot(target)
             and (not is_waiting or target.limit.may_admit_waiting(now))
             and (not target.is_cold(now) or self._allows_cold(target))
+            and self._admits_fragile(target)
         ]
         candidates = [
             target
--- a/mothpass/platform/targets.py
+++ b/mothpass/platform/targets.py
@@ -55,7 +55,8 @@
         pause_s=_decode_pause(fields.get(b"retry-after", b""))
         if status == _UNAVAILABLE
         else None,
-        limit_per_s=_decode_limit(fields.get(b"server-limit", b"")),
+        limit_per_s=_decode_rate(fields.get(b"server-limit", b"")),
+        turned_away_per_s=_decode_rate(fields.get(b"server-brittle", b"")),
         is_signed=b"server-seal" in fields,
         idle_timeout_s=_decode_idle_timeout(fields.get(b"keep-alive", b"")),
     )
@@ -72,8 +73,8 @@
     return min(seconds, MAX_PAUSE_S)
 
 
-def _decode_limit(value: bytes) -> float | None:
-    """Returns the requests per second of a limit, None without a usable one."""
+def _decode_rate(value: bytes) -> float | None:
+    """Returns requests per second, None without a usable number."""
     try:
         per_s = float(value)
     except ValueError:
--- a/mothpass/ports/relay.py
+++ b/mothpass/ports/relay.py
@@ -104,6 +104,8 @@
         pause_s: Seconds for which it wants no requests, None without a wish.
         limit_per_s: Requests per second that it takes from all daemons
             together, None without a limit.
+        turned_away_per_s: Requests that it can turn away within a second before
+            it falls over, None if it isn't fragile.
         is_signed: Whether the answer has the target's signature.
         idle_timeout_s: Time for which the target keeps an idle connection
             open, None if not stated.
@@ -119,6 +121,7 @@
     is_leaving: bool = False
     pause_s: float | None = None
     limit_per_s: float | None = None
+    turned_away_per_s: float | None = None
     is_signed: bool
     idle_timeout_s: float | None
     refusal: errors.Refusal | None = None
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -289,6 +289,12 @@
         """Returns the ids of all daemons that share the fleet's limits."""
         return self._gossip.list_sharers()
 
+    def compute_report_interval_s(self) -> float:
+        """Returns the time after which what each peer reports is new."""
+        return max(
+            gossip.TICK_INTERVAL_S, self._gossip.compute_send_interval_s()
+        )
+
     def count_load(self, target: target_table.Target) -> int:
         """Returns the requests of all daemons in flight at a target."""
         return target.in_flight + self._gossip.counts.sum_target(target.id)
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -495,6 +495,10 @@
             return
         if outcome.is_replaced:
             self._notices.record_replaced(admitted.request.id, target)
+        elif outcome.end is attempts.End.NOT_RUN and outcome.status:
+            self._notices.record_rejection(
+                target, daemons=self._count_daemons()
+            )
         if not outcome.is_reachable:
             target.record_failure(now)
         else:
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -13,6 +13,7 @@
 from mothpass.adapters import relay_listener
 from mothpass.core import cold_rates
 from mothpass.core import fleet_retry_budget
+from mothpass.core import fragile_targets
 from mothpass.core import prompts
 from mothpass.core import results
 from mothpass.core import route_table
@@ -72,6 +73,7 @@
     __slots__ = (
         "_clients",
         "_forwarder",
+        "_fragile_services",
         "_is_leaving",
         "_metrics",
         "_peers",
@@ -122,12 +124,14 @@
             metrics=self._metrics,
             random=random,
         )
+        self._fragile_services = fragile_targets.FragileServices()
         chooser = target_choice.TargetChooser(
             prompt_caches=prompt_caches,
             count_load=self.fleet_sync.count_load,
             count_prefill_backlog=self.fleet_sync.count_prefill_backlog,
             allows_cold=self._allows_cold,
             admits_limited=self._admits_limited,
+            admits_fragile=self._admits_fragile,
             random=random,
         )
         self._queues = request_queues.RequestQueues(
@@ -170,6 +174,7 @@
             ),
             notices=target_notices.TargetNotices(
                 departure_table=self.fleet_sync.departures,
+                fragile_services=self._fragile_services,
                 metrics=self._metrics,
             ),
             resumption=self._resumption,
@@ -334,6 +339,20 @@
         now = asyncio.get_running_loop().time()
         return target.recent_dispatches.count(now) < allowance
 
+    def _admits_fragile(self, target: target_table.Target) -> bool:
+        """Returns whether one more request leaves a fragile target standing."""
+        return self._fragile_services.admits(
+            target.registration.service,
+            target.id,
+            own_load=target.in_flight,
+            load=self.fleet_sync.count_load(target),
+            slots=target.registration.slots,
+            daemons=len(self.fleet_sync.list_sharers()),
+            report_interval_s=self.fleet_sync.compute_report_interval_s(),
+            now=asyncio.get_running_loop().time(),
+            random=self._random,
+        )
+
     def _admits_limited(
         self, target: target_table.Target, is_waiting: bool
     ) -> bool:
--- a/mothpass/relay/target_notices.py
+++ b/mothpass/relay/target_notices.py
@@ -5,6 +5,7 @@
 
 from mothpass.adapters import event_log
 from mothpass.core import departures
+from mothpass.core import fragile_targets
 from mothpass.core import target_table
 from mothpass.ports import relay
 from mothpass.relay import metrics as metrics_module
@@ -13,22 +14,25 @@
 
 
 class TargetNotices:
-    """Marks targets that are replaced, leave, pause or state a limit."""
+    """Marks targets that are replaced, leave, pause, or state limits."""
 
-    __slots__ = ("_departure_table", "_metrics")
+    __slots__ = ("_departure_table", "_fragile_services", "_metrics")
 
     def __init__(
         self,
         *,
         departure_table: departures.DepartureTable,
+        fragile_services: fragile_targets.FragileServices,
         metrics: metrics_module.Metrics,
     ) -> None:
         """Creates an object without state of its own.
 
         Args:
             departure_table: Targets that answers show to be gone or leaving.
+            fragile_services: Services whose targets are fragile.
             metrics: Counters and histograms.
         """
+        self._fragile_services = fragile_services
         self._departure_table = departure_table
         self._metrics = metrics
 
@@ -65,6 +69,17 @@
                 target=target.id,
                 per_s=head.limit_per_s,
             )
+        service = target.registration.service
+        if not head.is_other_target and self._fragile_services.record_answer(
+            service, head.turned_away_per_s, now
+        ):
+            event_log.log(
+                _logger,
+                "fragile_targets",
+                request_id=request_id,
+                service=service,
+                turned_away_per_s=head.turned_away_per_s,
+            )
         if head.pause_s is not None:
             target.paused_until = max(target.paused_until, now + head.pause_s)
             self._count("target_pauses", target)
@@ -76,6 +91,18 @@
                 pause_s=head.pause_s,
             )
 
+    def record_rejection(
+        self, target: target_table.Target, *, daemons: int
+    ) -> None:
+        """Records that a target had no room for a request."""
+        self._count("target_rejections", target)
+        self._fragile_services.record_rejection(
+            target.registration.service,
+            target.id,
+            daemons=daemons,
+            now=asyncio.get_running_loop().time(),
+        )
+
     def record_replaced(
         self, request_id: str, target: target_table.Target
     ) -> None:
