Log whether a changed entry is a new start, and what its target had asked for

What was missing: target_changed didn't say whether a daemon knew the start already, nor whether it still held back for the target, so that a forgotten pause couldn't be told from one that was cut short or came too late. No logic changes.

--- a/mothpass/relay/state.py
+++ b/mothpass/relay/state.py
@@ -170,6 +170,7 @@
         )
         if is_new:
             self._remove_cached_prompts(key)
+        target = self.targets.targets[key]
         event_log.log(
             _logger,
             "target_changed",
@@ -179,6 +180,11 @@
             software=registration.software_version,
             draining=registration.is_draining,
             cold_s=registration.cold_left_s,
+            is_new=is_new,
+            paused_ms=round((target.paused_until - now) * 1000)
+            if target.paused_until > now
+            else 0,
+            leaving=target.is_leaving,
         )
 
     def _apply_removal(
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -187,3 +187,31 @@
         self.assertEqual({item.status for item in answers}, {200})
         first = min(arrivals)
         self.assertLessEqual(sum(at < first + 0.08 for at in arrivals), 2)
+
+
+class ChangedEntryLogTest(fleet.FleetTest):
+    """What the log says of a target whose entry changes."""
+
+    async def test_log_says_what_the_target_had_asked_for(self) -> None:
+        """Guards against a forgotten pause that no log shows."""
+        target = self.plain[0]
+        target.answer = target_standin.reject(
+            503, {"Not-Run": "1", "Retry-After": "3"}
+        )
+        known = self.services[0].state.targets.targets
+        while known[target.id].paused_until < 0:
+            await self.send_request("GET", "/read/1")
+        with self.assertLogs("mothpass.state", "INFO") as logs:
+            entry = target.encode_entry("plain", slots=9)
+            self.store.put("servers", target.id, entry)
+            await self.wait_for(
+                lambda: known[target.id].registration.slots == 9
+            )
+        (fields,) = [
+            record.__dict__["fields"]
+            for record in logs.records
+            if record.getMessage() == "target_changed"
+        ]
+        self.assertFalse(fields["is_new"])
+        self.assertFalse(fields["leaving"])
+        self.assertGreater(fields["paused_ms"], 1000)
