--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -112,10 +112,15 @@
 
 
 class LinkedPool(http_pool.ConnectionPool):
-    """Connects over links that can be replaced and cut."""
+    """Connects over links that can be replaced, slowed down and cut.
+
+    Attributes:
+        connect_delay_s: Time that a new connection takes.
+    """
 
     def __init__(self, links: dict[str, str]) -> None:
         super().__init__(connect_timeout_ms=service_module.CONNECT_TIMEOUT_MS)
+        self.connect_delay_s = 0.0
         self._links = links
         self._cuts: dict[str, Cut] = {}
         self._opened: dict[str, list[http_exchanges.Connection]] = {}
@@ -132,6 +137,7 @@
         self._cuts.clear()
 
     async def _connect(self, address: str) -> http_exchanges.Connection:
+        await asyncio.sleep(self.connect_delay_s)
         how = self._cuts.get(address)
         if how is not None:
             if how is Cut.SILENT:
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -215,3 +215,96 @@
         self.assertFalse(fields["is_new"])
         self.assertFalse(fields["leaving"])
         self.assertGreater(fields["paused_ms"], 1000)
+
+
+class ForgottenNoticesTest(fleet.FleetTest):
+    """What a target said, while its entry goes and comes back."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.target = self.plain[0]
+        self.known = self.services[0].state.targets.targets
+        self.entry = self.target.encode_entry("plain")
+
+    async def take_entry_away(self) -> None:
+        """Removes the entry and writes it again for the same start."""
+        self.store.remove("servers", self.target.id)
+        await self.wait_for(lambda: self.target.id not in self.known)
+        await self.put_entry_back()
+
+    async def tear_entry(self) -> None:
+        """Spoils the entry and writes it again for the same start."""
+        self.store.put("servers", self.target.id, {"service": 7})
+        await self.wait_for(lambda: self.target.id not in self.known)
+        await self.put_entry_back()
+
+    async def put_entry_back(self) -> None:
+        self.store.put("servers", self.target.id, self.entry)
+        await self.wait_for(lambda: self.target.id in self.known)
+
+    async def send_until_asked(self) -> None:
+        """Sends requests until the target has refused or answered one."""
+        while not self.target.requests:
+            await self.send_request("GET", "/read/1")
+
+    async def check_left_alone(self) -> None:
+        """Checks that the target gets nothing more."""
+        arrived = len(self.target.requests)
+        for _ in range(20):
+            answer = await self.send_request("GET", "/read/1")
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.target.requests), arrived)
+
+    async def pause(self) -> None:
+        """Makes the target ask for a pause."""
+        self.target.answer = target_standin.reject(
+            503, {"Not-Run": "1", "Retry-After": "5"}
+        )
+        await self.send_until_asked()
+
+    async def test_pause_outlives_an_entry_that_was_missing(self) -> None:
+        """Guards against a pause that ends with the registration."""
+        await self.pause()
+        await self.take_entry_away()
+        await self.check_left_alone()
+
+    async def test_pause_outlives_an_entry_that_was_torn(self) -> None:
+        """Guards against the same where another writer spoils the entry."""
+        await self.pause()
+        await self.tear_entry()
+        await self.check_left_alone()
+
+    async def test_departure_outlives_an_entry_that_was_missing(self) -> None:
+        """Guards against requests to a target that said that it leaves."""
+        self.target.extra_headers = {"Server-Leaving": "1"}
+        await self.send_until_asked()
+        await self.take_entry_away()
+        await self.check_left_alone()
+
+    async def test_request_under_way_is_not_sent_into_a_pause(self) -> None:
+        """Guards against a target that is chosen before its pause began."""
+        self.store.remove("servers", self.plain[1].id)
+        await self.wait_for(lambda: self.plain[1].id not in self.known)
+        self.target.answer = _refuse_late
+        sending = [asyncio.ensure_future(self.send_request("GET", "/read/1"))]
+        await self.wait_for(lambda: bool(self.target.requests))
+        self.pools[0].connect_delay_s = 0.25
+        sending.append(
+            asyncio.ensure_future(
+                self.send_request("POST", "/pay/1", body=b"x")
+            )
+        )
+        answers = await asyncio.gather(*sending)
+        self.assertEqual({item.status for item in answers}, {503})
+        self.assertEqual(len(self.target.requests), 1)
+
+
+async def _refuse_late(
+    target: target_standin.Target,
+    request: wire.Request,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Asks for a pause a tenth of a second after the request."""
+    await asyncio.sleep(0.1)
+    refuse = target_standin.reject(503, {"Not-Run": "1", "Retry-After": "5"})
+    await refuse(target, request, writer)
--- a/tests/platform/test_target_answers.py
+++ b/tests/platform/test_target_answers.py
@@ -29,6 +29,10 @@
         """Guards against pauses that are cut to whole seconds."""
         self.assertEqual(self.read_pause(b" 0.75 "), 0.75)
 
+    def test_pause_of_some_minutes_is_kept_whole(self) -> None:
+        """Guards against requests within a pause that was cut short."""
+        self.assertEqual(self.read_pause(b"600"), 600.0)
+
     def test_only_an_unavailable_target_pauses(self) -> None:
         """Guards against pauses by answers that are the caller's."""
         self.assertIsNone(self.read_pause(b"5", status=429))
