Keep what a target asked for until it ends, not until its entry does

What callers would see: requests that are turned away by a target that had asked for a pause (BUDGET), or that run at one that leaves (DRAIN).

Cause: the state of a target was tied to its registration. When the entry was missing for a while, or torn by another writer, and came back with the same start, the daemon knew nothing of what the target had said. A request placed before a pause was sent into it, and a pause over 30 s was cut short.

Why this works: the table keeps former targets and takes one back where the same start registers again, with all of its state, in flight included. A target is asked for again once the connection is open. A start without a time can't be told from another, and begins anew.

--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -17,6 +17,8 @@
 # if at least this many, and at least half of all, failed within the window.
 _AMBIGUOUS_FAILURE_WINDOW_S = 2.0
 _MIN_AMBIGUOUS_FAILURES = 3
+# Targets whose state is kept after their registration has ended.
+_MAX_FORMER_TARGETS = 1024
 
 
 class Registration(msgspec.Struct, frozen=True, kw_only=True):
@@ -132,6 +134,14 @@
         """Returns whether it failed so recently that other targets go first."""
         return now < self.backoff_until
 
+    def may_get_requests(self, now: float) -> bool:
+        """Returns whether its answers leave it open for requests."""
+        return (
+            not self.is_leaving
+            and self.paused_until <= now
+            and self.replaced_until <= now
+        )
+
     def is_resuming(self) -> bool:
         """Returns whether it has not yet answered since its last pause."""
         return self.last_success_at < self.paused_until
@@ -172,18 +182,30 @@
 class TargetTable:
     """Table of the targets that are registered now.
 
+    A registration may end and come back while its target goes on, as after an
+    outage of the store. What the target said in answers holds for as long as
+    it runs, so that its state is kept for the same start.
+
     Attributes:
         targets: Targets by id.
         closed_zones: Availability zones whose targets get no requests.
     """
 
-    __slots__ = ("_by_service", "_owners", "closed_zones", "targets")
+    __slots__ = (
+        "_by_service",
+        "_former",
+        "_owners",
+        "closed_zones",
+        "targets",
+    )
 
     def __init__(self) -> None:
         """Initializes an empty table."""
         self.targets: dict[str, Target] = {}
         self.closed_zones: frozenset[str] = frozenset()
         self._by_service: dict[str, list[Target]] = {}
+        # By id; those whose registration ended first are first.
+        self._former: dict[str, Target] = {}
         self._owners = address_owners.AddressOwners()
 
     def put(
@@ -204,6 +226,7 @@
         Returns:
             Whether this is a start that was not known before.
         """
+        self._restore(registration)
         target = self.targets.get(registration.id)
         if target is None or _is_new_start(target.registration, registration):
             if target is not None:
@@ -229,6 +252,21 @@
             target.is_gone = True
             self._owners.release(target_id)
             self._by_service[target.registration.service].remove(target)
+            self._former[target_id] = target
+            if len(self._former) > _MAX_FORMER_TARGETS:
+                del self._former[next(iter(self._former))]
+
+    def _restore(self, registration: Registration) -> None:
+        """Adds a former target again if its start is registered again."""
+        former = self._former.pop(registration.id, None)
+        if (
+            former is None
+            or registration.started_at_ms is None
+            or _is_new_start(former.registration, registration)
+        ):
+            return
+        former.is_gone = False
+        self._add(former)
 
     def set_closed_zones(
         self, zones: abc.Iterable[str], *, cold_s: float, now: float
--- a/mothpass/platform/targets.py
+++ b/mothpass/platform/targets.py
@@ -7,7 +7,7 @@
 _OTHER_INSTANCE = 421
 _UNAVAILABLE = 503
 # A target that asks for more is treated as if it had asked for this.
-MAX_PAUSE_S = 30.0
+MAX_PAUSE_S = 3600.0
 
 
 def write_request(request: relay.Request, dispatch: relay.Dispatch) -> bytes:
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -127,6 +127,8 @@
         needs_new_connection: Whether a pooled connection may not be reused.
         max_idle_connections: Idle connections that the pool may keep to the
             target.
+        may_send: Returns whether the target may still get the request; asked
+            once a connection is open.
         on_connected: Called once the request is about to be sent over a
             connection, with whether it was opened for this.
         on_bytes: Called with the monotonic seconds of the last byte received.
@@ -141,6 +143,7 @@
     silence_timeout_s: float | None
     needs_new_connection: bool
     max_idle_connections: int
+    may_send: abc.Callable[[], bool]
     on_connected: abc.Callable[[bool], None]
     on_bytes: abc.Callable[[float], None]
     on_head: abc.Callable[[relay.AnswerHead], None]
@@ -183,6 +186,12 @@
         idle_timeout_s = 0.0
         exchange = None
         try:
+            if not attempt.may_send():
+                return Outcome(
+                    end=End.NOT_RUN,
+                    reason="the target no longer takes requests",
+                    has_arrived=False,
+                )
             exchange = self._send_request(attempt, connection)
             head = await self._wait_for_head(attempt, exchange)
             idle_timeout_s = _compute_idle_timeout(head)
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -403,6 +403,7 @@
             needs_new_connection=not admitted.route.is_retryable
             or progress.attempt_count > 0,
             max_idle_connections=self._compute_idle_share(admitted),
+            may_send=lambda: target.may_get_requests(loop.time()),
             on_connected=record_connected,
             on_bytes=record_bytes,
             on_head=functools.partial(
--- a/mothpass/relay/peer_forwarding.py
+++ b/mothpass/relay/peer_forwarding.py
@@ -130,6 +130,7 @@
             silence_timeout_s=None,
             needs_new_connection=not admitted.route.is_retryable,
             max_idle_connections=MAX_IDLE_CONNECTIONS,
+            may_send=lambda: True,
             on_connected=_ignore,
             on_bytes=_ignore,
             on_head=_ignore,
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -51,8 +51,54 @@
         return [target.id for target in self.table.list_usable("models", 9.0)]
 
 
+class FormerTargetsTest(unittest.TestCase):
+    """Targets whose registration ends and comes back."""
+
+    def setUp(self) -> None:
+        self.table = target_table.TargetTable()
+
+    def register(self, target_id: str, started_at_ms: int | None) -> bool:
+        """Returns whether a registration shows a start that is new."""
+        registration = _make_registration(
+            target_id, started_at_ms=started_at_ms
+        )
+        return self.table.put(registration, 1.0)
+
+    def test_same_start_comes_back_as_it_was(self) -> None:
+        """Guards against state that ends with the registration."""
+        self.register("i-1", 1000)
+        target = self.table.targets["i-1"]
+        target.is_leaving = True
+        target.in_flight = 2
+        self.table.remove("i-1")
+        self.assertTrue(target.is_gone)
+        self.assertFalse(self.register("i-1", 1000))
+        self.assertIs(self.table.targets["i-1"], target)
+        self.assertFalse(target.is_gone)
+        self.assertEqual(self.table.list_usable("models", 2.0), [])
+        self.assertEqual(self.table.list_registered("models"), [target])
+
+    def test_new_or_unknown_start_begins_anew(self) -> None:
+        """Guards against a mark that outlives the process that set it."""
+        for first, second in ((1000, 2000), (None, None)):
+            self.register("i-1", first)
+            self.table.targets["i-1"].is_leaving = True
+            self.table.remove("i-1")
+            self.assertTrue(self.register("i-1", second))
+            self.assertFalse(self.table.targets["i-1"].is_leaving)
+            self.table.remove("i-1")
+
+    def test_former_targets_are_bounded(self) -> None:
+        """Guards against memory that grows with each target that was."""
+        for number in range(1500):
+            self.register(f"i-{number}", 1000)
+            self.table.remove(f"i-{number}")
+        self.assertFalse(self.register("i-1499", 1000))
+        self.assertTrue(self.register("i-0", 1000))
+
+
 def _make_registration(
-    target_id: str, *, started_at_ms: int
+    target_id: str, *, started_at_ms: int | None
 ) -> target_table.Registration:
     return target_table.Registration(
         id=target_id,
