--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -252,6 +252,67 @@
         self.assertEqual(answer.status, 200)
 
 
+class LostFleetTest(_VersionsTest):
+    """Streams that clients take up after the loss of all daemons."""
+
+    daemons = 3
+
+    async def lose_all_daemons(self, replaced_by: str = "") -> None:
+        """Ends all daemons and starts them again.
+
+        Args:
+            replaced_by: Version by which all targets of models are replaced in
+                the meantime, "" for none.
+        """
+        # The store has been told of the streams by then.
+        await asyncio.sleep(1.5)
+        for service in self.services:
+            await service.close()
+        if replaced_by:
+            for target in self.models:
+                self.store.remove("servers", target.id)
+            self.models = [
+                await self.add_target("models", replaced_by) for _ in range(2)
+            ]
+        self.services.clear()
+        self.addresses.clear()
+        self.pools.clear()
+        for number in range(self.daemons):
+            await self.add_daemon(number)
+        await self.wait_for(self.has_all_targets)
+
+    async def test_streams_go_on_at_their_versions(self) -> None:
+        """Guards against daemons that know of no stream before their start."""
+        interrupted = await self.interrupt_streams(0)
+        await self.lose_all_daemons()
+        served = await self.check_taken_up(interrupted, 1)
+        self.assertEqual(served, _STREAMS)
+
+    async def test_streams_go_on_after_a_second_loss(self) -> None:
+        """Guards against memory that the first start overwrites."""
+        interrupted = await self.interrupt_streams(0)
+        await self.lose_all_daemons()
+        await self.lose_all_daemons()
+        served = await self.check_taken_up(interrupted, 2)
+        self.assertEqual(served, _STREAMS)
+
+
+class LostVersionTest(LostFleetTest):
+    """The same where the only version is replaced in the meantime."""
+
+    versions = ("v1",)
+
+    async def test_stream_does_not_go_on_at_the_version_that_follows(
+        self,
+    ) -> None:
+        """Guards against a version that is the only one after the loss."""
+        interrupted = await self.interrupt_streams(0)
+        await self.lose_all_daemons("v1.1")
+        self.assertEqual(await self.check_taken_up(interrupted, 1), 0)
+        _, answer = await self.send_chat(1, 0)
+        self.assertEqual(answer.status, 200)
+
+
 class SplitRouteTest(_VersionsTest):
     """A route whose streams two services share."""
 
