Remember in the store which versions began streams, for the loss of all daemons

What callers saw: streams that they took up after all daemons had been killed were joined from two software versions (users' report), or none of them went on.

Cause: the records of streams were with the daemons only, and one that had just started took the version in sight for the only one there had been.

--- a/mothpass/core/stream_origins.py
+++ b/mothpass/core/stream_origins.py
@@ -66,6 +66,12 @@
         version = self._current.get(stream)
         return self._previous.get(stream) if version is None else version
 
+    def list_newest(self) -> abc.Iterator[Origin]:
+        """Yields the streams that are known, the newest first."""
+        for generation in (self._current, self._previous):
+            for stream, version in reversed(generation.items()):
+                yield Origin(stream, version)
+
     def take_announcements(self, limit: int) -> list[Origin]:
         """Returns the origins that the next round carries.
 
@@ -113,6 +119,19 @@
         key = registration.service, fingerprint_version(registration)
         self._departed_at[key] = now
 
+    def merge_former(
+        self, versions: abc.Mapping[str, abc.Iterable[int]], now: float
+    ) -> None:
+        """Merges the versions that served before this daemon started.
+
+        Args:
+            versions: Their fingerprints by service.
+            now: Seconds of the caller's clock.
+        """
+        for service, fingerprints in versions.items():
+            for version in fingerprints:
+                self._departed_at.setdefault((service, version), now)
+
     def assess(
         self,
         service: str,
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -289,6 +289,10 @@
         """Returns the ids of all daemons that share the fleet's limits."""
         return self._gossip.list_sharers()
 
+    def ranks_below(self, number: int) -> bool:
+        """Returns whether this daemon is one of the first for the store."""
+        return self._is_settled() and self._gossip.ranks_below(number)
+
     def compute_report_interval_s(self) -> float:
         """Returns the time after which what each peer reports is new."""
         return max(
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -33,6 +33,7 @@
 from mothpass.relay import request_queues
 from mothpass.relay import settings as settings_module
 from mothpass.relay import state as state_module
+from mothpass.relay import stream_memory
 from mothpass.relay import stream_resumption
 from mothpass.relay import target_notices
 
@@ -82,6 +83,7 @@
         "_random",
         "_resumption",
         "_servers",
+        "_stream_memory",
         "_tasks",
         "fleet_sync",
         "settings",
@@ -137,6 +139,18 @@
         self._queues = request_queues.RequestQueues(
             chooser=chooser, targets=state.targets, random=random
         )
+        self._stream_memory = stream_memory.StreamMemory(
+            own_id=settings.id,
+            read_table=ports.read_table,
+            write_row=ports.write_row,
+            origins=self.fleet_sync.stream_origins,
+            versions=state.versions,
+            targets=state.targets,
+            list_services=self._list_resumable_services,
+            is_writer=lambda: self.fleet_sync.ranks_below(
+                stream_memory.WRITERS
+            ),
+        )
         self._resumption = stream_resumption.StreamResumption(
             origins=self.fleet_sync.stream_origins,
             versions=state.versions,
@@ -147,6 +161,7 @@
                 random=random,
             ).ask,
             is_in_touch=self.fleet_sync.is_in_touch,
+            load_memory=self._stream_memory.load,
             metrics=self._metrics,
         )
         self._forwarder = forwarding.Forwarder(
@@ -231,7 +246,11 @@
                 await relay_listener.open_listener(listener, address)
             )
         self._tasks = await self.fleet_sync.start()
-        for run in (self._run_dispatch(), self._run_housekeeping()):
+        for run in (
+            self._run_dispatch(),
+            self._run_housekeeping(),
+            self._stream_memory.run(),
+        ):
             self._tasks.append(loop.create_task(run))
         event_log.log(
             _logger,
@@ -314,6 +333,18 @@
             body_bytes=body_bytes + peer_requests.MESSAGE_OVERHEAD_BYTES,
         )
 
+    def _list_resumable_services(self) -> set[str]:
+        """Returns the services whose broken streams may go on."""
+        routes = self.state.routes
+        if routes is None:
+            return set()
+        return {
+            share.service
+            for route in routes.routes.values()
+            if route.is_resumable
+            for share in route.shares
+        }
+
     def _make_budget(self) -> fleet_retry_budget.FleetRetryBudget:
         settings = self.settings
         return fleet_retry_budget.FleetRetryBudget(
--- a/mothpass/relay/stream_resumption.py
+++ b/mothpass/relay/stream_resumption.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "_ask_origin",
         "_is_in_touch",
+        "_load_memory",
         "_metrics",
         "_origins",
         "_targets",
@@ -46,6 +47,7 @@
         targets: target_table.TargetTable,
         ask_origin: AskOrigin,
         is_in_touch: abc.Callable[[], bool],
+        load_memory: abc.Callable[[], abc.Awaitable[bool]],
         metrics: metrics_module.Metrics,
     ) -> None:
         """Creates an object without state of its own.
@@ -56,8 +58,11 @@
             targets: Targets of all services.
             ask_origin: Asks peers for the origin of a stream.
             is_in_touch: Returns whether this daemon hears of new versions.
+            load_memory: Merges what earlier daemons knew into the origins and
+                versions; returns whether that is done.
             metrics: Counters and histograms.
         """
+        self._load_memory = load_memory
         self._origins = origins
         self._versions = versions
         self._targets = targets
@@ -128,6 +133,10 @@
             service=admitted.service.name,
         )
         own = self.answer(question)
+        is_remembered = True
+        if own.version is None:
+            is_remembered = await self._load_memory()
+            own = self.answer(question)
         if own.version is not None:
             return "known", own.version
         answers = [own]
@@ -136,7 +145,7 @@
         version = stream_origins.merge_answers(
             answers,
             versions=self._assess_versions(question.service),
-            is_in_touch=self._is_in_touch(),
+            is_in_touch=is_remembered and self._is_in_touch(),
         )
         return ("unknown" if version is None else "asked"), version
 
