--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -18,6 +18,7 @@
     """Targets that crash on a part, behind three daemons, and come back."""
 
     daemons = 3
+    late_daemon = 3
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -121,10 +122,12 @@
         # Longer than a change is gossiped for.
         await asyncio.sleep(1.0)
         crashes = len(self.arrivals)
-        await self.add_daemon(3)
-        late = self.services[3].fleet_sync.suspected_parts
+        await self.add_daemon(self.late_daemon)
+        late = self.services[self.late_daemon].fleet_sync.suspected_parts
         await self.wait_for(late.list_barred, 2.0)
-        self.assertEqual(await self.send_prompt(BAD_PART, 3), 503)
+        self.assertEqual(
+            await self.send_prompt(BAD_PART, self.late_daemon), 503
+        )
         self.assertEqual(len(self.arrivals), crashes)
 
     async def test_crash_on_a_used_connection_counts(self) -> None:
@@ -138,3 +141,87 @@
             await asyncio.sleep(1.1)
         # Each of the first two requests may crash two targets.
         self.assertLessEqual(len(self.arrivals), 4)
+
+
+class CutLinksTest(fleet.FleetTest):
+    """Sound requests in flight at daemons whose links are cut."""
+
+    daemons = 3
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.models += [await self.add_target("models") for _ in range(4)]
+        await self.wait_for(
+            lambda: all(
+                all(
+                    item.id in service.state.targets.targets
+                    for item in self.models
+                )
+                and len(service.fleet_sync.list_peer_ids()) == 2
+                for service in self.services
+            )
+        )
+
+    async def send_prompt(self, number: int, daemon: int) -> int:
+        """Sends a request with a shared part; returns the answer's status."""
+        headers = self.make_chat_headers()
+        headers["Prompt-Prefix"] = f"aa:80,{number:x}b:30,cc:10"
+        answer = await self.send_request(
+            "POST", "/once/1", headers, b"%d" % number, daemon
+        )
+        return answer.status
+
+    async def interrupt(self, *daemons: int, how: fleet.Cut) -> None:
+        """Cuts daemons off three times while requests are in flight."""
+        for _ in range(3):
+            for target in self.models:
+                target.answer = target_standin.hang
+            sending = [
+                asyncio.ensure_future(self.send_prompt(number, daemon))
+                for daemon in daemons
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.2)
+            for daemon in daemons:
+                self.cut_daemon(daemon, how)
+            await asyncio.gather(*sending)
+            for target in self.models:
+                target.answer = target_standin.answer_normally
+            await asyncio.sleep(0.6)
+            for daemon in daemons:
+                self.pools[daemon].heal()
+            await asyncio.sleep(0.6)
+
+    async def check_nothing_barred(self) -> None:
+        for daemon, service in enumerate(self.services):
+            sync = service.fleet_sync
+            self.assertEqual(sync.suspected_parts.list_barred(), [])
+            self.assertEqual(await self.send_prompt(1, daemon), 200)
+
+    async def test_cut_daemons_condemn_no_prompt_part(self) -> None:
+        """Guards against cut links that pass for crashed targets."""
+        await self.interrupt(0, 1, how=fleet.Cut.RESET)
+        await self.check_nothing_barred()
+
+    async def test_daemon_that_lost_some_targets_condemns_no_prompt_part(
+        self,
+    ) -> None:
+        """Guards against the same where other targets are in reach."""
+        models, plain = self.models, self.plain
+        self.plain = []
+        self.models = models[:4]
+        await self.interrupt(0, 1, how=fleet.Cut.RESET)
+        self.models, self.plain = models, plain
+        await self.check_nothing_barred()
+
+
+class CrashBesideCutTest(CrashingPromptTest):
+    """The same crashes while a fourth daemon is cut off from all targets."""
+
+    daemons = 4
+    late_daemon = 4
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.cut_daemon(3, fleet.Cut.RESET)
+        await self.send_prompt("bb", 3)
