Hold a death against requests only with evidence that the target has ended

Cause: a connection that broke and a new one that was refused counted as a crash. A cut link with resets gives just that at every target, and several daemons that each report a few deaths add up to a bar.

Why this works: the daemon asks up to three peers that don't say they are cut off. A target that one of them reaches is alive; it has ended if one that reaches other targets doesn't reach it and none does, or if its registration ends or names another start within 10 s. A lone daemon decides by its other links. So a daemon that is cut off reports nothing, and has nothing to take back.

Looked at as well: the backoff of targets and placement still take a refused connection for the target's state, which costs a daemon that is cut off nothing since its requests go through peers; the cold start and the retry budget use no such evidence. mothpassd takes a refused probe for a death too; open.

--- /dev/null
+++ b/mothpass/core/target_deaths.py
@@ -0,0 +1,59 @@
+"""Decides whether a target that seems to have crashed has really ended.
+
+A connection that breaks, and a new one that can't be opened, come from a
+crashed target or from a cut link. The two differ at other daemons: a crashed
+target can be reached by none, a target behind a cut link by those whose links
+are sound. Without such a witness, the platform's word decides, which is that
+the registration ends or names another start.
+"""
+
+from collections import abc
+import enum
+
+import msgspec
+
+# Daemons that are asked; each opens a connection or two.
+MAX_WITNESSES = 3
+
+
+class Verdict(enum.StrEnum):
+    """What the evidence says of a target that seems to have crashed."""
+
+    DEAD = "dead"
+    ALIVE = "alive"
+    UNKNOWN = "unknown"
+
+
+class Testimony(msgspec.Struct, frozen=True, kw_only=True):
+    """What one daemon sees of a target.
+
+    Attributes:
+        reaches_target: Whether it could open a connection to the target.
+        has_sound_links: Whether it could open one to another target.
+    """
+
+    reaches_target: bool
+    has_sound_links: bool
+
+
+def judge(
+    testimonies: abc.Collection[Testimony],
+    *,
+    has_peers: bool,
+    has_sound_links: bool,
+) -> Verdict:
+    """Decides about a target to which this daemon can't connect.
+
+    Args:
+        testimonies: What the peers say that were asked and know the target.
+        has_peers: Whether there are live peers.
+        has_sound_links: Whether this daemon reaches another target; it counts
+            where there are no peers.
+    """
+    if any(item.reaches_target for item in testimonies):
+        return Verdict.ALIVE
+    if any(item.has_sound_links for item in testimonies):
+        return Verdict.DEAD
+    if not has_peers and has_sound_links:
+        return Verdict.DEAD
+    return Verdict.UNKNOWN
--- a/mothpass/relay/crashes.py
+++ b/mothpass/relay/crashes.py
@@ -9,12 +9,25 @@
 from mothpass.core import errors
 from mothpass.core import prompt_suspects
 from mothpass.core import suspects
+from mothpass.core import target_deaths
 from mothpass.core import target_table
 from mothpass.relay import metrics as metrics_module
+from mothpass.relay import path_probes
 
+# Time in which a registration ends, or names another start, after a crash:
+# three heartbeats of a target, and the transfer of the table.
+EVIDENCE_TIMEOUT_S = 10.0
+EVIDENCE_CHECK_INTERVAL_S = 0.2
 # Position after that of every event.
 AFTER_LAST_POSITION = 1 << 30
 
+# Decides whether a target to which this daemon can't connect has ended; returns
+# also the number of peers that had a say in it.
+JudgeDeath = abc.Callable[
+    [target_table.Target],
+    abc.Awaitable[tuple[target_deaths.Verdict, int]],
+]
+
 _logger = logging.getLogger("mothpass.deaths")
 
 
@@ -64,7 +77,9 @@
     __slots__ = (
         "_announce",
         "_in_flight",
+        "_judge_death",
         "_metrics",
+        "_path_monitor",
         "_pool",
         "_probing",
         "_tasks",
@@ -79,6 +94,8 @@
         crash_suspects: suspects.SuspectTable,
         suspected_parts: prompt_suspects.PromptSuspectTable,
         announce: abc.Callable[[], None],
+        judge_death: JudgeDeath,
+        path_monitor: path_probes.PathMonitor,
         metrics: metrics_module.Metrics,
     ) -> None:
         """Creates an empty in-flight table.
@@ -88,10 +105,14 @@
             crash_suspects: Requests that are suspected to crash targets.
             suspected_parts: Prompt parts that are suspected to crash targets.
             announce: Sends new suspects to the other daemons.
+            judge_death: Decides whether a target has ended.
+            path_monitor: Evidence of the paths to targets.
             metrics: Counters.
         """
         self._pool = pool
         self._announce = announce
+        self._judge_death = judge_death
+        self._path_monitor = path_monitor
         self._metrics = metrics
         self._in_flight: dict[str, list[InFlightAttempt]] = {}
         self._probing: set[str] = set()
@@ -170,46 +191,95 @@
         unanswered_parts: list[dict[int, str]],
     ) -> None:
         address = target.registration.address
+        broke_at = asyncio.get_running_loop().time()
         try:
             connection = await self._pool.acquire(address, fresh=True)
         except errors.TargetUnreachableError as error:
-            now = asyncio.get_running_loop().time()
-            target.record_failure(now)
-            boot = f"{target.id}/{target.registration.started_at_ms}"
-            running = [
-                suspects.InFlightRequest(
-                    fingerprint=attempt.fingerprint, position=attempt.position
+            target.record_failure(asyncio.get_running_loop().time())
+            self._path_monitor.record_unreachable(target)
+            evidence = await self._find_evidence(target, broke_at)
+            if evidence is None:
+                event_log.log(
+                    _logger,
+                    "target_unreachable",
+                    target=target.id,
+                    reason=str(error),
+                )
+            else:
+                self._record_death(
+                    target,
+                    in_flight,
+                    unanswered_parts,
+                    reason=str(error),
+                    evidence=evidence,
+                    broke_at=broke_at,
                 )
-                for attempt in in_flight
-            ]
-            self.crash_suspects.record_death(boot, running, now=now)
-            self.suspected_parts.record_death(
-                boot,
-                {part for parts in unanswered_parts for part in parts},
-                now=now,
-            )
-            self._announce()
-            self._metrics.count(
-                "target_deaths", service=target.registration.service
-            )
-            event_log.log(
-                _logger,
-                "target_died",
-                logging.WARNING,
-                target=target.id,
-                reason=str(error),
-                running=[f"{item.fingerprint:016x}" for item in running],
-                unanswered_parts=[
-                    list(parts.values()) for parts in unanswered_parts
-                ],
-                barred_parts=[
-                    part
-                    for parts in unanswered_parts
-                    for fingerprint, part in parts.items()
-                    if self.suspected_parts.find_barred([fingerprint], now=now)
-                ],
-            )
         else:
             connection.close()
         finally:
             self._probing.discard(target.id)
+
+    async def _find_evidence(
+        self, target: target_table.Target, broke_at: float
+    ) -> str | None:
+        """Returns what shows that a target has ended, None if nothing does."""
+        verdict, witnesses = await self._judge_death(target)
+        if verdict is target_deaths.Verdict.ALIVE:
+            return None
+        if verdict is target_deaths.Verdict.DEAD:
+            return f"{witnesses} peers" if witnesses else "own links"
+        while not target.is_gone:
+            now = asyncio.get_running_loop().time()
+            if now - broke_at >= EVIDENCE_TIMEOUT_S:
+                return None
+            await asyncio.sleep(EVIDENCE_CHECK_INTERVAL_S)
+        return "registration"
+
+    def _record_death(
+        self,
+        target: target_table.Target,
+        in_flight: list[InFlightAttempt],
+        unanswered_parts: list[dict[int, str]],
+        *,
+        reason: str,
+        evidence: str,
+        broke_at: float,
+    ) -> None:
+        """Holds a death against what was in flight, and tells the peers."""
+        now = asyncio.get_running_loop().time()
+        boot = f"{target.id}/{target.registration.started_at_ms}"
+        running = [
+            suspects.InFlightRequest(
+                fingerprint=attempt.fingerprint, position=attempt.position
+            )
+            for attempt in in_flight
+        ]
+        self.crash_suspects.record_death(boot, running, now=now)
+        self.suspected_parts.record_death(
+            boot,
+            {part for parts in unanswered_parts for part in parts},
+            now=now,
+        )
+        self._announce()
+        self._metrics.count(
+            "target_deaths", service=target.registration.service
+        )
+        event_log.log(
+            _logger,
+            "target_died",
+            logging.WARNING,
+            target=target.id,
+            reason=reason,
+            evidence=evidence,
+            evidence_ms=round((now - broke_at) * 1000, 1),
+            running=[f"{item.fingerprint:016x}" for item in running],
+            unanswered_parts=[
+                list(parts.values()) for parts in unanswered_parts
+            ],
+            barred_parts=[
+                part
+                for parts in unanswered_parts
+                for fingerprint, part in parts.items()
+                if self.suspected_parts.find_barred([fingerprint], now=now)
+            ],
+        )
--- /dev/null
+++ b/mothpass/relay/death_witnesses.py
@@ -0,0 +1,205 @@
+"""Asks peers whether a target that seems to have crashed has ended."""
+
+import asyncio
+from collections import abc
+import logging
+import random as random_module
+from urllib import parse
+
+import msgspec
+
+from mothpass.adapters import event_log
+from mothpass.adapters import http_fetch
+from mothpass.adapters import http_pool
+from mothpass.core import errors
+from mothpass.core import target_deaths
+from mothpass.core import target_paths
+from mothpass.core import target_table
+
+PATH = "/targets/"
+# Two connections that time out at the peer, and the way there and back.
+ANSWER_TIMEOUT_S = 1.0
+# For the other peers, once one with sound links has answered.
+OTHER_WITNESSES_S = 0.1
+# Deaths that this daemon asks about at the same time. Where a whole
+# availability zone fails, the platform's word decides about the others.
+MAX_INQUIRIES = 8
+# Other targets that a daemon tries before it takes its links for cut.
+MAX_OTHER_TARGETS = 2
+
+_logger = logging.getLogger("mothpass.deaths")
+
+
+class DeathWitnesses:
+    """Asks some live peers at a time, and answers peers."""
+
+    __slots__ = (
+        "_inquiries",
+        "_list_peer_paths",
+        "_pool",
+        "_random",
+        "_targets",
+    )
+
+    def __init__(
+        self,
+        *,
+        pool: http_pool.ConnectionPool,
+        targets: target_table.TargetTable,
+        list_peer_paths: abc.Callable[[], list[target_paths.PeerPath]],
+        random: random_module.Random,
+    ) -> None:
+        """Creates an object without inquiries.
+
+        Args:
+            pool: Connections to peers and targets.
+            targets: Targets of all services.
+            list_peer_paths: Returns what the live peers say of their paths.
+            random: Source of randomness.
+        """
+        self._pool = pool
+        self._targets = targets
+        self._list_peer_paths = list_peer_paths
+        self._random = random
+        self._inquiries = 0
+
+    async def judge(
+        self, target: target_table.Target
+    ) -> tuple[target_deaths.Verdict, int]:
+        """Decides about a target to which this daemon can't connect.
+
+        Returns:
+            The verdict, and the number of peers that had a say in it.
+        """
+        if self._inquiries >= MAX_INQUIRIES:
+            return target_deaths.Verdict.UNKNOWN, 0
+        self._inquiries += 1
+        try:
+            return await self._judge(target)
+        finally:
+            self._inquiries -= 1
+
+    async def _judge(
+        self, target: target_table.Target
+    ) -> tuple[target_deaths.Verdict, int]:
+        service = target.registration.service
+        peers = self._list_peer_paths()
+        # Peers that say that they are cut off are no witnesses.
+        addresses = [
+            peer.address
+            for peer in peers
+            if service not in peer.cut_off_services
+        ]
+        asked = self._random.sample(
+            addresses, min(target_deaths.MAX_WITNESSES, len(addresses))
+        )
+        testimonies = await self._collect(asked, target.id)
+        has_sound_links = not peers and await self._has_sound_links(target)
+        verdict = target_deaths.judge(
+            testimonies,
+            has_peers=bool(peers),
+            has_sound_links=has_sound_links,
+        )
+        return verdict, len(testimonies)
+
+    async def _collect(
+        self, addresses: list[str], target_id: str
+    ) -> list[target_deaths.Testimony]:
+        """Returns the testimonies of peers.
+
+        A sound refusal is instant, and so is a connection. Once one peer has
+        answered, the others get a moment only: the request that crashed the
+        target may be on its way to the next one.
+        """
+        waiting = {
+            asyncio.ensure_future(self._ask(address, target_id))
+            for address in addresses
+        }
+        testimonies: list[target_deaths.Testimony] = []
+        timeout_s: float | None = None
+        while waiting:
+            done, waiting = await asyncio.wait(
+                waiting,
+                timeout=timeout_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            found = [task.result() for task in done]
+            testimonies += [item for item in found if item is not None]
+            if any(item.has_sound_links for item in testimonies):
+                timeout_s = OTHER_WITNESSES_S
+        for task in waiting:
+            task.cancel()
+        return testimonies
+
+    async def answer(self, target_id: str) -> target_deaths.Testimony | None:
+        """Returns what this daemon sees of a target, None if unknown here."""
+        target = self._targets.targets.get(target_id)
+        if target is None:
+            return None
+        if await self._reaches(target):
+            return target_deaths.Testimony(
+                reaches_target=True, has_sound_links=True
+            )
+        return target_deaths.Testimony(
+            reaches_target=False,
+            has_sound_links=await self._has_sound_links(target),
+        )
+
+    async def _has_sound_links(self, target: target_table.Target) -> bool:
+        """Returns whether another target can be connected to."""
+        others = [
+            item
+            for item in self._targets.targets.values()
+            if item is not target
+        ]
+        chosen = self._random.sample(
+            others, min(MAX_OTHER_TARGETS, len(others))
+        )
+        return any(
+            await asyncio.gather(*(self._reaches(item) for item in chosen))
+        )
+
+    async def _reaches(self, target: target_table.Target) -> bool:
+        try:
+            connection = await self._pool.acquire(
+                target.registration.address, fresh=True
+            )
+        except errors.TargetUnreachableError:
+            return False
+        connection.close()
+        return True
+
+    async def _ask(
+        self, address: str, target_id: str
+    ) -> target_deaths.Testimony | None:
+        url = f"{PATH}{parse.quote(target_id, safe='')}"
+        request = f"GET {url} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+        now = asyncio.get_running_loop().time()
+        try:
+            reply = await http_fetch.fetch(
+                self._pool,
+                address,
+                request.encode(),
+                deadline=now + ANSWER_TIMEOUT_S,
+            )
+            return msgspec.msgpack.decode(
+                reply.body, type=target_deaths.Testimony | None
+            )
+        except (errors.MothpassError, msgspec.DecodeError) as error:
+            event_log.log(
+                _logger,
+                "death_witness_silent",
+                peer=address,
+                target=target_id,
+                reason=str(error),
+            )
+            return None
+
+
+def read_target_id(url: str) -> str | None:
+    """Returns the id of the target that a peer asks for, None without one."""
+    if not url.startswith(PATH):
+        return None
+    return parse.unquote(url.removeprefix(PATH))
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -23,6 +23,7 @@
 from mothpass.relay import admission
 from mothpass.relay import attempts
 from mothpass.relay import crashes
+from mothpass.relay import death_witnesses
 from mothpass.relay import fleet_sync
 from mothpass.relay import forwarding
 from mothpass.relay import metrics as metrics_module
@@ -85,6 +86,7 @@
         "_servers",
         "_stream_memory",
         "_tasks",
+        "_witnesses",
         "fleet_sync",
         "settings",
         "state",
@@ -164,6 +166,12 @@
             load_memory=self._stream_memory.load,
             metrics=self._metrics,
         )
+        self._witnesses = death_witnesses.DeathWitnesses(
+            pool=pool,
+            targets=state.targets,
+            list_peer_paths=self.fleet_sync.list_peer_paths,
+            random=random,
+        )
         self._forwarder = forwarding.Forwarder(
             admission_control=admission.AdmissionControl(
                 get_routes=lambda: state.routes,
@@ -185,6 +193,8 @@
                 crash_suspects=self.fleet_sync.crash_suspects,
                 suspected_parts=self.fleet_sync.suspected_parts,
                 announce=self.fleet_sync.announce,
+                judge_death=self._witnesses.judge,
+                path_monitor=self.fleet_sync.path_monitor,
                 metrics=self._metrics,
             ),
             notices=target_notices.TargetNotices(
@@ -434,7 +444,13 @@
         if head.url == peer_requests.PATH:
             await self._answer_forwarded(body, client)
             return
-        question = origin_questions.read_question(head.url.decode("latin-1"))
+        url = head.url.decode("latin-1")
+        target_id = death_witnesses.read_target_id(url)
+        if target_id is not None:
+            testimony = await self._witnesses.answer(target_id)
+            client.write_response(200, (), msgspec.msgpack.encode(testimony))
+            return
+        question = origin_questions.read_question(url)
         if question is None:
             await self.fleet_sync.answer_peer(head, body, client)
             return
