Take most targets of a service out of reach for a partition, not for crashes

Cause: a daemon's links counted as sound if it reached any target at all, and a registration that ends was evidence by itself, though targets that are cut off from the store lose it, too.

Evidence: the new test of a partition of a whole service failed before.

Why this works: links are sound if they reach half of the other targets of the same service; a registration that ended counts while they are.

--- a/mothpass/core/target_deaths.py
+++ b/mothpass/core/target_deaths.py
@@ -4,7 +4,9 @@
 crashed target or from a cut link. The two differ at other daemons: a crashed
 target can be reached by none, a target behind a cut link by those whose links
 are sound. Without such a witness, the platform's word decides, which is that
-the registration ends or names another start.
+the registration ends or names another start. Links are sound if they reach half
+of the other targets of the service: where most are out of reach at once, a
+partition is likelier than as many crashes.
 """
 
 from collections import abc
@@ -29,7 +31,8 @@
 
     Attributes:
         reaches_target: Whether it could open a connection to the target.
-        has_sound_links: Whether it could open one to another target.
+        has_sound_links: Whether it could open one to half of the other targets
+            of the service.
     """
 
     reaches_target: bool
@@ -47,7 +50,7 @@
     Args:
         testimonies: What the peers say that were asked and know the target.
         has_peers: Whether there are live peers.
-        has_sound_links: Whether this daemon reaches another target; it counts
+        has_sound_links: Whether this daemon's other links are sound; it counts
             where there are no peers.
     """
     if any(item.reaches_target for item in testimonies):
--- a/mothpass/relay/crashes.py
+++ b/mothpass/relay/crashes.py
@@ -11,6 +11,7 @@
 from mothpass.core import suspects
 from mothpass.core import target_deaths
 from mothpass.core import target_table
+from mothpass.relay import death_witnesses
 from mothpass.relay import metrics as metrics_module
 from mothpass.relay import path_probes
 
@@ -21,13 +22,6 @@
 # Position after that of every event.
 AFTER_LAST_POSITION = 1 << 30
 
-# Decides whether a target to which this daemon can't connect has ended; returns
-# also the number of peers that had a say in it.
-JudgeDeath = abc.Callable[
-    [target_table.Target],
-    abc.Awaitable[tuple[target_deaths.Verdict, int]],
-]
-
 _logger = logging.getLogger("mothpass.deaths")
 
 
@@ -77,12 +71,12 @@
     __slots__ = (
         "_announce",
         "_in_flight",
-        "_judge_death",
         "_metrics",
         "_path_monitor",
         "_pool",
         "_probing",
         "_tasks",
+        "_witnesses",
         "crash_suspects",
         "suspected_parts",
     )
@@ -94,7 +88,7 @@
         crash_suspects: suspects.SuspectTable,
         suspected_parts: prompt_suspects.PromptSuspectTable,
         announce: abc.Callable[[], None],
-        judge_death: JudgeDeath,
+        witnesses: death_witnesses.DeathWitnesses,
         path_monitor: path_probes.PathMonitor,
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -105,13 +99,13 @@
             crash_suspects: Requests that are suspected to crash targets.
             suspected_parts: Prompt parts that are suspected to crash targets.
             announce: Sends new suspects to the other daemons.
-            judge_death: Decides whether a target has ended.
+            witnesses: Decides whether a target has ended.
             path_monitor: Evidence of the paths to targets.
             metrics: Counters.
         """
         self._pool = pool
         self._announce = announce
-        self._judge_death = judge_death
+        self._witnesses = witnesses
         self._path_monitor = path_monitor
         self._metrics = metrics
         self._in_flight: dict[str, list[InFlightAttempt]] = {}
@@ -223,7 +217,7 @@
         self, target: target_table.Target, broke_at: float
     ) -> str | None:
         """Returns what shows that a target has ended, None if nothing does."""
-        verdict, witnesses = await self._judge_death(target)
+        verdict, witnesses = await self._witnesses.judge(target)
         if verdict is target_deaths.Verdict.ALIVE:
             return None
         if verdict is target_deaths.Verdict.DEAD:
@@ -233,7 +227,8 @@
             if now - broke_at >= EVIDENCE_TIMEOUT_S:
                 return None
             await asyncio.sleep(EVIDENCE_CHECK_INTERVAL_S)
-        return "registration"
+        is_confirmed = await self._witnesses.confirm_removal(target)
+        return "registration" if is_confirmed else None
 
     def _record_death(
         self,
--- a/mothpass/relay/death_witnesses.py
+++ b/mothpass/relay/death_witnesses.py
@@ -24,8 +24,8 @@
 # Deaths that this daemon asks about at the same time. Where a whole
 # availability zone fails, the platform's word decides about the others.
 MAX_INQUIRIES = 8
-# Other targets that a daemon tries before it takes its links for cut.
-MAX_OTHER_TARGETS = 2
+# Other targets that a daemon tries to tell whether its links are sound.
+MAX_OTHER_TARGETS = 4
 
 _logger = logging.getLogger("mothpass.deaths")
 
@@ -133,6 +133,18 @@
             task.cancel()
         return testimonies
 
+    async def confirm_removal(self, target: target_table.Target) -> bool:
+        """Returns whether a target has ended whose registration has.
+
+        A target that is cut off from the store loses its registration, too.
+        """
+        successor = self._targets.targets.get(target.id)
+        if successor is not None:
+            return True
+        return not await self._reaches(target) and await self._has_sound_links(
+            target
+        )
+
     async def answer(self, target_id: str) -> target_deaths.Testimony | None:
         """Returns what this daemon sees of a target, None if unknown here."""
         target = self._targets.targets.get(target_id)
@@ -148,18 +160,28 @@
         )
 
     async def _has_sound_links(self, target: target_table.Target) -> bool:
-        """Returns whether another target can be connected to."""
+        """Returns whether half of the other targets can be connected to.
+
+        Those of the same service decide if there are any: a service may be cut
+        off as a whole.
+        """
         others = [
             item
             for item in self._targets.targets.values()
             if item is not target
         ]
+        service = target.registration.service
+        alike = [
+            item for item in others if item.registration.service == service
+        ]
+        others = alike or others
         chosen = self._random.sample(
             others, min(MAX_OTHER_TARGETS, len(others))
         )
-        return any(
-            await asyncio.gather(*(self._reaches(item) for item in chosen))
+        reached = await asyncio.gather(
+            *(self._reaches(item) for item in chosen)
         )
+        return bool(chosen) and 2 * sum(reached) >= len(chosen)
 
     async def _reaches(self, target: target_table.Target) -> bool:
         try:
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -193,7 +193,7 @@
                 crash_suspects=self.fleet_sync.crash_suspects,
                 suspected_parts=self.fleet_sync.suspected_parts,
                 announce=self.fleet_sync.announce,
-                judge_death=self._witnesses.judge,
+                witnesses=self._witnesses,
                 path_monitor=self.fleet_sync.path_monitor,
                 metrics=self._metrics,
             ),
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -203,6 +203,15 @@
         await self.interrupt(0, 1, how=fleet.Cut.RESET)
         await self.check_nothing_barred()
 
+    async def test_partition_of_a_whole_service_condemns_no_prompt_part(
+        self,
+    ) -> None:
+        """Guards against targets that all daemons lose at the same time."""
+        plain, self.plain = self.plain, []
+        await self.interrupt(0, 1, 2, how=fleet.Cut.RESET)
+        self.plain = plain
+        await self.check_nothing_barred()
+
     async def test_daemon_that_lost_some_targets_condemns_no_prompt_part(
         self,
     ) -> None:
