End mothpassd at its deadline, whatever its last steps wait for

Cause: not traced. What is left after the drain time had no deadline: the leases, the membership list and the connections to peers.

Why this works: each of these steps has a deadline, is not waited for beyond it and is named in the log, so that the next time shows which one it was.

--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -18,11 +18,14 @@
 from mothpass.daemon import control_cost
 from mothpass.daemon import operators
 from mothpass.daemon import settings as settings_module
+from mothpass.daemon import shutdown
 from mothpass.daemon import status
 from mothpass.daemon import status_page
 from mothpass.ports import members
 
 PRUNE_INTERVAL_MS = 1000
+# For leases, the membership list and the connections to peers at the end.
+CLOSE_TIMEOUT_S = 5.0
 MAX_OPERATOR_CONNECTIONS = 64
 MAX_OPERATOR_HEADER_BYTES = 32_768
 _logger = logging.getLogger(__name__)
@@ -89,8 +92,13 @@
         _logger.info("shutdown started")
         self._components.core.state.ready = False
         self._components.core.state.leaving = True
-        await self._components.control.loop.components.membership.mark_leaving()
-        await asyncio.sleep(shutdown_settings.announce_ms / 1000)
+        loop = asyncio.get_running_loop()
+        announced_at = loop.time() + shutdown_settings.announce_ms / 1000
+        membership = self._components.control.loop.components.membership
+        await shutdown.run_step(
+            "membership", membership.mark_leaving(), announced_at
+        )
+        await asyncio.sleep(max(0.0, announced_at - loop.time()))
         self._components.core.state.accepting = False
         for listener in self._listeners:
             listener.stop_accepting()
@@ -252,12 +260,13 @@
                 await self._components.pruner.step()
 
     async def _close(self) -> None:
-        await self._components.control.loop.stop()
+        deadline = asyncio.get_running_loop().time() + CLOSE_TIMEOUT_S
+        control_loop = self._components.control.loop
+        await shutdown.run_step("control loop", control_loop.stop(), deadline)
         for task in self._tasks:
             task.cancel()
-        for task in self._tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT_S)
         for listener in self._listeners:
             listener.abort()
         self._components.pool.close()
