--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -44,6 +44,11 @@
         """Whether the process has ended by itself or by a signal."""
         return self._process is None or self._process.returncode is not None
 
+    @property
+    def pid(self) -> int:
+        """Id of the process, 0 if there is none."""
+        return 0 if self._process is None else self._process.pid
+
     @property
     def stdout(self) -> asyncio.StreamReader:
         """Output of the program, if it is piped."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,11 +1,14 @@
 """Loopback proxy that delays, resets or drops traffic."""
 
 import asyncio
+from collections import abc
 import contextlib
 import enum
 import socket
 import struct
 
+Peer = tuple[str, int]
+
 _CHUNK_BYTES = 65_536
 _POLL_INTERVAL_S = 0.02
 
@@ -26,6 +29,15 @@
     SILENT = "silent"
 
 
+class _Link:
+    """Connection of one client, with a mode of its own."""
+
+    def __init__(self, peer: Peer, writer: asyncio.StreamWriter) -> None:
+        self.peer = peer
+        self.writer = writer
+        self.mode = Mode.PASS
+
+
 class Proxy:
     """Forwards connections to one address.
 
@@ -33,15 +45,18 @@
         address: ``ip:port`` at which it listens.
         mode: Current mode.
         delay_s: Delay of each chunk in mode DELAY.
+        find_mode: Returns the mode of a client's new connection.
     """
 
     def __init__(self, upstream: str) -> None:
         self.address = ""
         self.mode = Mode.PASS
         self.delay_s = 0.1
+        self.find_mode: abc.Callable[[Peer], Mode] = lambda _: Mode.PASS
         self._upstream = upstream
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._links: set[_Link] = set()
 
     async def open(self, host: str, port: int = 0) -> None:
         self._server = await asyncio.start_server(self._serve, host, port)
@@ -59,21 +74,31 @@
         for writer in self._writers:
             _reset(writer)
 
+    def update_links(self) -> None:
+        """Applies the modes of clients to their open connections."""
+        for link in self._links:
+            link.mode = self.find_mode(link.peer)
+            if link.mode is Mode.RESET:
+                _reset(link.writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        link = _Link(writer.get_extra_info("peername"), writer)
+        self._links.add(link)
         with contextlib.suppress(OSError, asyncio.CancelledError):
-            if self.mode is Mode.RESET:
+            link.mode = self.find_mode(link.peer)
+            if Mode.RESET in (self.mode, link.mode):
                 _reset(writer)
             else:
-                await self._forward(reader, writer)
+                await self._forward(reader, link)
+        self._links.discard(link)
         self._writers.discard(writer)
         writer.close()
 
-    async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _forward(self, reader: asyncio.StreamReader, link: _Link) -> None:
+        writer = link.writer
         host, _, port = self._upstream.rpartition(":")
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
@@ -84,8 +109,12 @@
             return
         self._writers.add(upstream_writer)
         tasks = [
-            asyncio.ensure_future(self._copy(reader, upstream_writer, False)),
-            asyncio.ensure_future(self._copy(upstream_reader, writer, True)),
+            asyncio.ensure_future(
+                self._copy(reader, upstream_writer, link, False)
+            ),
+            asyncio.ensure_future(
+                self._copy(upstream_reader, writer, link, True)
+            ),
         ]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -100,6 +129,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        link: _Link,
         is_from_server: bool,
     ) -> None:
         has_dropped = False
@@ -107,19 +137,20 @@
             if self.mode is Mode.DELAY:
                 await asyncio.sleep(self.delay_s)
             # TCP delivers no byte after one that is missing.
-            has_dropped = has_dropped or self._drops(is_from_server)
+            has_dropped = has_dropped or self._drops(link, is_from_server)
             if not has_dropped:
                 writer.write(data)
                 await writer.drain()
         # The close of a connection is dropped, too.
-        while self.mode in (Mode.SILENT, Mode.DROP_ANSWERS):  # noqa: ASYNC110
+        while self._drops(link, is_from_server=True):  # noqa: ASYNC110
             await asyncio.sleep(_POLL_INTERVAL_S)
         if has_dropped:
             _reset(writer)
 
-    def _drops(self, is_from_server: bool) -> bool:
-        return self.mode is Mode.SILENT or (
-            is_from_server and self.mode is Mode.DROP_ANSWERS
+    def _drops(self, link: _Link, is_from_server: bool) -> bool:
+        modes = (self.mode, link.mode)
+        return Mode.SILENT in modes or (
+            is_from_server and Mode.DROP_ANSWERS in modes
         )
 
 
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -12,6 +12,7 @@
 from tests.platform import wire
 from tests.soak import checkers
 from tests.soak import clients
+from tests.soak import owners
 from tests.soak import processes
 from tests.soak import proxy
 
@@ -109,6 +110,8 @@
         self._version = 1
         self._keys = [f"key-of-{team}" for team in _TEAMS]
         self._faulty: set[int] = set()
+        # Modes of the links to all targets, by daemon.
+        self._cuts: dict[int, proxy.Mode] = {}
         self._is_leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -197,6 +200,7 @@
         target = TargetProcess(name, service, version, self._folder)
         address = f"{self._target_host}:{next(self._target_ports)}"
         target.proxy = proxy.Proxy(address)
+        target.proxy.find_mode = self._find_link_mode
         await target.proxy.open("127.0.0.1")
         seed = str(self._random.randrange(1 << 30))
         arguments = ["-m", "tests.soak.target", name, version, address]
@@ -242,6 +246,7 @@
             self._stop_daemon,
             self._reload_daemon,
             self._disturb_front,
+            self._cut_daemon,
             self._disturb_target,
             self._kill_target,
             self._suspend_target,
@@ -322,6 +327,35 @@
         await self._disturb(daemon.front)
         self._release_daemon(daemon, "front", at)
 
+    async def _cut_daemon(self) -> None:
+        """Cuts a daemon off from all targets; clients and peers reach it."""
+        if (daemon := self._pick_daemon()) is None:
+            return
+        at = asyncio.get_running_loop().time()
+        modes = (proxy.Mode.SILENT, proxy.Mode.RESET)
+        for mode in self._random.sample(modes, 2):
+            self._cuts[daemon.number] = mode
+            self._update_links()
+            await asyncio.sleep(self._random.uniform(0.2, 2.0))
+            del self._cuts[daemon.number]
+            self._update_links()
+            await asyncio.sleep(self._random.uniform(0.0, 0.5))
+        self._release_daemon(daemon, "cut", at)
+
+    def _update_links(self) -> None:
+        for target in (*self._targets.values(), *self._draining.values()):
+            target.proxy.update_links()
+
+    def _find_link_mode(self, peer: proxy.Peer) -> proxy.Mode:
+        """Returns the mode of a daemon's connection to a target."""
+        cut = {
+            daemon.child.pid: self._cuts[daemon.number]
+            for daemon in self._daemons
+            if daemon.number in self._cuts
+        }
+        owner = owners.find_owner(peer, cut) if cut else None
+        return proxy.Mode.PASS if owner is None else cut[owner]
+
     async def _disturb_target(self) -> None:
         target = self._random.choice(list(self._targets.values()))
         await self._disturb(target.proxy)
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -36,7 +36,10 @@
         fault = self._random.random()
         share = self._fault_share
         if fault < share * 0.25:
-            wire.write_answer(writer, 503, {"Not-Run": "1"}, b"")
+            headers = {"Not-Run": "1"}
+            if fault < share * 0.1:
+                headers["Retry-After"] = "0.5"
+            wire.write_answer(writer, 503, headers, b"")
             return
         self._record_run(request)
         if fault < share * 0.5:
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import os
 import unittest
 
+from tests.soak import owners
 from tests.soak import proxy
 
 _HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n"
@@ -54,6 +56,31 @@
         with self.assertRaises(ConnectionResetError):
             await reader.read(1)
 
+    async def test_link_of_one_process_is_cut(self) -> None:
+        """Guards against cuts that hit no daemon, or all of them."""
+        host, _, port = self.proxy.address.rpartition(":")
+        own = os.getpid()
+        cut: set[int] = set()
+
+        def find_mode(peer: proxy.Peer) -> proxy.Mode:
+            is_cut = owners.find_owner(peer, cut) is not None
+            return proxy.Mode.RESET if is_cut else proxy.Mode.PASS
+
+        self.proxy.find_mode = find_mode
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        server = await self.server_writer
+        server.write(_BODY)
+        self.assertEqual(await reader.readexactly(len(_BODY)), _BODY)
+        cut.add(os.getppid())
+        self.proxy.update_links()
+        server.write(_BODY)
+        self.assertEqual(await reader.readexactly(len(_BODY)), _BODY)
+        cut.add(own)
+        self.proxy.update_links()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+
 
 if __name__ == "__main__":
     unittest.main()
