Ask peers short questions in one place

The question for the origin of a stream and that for a target that seems to have crashed were the same call. An answer that can't be decoded counts as a lost one.

--- a/mothpass/relay/death_witnesses.py
+++ b/mothpass/relay/death_witnesses.py
@@ -9,12 +9,12 @@
 import msgspec
 
 from mothpass.adapters import event_log
-from mothpass.adapters import http_fetch
 from mothpass.adapters import http_pool
 from mothpass.core import errors
 from mothpass.core import target_deaths
 from mothpass.core import target_paths
 from mothpass.core import target_table
+from mothpass.relay import peer_questions
 
 PATH = "/targets/"
 # Two connections that time out at the peer, and the way there and back.
@@ -30,6 +30,16 @@
 _logger = logging.getLogger("mothpass.deaths")
 
 
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """A peer's answer.
+
+    Attributes:
+        testimony: What it sees of the target, None if it doesn't know it.
+    """
+
+    testimony: target_deaths.Testimony | None = None
+
+
 class DeathWitnesses:
     """Asks some live peers at a time, and answers peers."""
 
@@ -145,18 +155,17 @@
             target
         )
 
-    async def answer(self, target_id: str) -> target_deaths.Testimony | None:
-        """Returns what this daemon sees of a target, None if unknown here."""
+    async def answer(self, target_id: str) -> Answer:
+        """Returns what this daemon sees of a target that a peer asks for."""
         target = self._targets.targets.get(target_id)
         if target is None:
-            return None
-        if await self._reaches(target):
-            return target_deaths.Testimony(
-                reaches_target=True, has_sound_links=True
+            return Answer()
+        reaches_target = await self._reaches(target)
+        has_sound_links = reaches_target or await self._has_sound_links(target)
+        return Answer(
+            testimony=target_deaths.Testimony(
+                reaches_target=reaches_target, has_sound_links=has_sound_links
             )
-        return target_deaths.Testimony(
-            reaches_target=False,
-            has_sound_links=await self._has_sound_links(target),
         )
 
     async def _has_sound_links(self, target: target_table.Target) -> bool:
@@ -196,20 +205,15 @@
     async def _ask(
         self, address: str, target_id: str
     ) -> target_deaths.Testimony | None:
-        url = f"{PATH}{parse.quote(target_id, safe='')}"
-        request = f"GET {url} HTTP/1.1\r\nhost: {address}\r\n\r\n"
-        now = asyncio.get_running_loop().time()
         try:
-            reply = await http_fetch.fetch(
+            answer = await peer_questions.ask(
                 self._pool,
                 address,
-                request.encode(),
-                deadline=now + ANSWER_TIMEOUT_S,
-            )
-            return msgspec.msgpack.decode(
-                reply.body, type=target_deaths.Testimony | None
+                f"{PATH}{parse.quote(target_id, safe='')}",
+                Answer,
+                timeout_s=ANSWER_TIMEOUT_S,
             )
-        except (errors.MothpassError, msgspec.DecodeError) as error:
+        except errors.MothpassError as error:
             event_log.log(
                 _logger,
                 "death_witness_silent",
@@ -218,6 +222,7 @@
                 reason=str(error),
             )
             return None
+        return answer.testimony
 
 
 def read_target_id(url: str) -> str | None:
--- a/mothpass/relay/origin_questions.py
+++ b/mothpass/relay/origin_questions.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from mothpass.adapters import event_log
-from mothpass.adapters import http_fetch
 from mothpass.adapters import http_pool
 from mothpass.core import errors
 from mothpass.core import stream_origins
+from mothpass.relay import peer_questions
 
 PATH = "/streams/"
 # The client waits meanwhile; a peer that is partitioned never answers.
@@ -73,22 +73,15 @@
         self, address: str, question: Question
     ) -> stream_origins.Answer | None:
         service = parse.quote(question.service, safe="")
-        request = (
-            f"GET {PATH}{question.stream}?{service} HTTP/1.1\r\n"
-            f"host: {address}\r\n\r\n"
-        )
-        now = asyncio.get_running_loop().time()
         try:
-            reply = await http_fetch.fetch(
+            return await peer_questions.ask(
                 self._pool,
                 address,
-                request.encode(),
-                deadline=now + ANSWER_TIMEOUT_S,
-            )
-            return msgspec.msgpack.decode(
-                reply.body, type=stream_origins.Answer
+                f"{PATH}{question.stream}?{service}",
+                stream_origins.Answer,
+                timeout_s=ANSWER_TIMEOUT_S,
             )
-        except (errors.MothpassError, msgspec.DecodeError) as error:
+        except errors.MothpassError as error:
             event_log.log(
                 _logger,
                 "origin_question_failed",
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -447,8 +447,8 @@
         url = head.url.decode("latin-1")
         target_id = death_witnesses.read_target_id(url)
         if target_id is not None:
-            testimony = await self._witnesses.answer(target_id)
-            client.write_response(200, (), msgspec.msgpack.encode(testimony))
+            seen = await self._witnesses.answer(target_id)
+            client.write_response(200, (), msgspec.msgpack.encode(seen))
             return
         question = origin_questions.read_question(url)
         if question is None:
