--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -281,6 +281,16 @@
         decision = self.daemon.suspects.check(99, now=time.monotonic())
         self.assertIs(decision.verdict, suspects.Verdict.CLEAR)
 
+    async def test_cut_link_makes_no_crash_suspect(self) -> None:
+        """Guards against cut links that pass for crashed engines."""
+        for _ in range(2):
+            self.scripted.streams = [[daemon_parts.make_batch(0), _ANSWER_LOST]]
+            with self.assertRaises(errors.MothpassError):
+                await self._read_positions()
+        # The engines answer again, and none of them has started anew.
+        decision = self.daemon.suspects.check(99, now=time.monotonic())
+        self.assertIs(decision.verdict, suspects.Verdict.CLEAR)
+
 
 class ServiceTest(DispatchTest):
     """Checks requests to plain services."""
