Look at all descriptors of a process, as one that was closed hid the rest

Cause: find_owner lists the descriptors of a process and reads one after the other. The listing itself has a descriptor, which is closed by then; reading it failed and ended the search of that process. Where the number of that descriptor was below the socket's, the owner wasn't found, the link wasn't cut, and the test read from it without a deadline. In the soak a cut could miss a daemon that closed any descriptor meanwhile.

Evidence: test_descriptor_that_is_gone_hides_no_later_one opens the socket above a free number; it failed before (None instead of the process).

Why it works: a descriptor that is gone is passed over and the search goes on. The test of the cut link has the deadline that the test beside it has.

--- a/tests/soak/owners.py
+++ b/tests/soak/owners.py
@@ -1,6 +1,7 @@
 """Finds the process at the other end of a loopback connection."""
 
 from collections import abc
+import contextlib
 import os
 import pathlib
 import socket
@@ -22,16 +23,18 @@
     inode = _find_inode(peer)
     if inode is None:
         return None
-    for pid in pids:
-        folder = f"/proc/{pid}/fd"
-        try:
-            for descriptor in os.listdir(folder):
+    return next((pid for pid in pids if _has_open(pid, inode)), None)
+
+
+def _has_open(pid: int, inode: str) -> bool:
+    folder = f"/proc/{pid}/fd"
+    with contextlib.suppress(OSError):
+        for descriptor in os.listdir(folder):
+            # A descriptor that was closed meanwhile is none of those sought.
+            with contextlib.suppress(OSError):
                 if os.readlink(f"{folder}/{descriptor}") == inode:
-                    return pid
-        except OSError:
-            # The process, or one of its descriptors, is gone.
-            continue
-    return None
+                    return True
+    return False
 
 
 def _find_inode(peer: Peer) -> str | None:
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import socket
 import unittest
 
 from tests.soak import owners
@@ -79,7 +80,23 @@
         cut.add(own)
         self.proxy.update_links()
         with self.assertRaises(ConnectionResetError):
-            await reader.read()
+            async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+                await reader.read()
+
+
+class OwnersTest(unittest.TestCase):
+    """Processes at the other end of connections."""
+
+    def test_descriptor_that_is_gone_hides_no_later_one(self) -> None:
+        """Guards against cuts that miss a process which closes something."""
+        lower = os.open(os.devnull, os.O_RDONLY)
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = server.getsockname()
+            with socket.create_connection(address) as client:
+                # The listing of descriptors takes this one's number.
+                os.close(lower)
+                owner = owners.find_owner(client.getsockname(), [os.getpid()])
+        self.assertEqual(owner, os.getpid())
 
 
 if __name__ == "__main__":
