Count a request at a cold target from when it leaves, not from its reservation

Cause: a request was counted for a second from the reservation of its slot, but leaves only once a connection is open, up to 300 ms later. The same count was kept for the limits that targets state.

Why it works: a request counts while it waits for its connection and then for a second from when it leaves. At each reservation, what has left within a second and what waits are within the allowance; so are the requests that leave in any second. One that never leaves no longer uses up the rate.

--- a/mothpass/core/target_limits.py
+++ b/mothpass/core/target_limits.py
@@ -60,7 +60,8 @@
     Attributes:
         per_s: Requests per second from all daemons, None without a limit.
         read_at: Monotonic seconds of the last answer that this daemon has read.
-        dispatches: Requests of this daemon in the window.
+        dispatches: Requests that this daemon has sent in the window.
+        unsent: Requests that this daemon is about to send.
     """
 
     __slots__ = (
@@ -69,12 +70,14 @@
         "dispatches",
         "per_s",
         "read_at",
+        "unsent",
     )
 
     def __init__(self) -> None:
         """Starts without a limit."""
         self.per_s: float | None = None
         self.read_at = float("-inf")
+        self.unsent = 0
         self.dispatches = windows.SlidingCount(window_s=WINDOW_S)
         self._denials = windows.SlidingCount(window_s=WINDOW_S)
         self._next_waiting_at = float("-inf")
@@ -128,7 +131,7 @@
 
     def count(self, now: float) -> FleetCount:
         """Returns what this daemon reports to its peers."""
-        sent = self.dispatches.count(now)
+        sent = self.dispatches.count(now) + self.unsent
         return FleetCount(sent=sent, wanted=sent + self._denials.count(now))
 
     def record_waiting(
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -131,6 +131,7 @@
             once a connection is open.
         on_connected: Called once the request is about to be sent over a
             connection, with whether it was opened for this.
+        on_sent: Called once the request is on its way over the connection.
         on_bytes: Called with the monotonic seconds of the last byte received.
         on_head: Called with the head of the answer.
         on_event: Called with the id of the last event to forward.
@@ -145,6 +146,7 @@
     max_idle_connections: int
     may_send: abc.Callable[[], bool]
     on_connected: abc.Callable[[bool], None]
+    on_sent: abc.Callable[[], None]
     on_bytes: abc.Callable[[float], None]
     on_head: abc.Callable[[relay.AnswerHead], None]
     on_event: abc.Callable[[int], None]
@@ -193,6 +195,7 @@
                     has_arrived=False,
                 )
             exchange = self._send_request(attempt, connection)
+            attempt.on_sent()
             head = await self._wait_for_head(attempt, exchange)
             idle_timeout_s = _compute_idle_timeout(head)
             return await self._deliver(attempt, exchange, head, delivery)
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -342,7 +342,7 @@
         refusal = self._admission.check_parts(admitted.shared_parts)
         if refusal is None or isinstance(choice, errors.Refusal):
             return choice
-        self._queues.release_slot(choice.target)
+        self._queues.release_slot(choice.target, was_sent=False)
         return refusal
 
     async def _dispatch_attempt(
@@ -374,6 +374,7 @@
         )
 
         connected_at: float | None = None
+        was_sent = False
 
         def record_connected(is_new: bool) -> None:
             nonlocal connected_at
@@ -381,6 +382,11 @@
             if is_new:
                 self._path_monitor.record_connected(registration.service)
 
+        def record_sent() -> None:
+            nonlocal was_sent
+            was_sent = True
+            target.record_sent(loop.time())
+
         def record_bytes(at: float) -> None:
             target.last_byte_at = at
 
@@ -405,6 +411,7 @@
             max_idle_connections=self._compute_idle_share(admitted),
             may_send=lambda: target.may_get_requests(loop.time()),
             on_connected=record_connected,
+            on_sent=record_sent,
             on_bytes=record_bytes,
             on_head=functools.partial(
                 self._notices.record_head, admitted.request.id, target
@@ -435,16 +442,12 @@
                 )
         finally:
             pending_prefill.finish()
-            self._queues.release_slot(target)
+            self._queues.release_slot(target, was_sent=was_sent)
             self._crash_detector.record_end(target, in_flight)
             if outcome is _ABANDONED:
-                self._metrics.count(
-                    "abandoned_attempts",
-                    phase="connecting" if connected_at is None else "sent",
+                self._record_abandoned(
+                    admitted, target, is_connected=connected_at is not None
                 )
-                self._path_monitor.check(registration.service)
-                if loop.time() >= admitted.deadline:
-                    target.record_ambiguous_failure(loop.time())
             event_log.log(
                 _logger,
                 "attempt",
@@ -469,6 +472,22 @@
             )
         return outcome
 
+    def _record_abandoned(
+        self,
+        admitted: admission.Admitted,
+        target: target_table.Target,
+        *,
+        is_connected: bool,
+    ) -> None:
+        """Records an attempt that its request's end has cut short."""
+        now = asyncio.get_running_loop().time()
+        self._metrics.count(
+            "abandoned_attempts", phase="sent" if is_connected else "connecting"
+        )
+        self._path_monitor.check(target.registration.service)
+        if now >= admitted.deadline:
+            target.record_ambiguous_failure(now)
+
     def _compute_idle_share(self, admitted: admission.Admitted) -> int:
         """Returns the idle connections that may be kept to one target.
 
--- a/mothpass/relay/peer_forwarding.py
+++ b/mothpass/relay/peer_forwarding.py
@@ -132,6 +132,7 @@
             max_idle_connections=MAX_IDLE_CONNECTIONS,
             may_send=lambda: True,
             on_connected=_ignore,
+            on_sent=lambda: None,
             on_bytes=_ignore,
             on_head=_ignore,
             on_event=_ignore,
--- a/mothpass/relay/request_queues.py
+++ b/mothpass/relay/request_queues.py
@@ -163,9 +163,16 @@
             slot_request, service_queue, decision.until
         )
 
-    def release_slot(self, target: target_table.Target) -> None:
-        """Releases a slot and dispatches requests of its service."""
-        target.in_flight -= 1
+    def release_slot(
+        self, target: target_table.Target, *, was_sent: bool
+    ) -> None:
+        """Releases a slot and dispatches requests of its service.
+
+        Args:
+            target: Target of the slot.
+            was_sent: Whether ``target.record_sent`` was called for it.
+        """
+        target.release_slot(was_sent=was_sent)
         service_queue = self._queues.get(target.registration.service)
         if service_queue is not None:
             service_queue.releases.record(asyncio.get_running_loop().time())
@@ -247,7 +254,7 @@
         self, granted: target_choice.Choice | errors.Refusal
     ) -> None:
         if isinstance(granted, target_choice.Choice):
-            self.release_slot(granted.target)
+            self.release_slot(granted.target, was_sent=False)
 
     def _dispatch(self, service_queue: _ServiceQueue) -> None:
         """Grants free slots to queued requests in fair order."""
@@ -287,9 +294,7 @@
             is_waiting=is_waiting,
         )
         if choice is not None:
-            choice.target.in_flight += 1
-            choice.target.recent_dispatches.record(now)
-            choice.target.limit.dispatches.record(now)
+            choice.target.reserve_slot()
         return choice
 
     def _list_usable(
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -378,7 +378,7 @@
             + settings.cold_slack,
         )
         now = asyncio.get_running_loop().time()
-        return target.recent_dispatches.count(now) < allowance
+        return target.count_dispatches(now) < allowance
 
     def _admits_fragile(self, target: target_table.Target) -> bool:
         """Returns whether one more request leaves a fragile target standing."""
--- a/tests/platform/test_fleet_bounds.py
+++ b/tests/platform/test_fleet_bounds.py
@@ -1,8 +1,11 @@
 """Tests of limits and state that the daemons of a fleet share."""
 
 import asyncio
+import typing
 from unittest import mock
 
+from mothpass.adapters import http_exchanges
+from mothpass.adapters import http_pool
 from mothpass.core import cold_rates
 from mothpass.relay import fleet_sync
 from tests.platform import fleet
@@ -13,6 +16,8 @@
 COLD_PER_S = 10.0
 COLD_OVERAGE = 1.5
 COLD_SLACK = 5.0
+# Less than the time for which a daemon waits for a connection.
+SLOW_CONNECTION_S = 0.25
 # Time limit for a change at daemons that reach the store or peers.
 CHANGE_IN_FORCE_S = 2.0
 
@@ -32,6 +37,30 @@
         )
 
     async def test_cold_targets_get_no_more_than_their_rate(self) -> None:
+        await self.check_cold_rates()
+
+    async def test_slow_connections_exceed_no_rate_of_cold_targets(
+        self,
+    ) -> None:
+        """Guards against rates that count requests long before they leave."""
+        acquire = http_pool.ConnectionPool.acquire
+        loop = asyncio.get_running_loop()
+
+        async def acquire_slowly(
+            *args: typing.Any, **options: typing.Any
+        ) -> http_exchanges.Connection:
+            # Requests of one second leave late, those of the next one don't.
+            if int(loop.time()) % 2:
+                await asyncio.sleep(SLOW_CONNECTION_S)
+            return await acquire(*args, **options)
+
+        with mock.patch.object(
+            http_pool.ConnectionPool, "acquire", acquire_slowly
+        ):
+            await self.check_cold_rates()
+
+    async def check_cold_rates(self) -> None:
+        """Sends more than cold targets may get; checks what they got."""
         await self.wait_for_peers()
         for target in self.models:
             entry = target.encode_entry("models", born=2000, coldLeftMs=9000)
--- a/tests/test_queue_admission.py
+++ b/tests/test_queue_admission.py
@@ -115,8 +115,9 @@
                 )
                 await asyncio.sleep((granted.retry_after_ms or 0) / 1000)
                 continue
+            granted.target.record_sent(loop.time())
             await asyncio.sleep(_RUN_S)
-            self._queues.release_slot(granted.target)
+            self._queues.release_slot(granted.target, was_sent=True)
             elapsed_s = loop.time() - started
             if loop.time() <= deadline:
                 self.credit[priority] += (
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -97,6 +97,39 @@
         self.assertTrue(self.register("i-0", 1000))
 
 
+class DispatchCountTest(unittest.TestCase):
+    """Attempts that are counted against a target's rate and limit."""
+
+    def setUp(self) -> None:
+        table = target_table.TargetTable()
+        table.put(_make_registration("i-1", started_at_ms=1000), 0.0)
+        self.target = table.targets["i-1"]
+
+    def count(self, now: float) -> tuple[int, int]:
+        """Returns the counts for the rate of cold targets and the limit."""
+        limit = self.target.limit.count(now)
+        return self.target.count_dispatches(now), limit.sent
+
+    def test_attempt_counts_from_when_it_leaves(self) -> None:
+        """Guards against seconds in which two seconds' attempts arrive."""
+        self.target.reserve_slot()
+        self.assertEqual(self.count(0.0), (1, 1))
+        self.assertEqual(self.count(9.0), (1, 1))
+        self.target.record_sent(9.0)
+        self.assertEqual(self.count(9.9), (1, 1))
+        self.target.release_slot(was_sent=True)
+        self.assertEqual(self.count(9.9), (1, 1))
+        self.assertEqual(self.count(10.1), (0, 1))
+        self.assertEqual(self.count(14.0), (0, 0))
+
+    def test_attempt_that_never_left_does_not_count(self) -> None:
+        """Guards against rates that unsent attempts use up."""
+        self.target.reserve_slot()
+        self.target.release_slot(was_sent=False)
+        self.assertEqual(self.count(0.1), (0, 0))
+        self.assertEqual(self.target.in_flight, 0)
+
+
 def _make_registration(
     target_id: str, *, started_at_ms: int | None
 ) -> target_table.Registration:
