Take a target for crashed in mothpassd only with evidence of its own

Cause: a refused connection was taken for the state of the target, as in the relay before.

Why it works: a target that answers a second time with the same boot is alive. If it doesn't and half of the service's other targets do, the request is a suspect at once, so that its retry waits for a trial as before, and the death is taken back if a later load report, read by any daemon, names the same boot. If the others don't answer either, the death counts once the target has started again or has left the members, within 10 s. Parts of prompts count only at the end of that.

Two tests set ScriptedTargets.crashes: there an engine that had crashed went on answering polls of its load, which is what a cut link looks like. What they expect is unchanged.

Looked at as well: a refused connection also marks the boot of a target as unknown, here and at peers, so that it counts as cold until the next report, a second or so; backoff, placement and the retry budget hold against this daemon alone. These are unchanged.

--- a/mothpass/core/suspects.py
+++ b/mothpass/core/suspects.py
@@ -241,6 +241,14 @@
             self._claim_trial(suspect, self._own_id, now)
         self._trim(now)
 
+    def withdraw_death(self, boot_id: str, *, now: float) -> None:
+        """Clears all suspects of a death, as the target has not died."""
+        for suspect in self._suspects.values():
+            if boot_id in suspect.boots - suspect.forgiven:
+                suspect.forgiven.add(boot_id)
+                suspect.changed_at = now
+                self.changed_at = now
+
     def record_progress(
         self, fingerprint: int, position: int, *, now: float
     ) -> bool:
--- a/mothpass/daemon/attempts.py
+++ b/mothpass/daemon/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import itertools
 import random as random_module
 
@@ -12,6 +13,7 @@
 from mothpass.core import suspects
 from mothpass.core import targets as target_states
 from mothpass.daemon import client_requests
+from mothpass.daemon import crash_detection
 from mothpass.daemon import in_flight
 from mothpass.daemon import placement
 from mothpass.daemon import resumption
@@ -95,6 +97,7 @@
 
     __slots__ = (
         "_cancel_tasks",
+        "_crash_detector",
         "_ids",
         "_in_flight",
         "_placement",
@@ -128,7 +131,8 @@
             router: Holds the state of the targets.
             suspects: Records crashes of targets.
             suspected_parts: Records the parts of prompts that were there.
-            random: Source of the random part of attempt ids.
+            random: Source of the random part of attempt ids, and of the
+                choice of targets to probe.
         """
         self._ports = ports
         self._placement = placement
@@ -138,6 +142,15 @@
         self._in_flight = in_flight.InFlightAttempts(
             suspects=suspects, suspected_parts=suspected_parts
         )
+        self._crash_detector = crash_detection.CrashDetector(
+            router=router,
+            attempts=self._in_flight,
+            suspects=suspects,
+            suspected_parts=suspected_parts,
+            read_load=ports.read_load,
+            random=random,
+            clock=ports.clock,
+        )
         self._cancel_tasks: set[asyncio.Task[None]] = set()
         self.crossed = 0
         self.early = 0
@@ -192,13 +205,21 @@
         )
         return running
 
-    def stream_events(
+    async def stream_events(
         self, running: RunningAttempt
     ) -> abc.AsyncGenerator[list[targets.Event], None]:
         """Sends an attempt and yields its events, see ``resumption``."""
-        return resumption.follow_attempt(
+        batches = resumption.follow_attempt(
             self._ports, running.attempt, running.stream
         )
+        async with contextlib.aclosing(batches):
+            try:
+                async for events in batches:
+                    yield events
+            except errors.TargetDiedError as error:
+                if await self._has_died(running):
+                    raise
+                raise errors.TargetAnswerLostError(str(error)) from error
 
     def record_first_token(self, running: RunningAttempt, trace: Trace) -> None:
         """Records the first-token latency; may clear a crash suspect."""
@@ -238,7 +259,7 @@
             running.stream.is_complete = True
             return answer
         except errors.TargetAnswerLostError as error:
-            failure = await self._probe_target(slot.address, error)
+            failure = await self._probe_target(running, error)
             raise
         except errors.MothpassError as error:
             failure = error
@@ -275,21 +296,28 @@
             task.add_done_callback(self._cancel_tasks.discard)
 
     async def _probe_target(
-        self, address: str, lost_answer: errors.MothpassError
+        self, running: RunningAttempt, lost_answer: errors.MothpassError
     ) -> errors.MothpassError:
         """Polls a target's load to distinguish a crash from a lost answer."""
         try:
-            await self._ports.read_load(address)
+            await self._ports.read_load(running.slot.address)
         except errors.TargetUnreachableError as error:
-            return errors.TargetDiedError(str(error))
+            if await self._has_died(running):
+                return errors.TargetDiedError(str(error))
         except errors.MothpassError:
             return lost_answer
         return lost_answer
 
+    async def _has_died(self, running: RunningAttempt) -> bool:
+        """Returns whether an attempt's unreachable target has crashed."""
+        return await self._crash_detector.check(
+            running.slot.target_id, running.boot_id, running.request.name
+        )
+
     def _classify_outcome(
         self, running: RunningAttempt, failure: errors.MothpassError | None
     ) -> target_states.Outcome:
-        """Returns an attempt's outcome; records a crash of its target."""
+        """Returns an attempt's outcome; records a new start of its target."""
         if running.stream.is_complete:
             return target_states.Outcome.ANSWERED
         if failure is None:
@@ -298,7 +326,7 @@
             return target_states.Outcome.REFUSED
         if isinstance(failure, errors.TargetUnreachableError):
             return target_states.Outcome.UNREACHABLE
-        if _indicates_crash(running, failure):
+        if _shows_new_start(running, failure):
             self._in_flight.record_crash(
                 running.slot.target_id,
                 running.stream,
@@ -308,13 +336,13 @@
         return target_states.Outcome.LOST
 
 
-def _indicates_crash(
+def _shows_new_start(
     running: RunningAttempt, failure: errors.MothpassError
 ) -> bool:
-    """Returns whether a failure means that the target crashed."""
-    if isinstance(failure, errors.AttemptUnknownError):
-        return running.boot_id not in ("", failure.boot_id)
-    return isinstance(failure, errors.TargetDiedError)
+    """Returns whether a failure means that the target has started again."""
+    return isinstance(
+        failure, errors.AttemptUnknownError
+    ) and running.boot_id not in ("", failure.boot_id)
 
 
 def _build_attempt(
--- a/mothpass/daemon/in_flight.py
+++ b/mothpass/daemon/in_flight.py
@@ -1,5 +1,7 @@
 """Tracks attempts in flight by target, to find what ran when one crashed."""
 
+import msgspec
+
 from mothpass.core import prompt_suspects
 from mothpass.core import streams
 from mothpass.core import suspects
@@ -7,6 +9,19 @@
 _BEYOND_LAST_POSITION = 1 << 62
 
 
+class Interruption(msgspec.Struct, frozen=True, kw_only=True):
+    """What was in flight at a target when its connections broke.
+
+    Attributes:
+        requests: The requests.
+        unanswered_parts: Fingerprints of the parts of their prompts that no
+            answer has cleared.
+    """
+
+    requests: list[suspects.InFlightRequest]
+    unanswered_parts: frozenset[int]
+
+
 class _InFlightAttempt:
     """One attempt in flight at a target."""
 
@@ -101,6 +116,25 @@
                 attempt.fingerprint, position, now=now
             )
 
+    def interrupt(self, target_id: str, *, now: float) -> Interruption:
+        """Returns what is in flight at a target whose connections broke."""
+        attempts = self._attempts.get(target_id, {}).values()
+        return Interruption(
+            requests=[
+                suspects.InFlightRequest(
+                    fingerprint=attempt.fingerprint,
+                    position=attempt.stream.position,
+                )
+                for attempt in attempts
+            ],
+            unanswered_parts=frozenset(
+                part
+                for attempt in attempts
+                if not attempt.is_answered(now)
+                for part in attempt.shared_parts
+            ),
+        )
+
     def record_crash(
         self,
         target_id: str,
@@ -117,22 +151,11 @@
             boot_id: Boot id of the target that crashed.
             now: Monotonic seconds.
         """
-        attempts = self._attempts.get(target_id, {})
-        if stream.attempt_id not in attempts:
+        if stream.attempt_id not in self._attempts.get(target_id, {}):
             return
+        interruption = self.interrupt(target_id, now=now)
         del self._attempts[target_id]
-        in_flight = [
-            suspects.InFlightRequest(
-                fingerprint=attempt.fingerprint,
-                position=attempt.stream.position,
-            )
-            for attempt in attempts.values()
-        ]
-        self._suspects.record_death(boot_id, in_flight, now=now)
-        unanswered_parts = {
-            part
-            for attempt in attempts.values()
-            if not attempt.is_answered(now)
-            for part in attempt.shared_parts
-        }
-        self._suspected_parts.record_death(boot_id, unanswered_parts, now=now)
+        self._suspects.record_death(boot_id, interruption.requests, now=now)
+        self._suspected_parts.record_death(
+            boot_id, interruption.unanswered_parts, now=now
+        )
--- a/tests/daemon_parts.py
+++ b/tests/daemon_parts.py
@@ -108,6 +108,10 @@
         called: Attempts sent as service calls.
         cancelled: Ids of cancelled attempts.
         alive: Whether polls of the load are answered.
+        crashes: Whether a target whose answer is lost has crashed; it can't be
+            reached until it has restarted.
+        crashed: Addresses of the targets that have crashed.
+        boot_id: Boot id of all targets.
         pause_s: Pause before each step of a stream.
     """
 
@@ -121,6 +125,9 @@
         self.called: list[targets.Attempt] = []
         self.cancelled: list[str] = []
         self.alive = True
+        self.crashes = False
+        self.crashed: set[str] = set()
+        self.boot_id = "boot"
         self.pause_s = 0.0
         self._opened_event = asyncio.Event()
         self._cancelled_event = asyncio.Event()
@@ -166,6 +173,8 @@
         for step in script:
             await asyncio.sleep(self.pause_s)
             if isinstance(step, Exception):
+                if self.crashes:
+                    self.crashed.add(attempt.address)
                 raise step
             events = [
                 event
@@ -190,11 +199,11 @@
         self._cancelled_event.set()
 
     async def _read_load(self, address: str) -> targets.LoadReport:
-        if not self.alive:
+        if not self.alive or address in self.crashed:
             raise errors.TargetUnreachableError(address)
         return targets.LoadReport(
             target_id="t0",
-            boot_id="boot",
+            boot_id=self.boot_id,
             phase=targets.Phase.WARM,
             running=0,
             queued=0,
@@ -312,6 +321,8 @@
 
     def restart_targets(self, boot_id: str) -> None:
         """Reports all targets as warm with a new boot id."""
+        self.scripted.boot_id = boot_id
+        self.scripted.crashed.clear()
         _report_warm(self.router, boot_id)
 
     def count_in_flight(self) -> int:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -118,6 +118,7 @@
     async def test_unresumable_answer_ends_in_an_error(
         self,
     ) -> None:
+        self.scripted.crashes = True
         self.scripted.streams = [[daemon_parts.make_batch(0), _ANSWER_LOST]]
         with self.assertRaises(errors.TargetDiedError):
             await self._read_positions()
@@ -223,6 +224,7 @@
     """Checks crash suspects."""
 
     async def test_second_crash_quarantines_a_request(self) -> None:
+        self.scripted.crashes = True
         for boot_id in ("second", "third"):
             self.scripted.streams = [[daemon_parts.make_batch(0), _ANSWER_LOST]]
             with self.assertRaises(errors.TargetDiedError):
