Ask the kernel for one socket in the soak, not for all of them

Cause: to find the daemon behind each new connection, the soak's own loop, which also carries all proxied bytes, read and split /proc/net/tcp, some 50 ms each time with that many sockets.

Why it works: sock_diag(7) looks up a single connection by both of its ends, in some 50 microseconds, however many there are.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 
-Peer = tuple[str, int]
+Address = tuple[str, int]
 
 _CHUNK_BYTES = 65_536
 _POLL_INTERVAL_S = 0.02
@@ -32,8 +32,9 @@
 class _Link:
     """Connection of one client, with a mode of its own."""
 
-    def __init__(self, peer: Peer, writer: asyncio.StreamWriter) -> None:
-        self.peer = peer
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self.client: Address = writer.get_extra_info("peername")
+        self.own: Address = writer.get_extra_info("sockname")
         self.writer = writer
         self.mode = Mode.PASS
 
@@ -45,14 +46,17 @@
         address: ``ip:port`` at which it listens.
         mode: Current mode.
         delay_s: Delay of each chunk in mode DELAY.
-        find_mode: Returns the mode of a client's new connection.
+        find_mode: Returns the mode of a connection, from the addresses of its
+            client and of this proxy.
     """
 
     def __init__(self, upstream: str) -> None:
         self.address = ""
         self.mode = Mode.PASS
         self.delay_s = 0.1
-        self.find_mode: abc.Callable[[Peer], Mode] = lambda _: Mode.PASS
+        self.find_mode: abc.Callable[[Address, Address], Mode] = (
+            lambda _client, _own: Mode.PASS
+        )
         self._upstream = upstream
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -77,7 +81,7 @@
     def update_links(self) -> None:
         """Applies the modes of clients to their open connections."""
         for link in self._links:
-            link.mode = self.find_mode(link.peer)
+            link.mode = self.find_mode(link.client, link.own)
             if link.mode is Mode.RESET:
                 _reset(link.writer)
 
@@ -85,10 +89,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
-        link = _Link(writer.get_extra_info("peername"), writer)
+        link = _Link(writer)
         self._links.add(link)
         with contextlib.suppress(OSError, asyncio.CancelledError):
-            link.mode = self.find_mode(link.peer)
+            link.mode = self.find_mode(link.client, link.own)
             if Mode.RESET in (self.mode, link.mode):
                 _reset(writer)
             else:
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -346,14 +346,16 @@
         for target in (*self._targets.values(), *self._draining.values()):
             target.proxy.update_links()
 
-    def _find_link_mode(self, peer: proxy.Peer) -> proxy.Mode:
+    def _find_link_mode(
+        self, client: proxy.Address, own: proxy.Address
+    ) -> proxy.Mode:
         """Returns the mode of a daemon's connection to a target."""
         cut = {
             daemon.child.pid: self._cuts[daemon.number]
             for daemon in self._daemons
             if daemon.number in self._cuts
         }
-        owner = owners.find_owner(peer, cut) if cut else None
+        owner = owners.find_owner(client, own, cut) if cut else None
         return proxy.Mode.PASS if owner is None else cut[owner]
 
     async def _disturb_target(self) -> None:
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -63,8 +63,10 @@
         own = os.getpid()
         cut: set[int] = set()
 
-        def find_mode(peer: proxy.Peer) -> proxy.Mode:
-            is_cut = owners.find_owner(peer, cut) is not None
+        def find_mode(
+            client: proxy.Address, own_end: proxy.Address
+        ) -> proxy.Mode:
+            is_cut = owners.find_owner(client, own_end, cut) is not None
             return proxy.Mode.RESET if is_cut else proxy.Mode.PASS
 
         self.proxy.find_mode = find_mode
@@ -95,7 +97,9 @@
             with socket.create_connection(address) as client:
                 # The listing of descriptors takes this one's number.
                 os.close(lower)
-                owner = owners.find_owner(client.getsockname(), [os.getpid()])
+                owner = owners.find_owner(
+                    client.getsockname(), address, [os.getpid()]
+                )
         self.assertEqual(owner, os.getpid())
 
 
