Bound what a daemon keeps of fragile targets, as it grew with each one that was

What operators would see: memory that grows with each target of a fragile service that comes and goes, until the daemon restarts.

Cause: holds and demands were kept by id of the target, and nothing removed them.

Evidence: test_targets_that_come_and_go_are_forgotten failed before (2.0 MB after 20,000 targets, 4.1 MB after 40,000).

Why it works: the 4,096 targets that were chosen last are kept. A hold lasts ten seconds at most and a demand one, so that the one dropped is idle unless a daemon chooses among more than that within such a time.

--- a/mothpass/core/fragile_targets.py
+++ b/mothpass/core/fragile_targets.py
@@ -11,6 +11,7 @@
 stays away until the others can have been turned away as well.
 """
 
+import collections
 import random as random_module
 
 from mothpass.core import windows
@@ -26,18 +27,31 @@
 _STATEMENT_TTL_S = 10.0
 _MIN_HOLD_S = 1.0
 _MAX_HOLD_S = 10.0
+# Above it, those that were chosen longest ago are forgotten.
+_MAX_TARGETS = 4096
+
+
+class _FragileTarget:
+    """What this daemon wants to send to a target, and until when it may not."""
+
+    __slots__ = ("demand", "held_until")
+
+    def __init__(self) -> None:
+        self.demand = windows.SlidingCount(window_s=_DEMAND_WINDOW_S)
+        self.held_until = float("-inf")
 
 
 class FragileServices:
     """Services whose targets say that they are fragile."""
 
-    __slots__ = ("_demands", "_held_until", "_stated")
+    __slots__ = ("_stated", "_targets")
 
     def __init__(self) -> None:
         """Starts without statements."""
         self._stated: dict[str, tuple[float, float]] = {}
-        self._held_until: dict[str, float] = {}
-        self._demands: dict[str, windows.SlidingCount] = {}
+        self._targets: collections.OrderedDict[str, _FragileTarget] = (
+            collections.OrderedDict()
+        )
 
     def record_answer(
         self, service: str, per_s: float | None, now: float
@@ -80,7 +94,7 @@
             return
         per_s, _ = self._stated[service]
         hold_s = daemons / max(per_s, 1.0)
-        self._held_until[target_id] = now + min(
+        self._get_or_add(target_id).held_until = now + min(
             _MAX_HOLD_S, max(_MIN_HOLD_S, hold_s)
         )
 
@@ -113,17 +127,23 @@
         """
         if not self.is_fragile(service, now):
             return True
-        is_held = now < self._held_until.get(target_id, float("-inf"))
+        target = self._get_or_add(target_id)
         usable = max(1.0, slots * _USABLE_SLOTS_SHARE)
         # A burst finds all daemons at once before any of them has reported.
         own_usable = max(1.0, usable / max(1, daemons))
-        if is_held or load >= usable or own_load + 1 > own_usable:
+        if now < target.held_until:
             return False
-        demand = self._demands.get(target_id)
-        if demand is None:
-            demand = windows.SlidingCount(window_s=_DEMAND_WINDOW_S)
-            self._demands[target_id] = demand
-        demand.record(now)
-        wanted_per_s = demand.count(now) / _DEMAND_WINDOW_S * daemons
+        if load >= usable or own_load + 1 > own_usable:
+            return False
+        target.demand.record(now)
+        wanted_per_s = target.demand.count(now) / _DEMAND_WINDOW_S * daemons
         unreported = wanted_per_s * report_interval_s * _REPORT_AGE_INTERVALS
         return random.random() * unreported < usable - load
+
+    def _get_or_add(self, target_id: str) -> _FragileTarget:
+        """Returns the state of a target, which is now the latest one used."""
+        target = self._targets.pop(target_id, None) or _FragileTarget()
+        self._targets[target_id] = target
+        if len(self._targets) > _MAX_TARGETS:
+            self._targets.popitem(last=False)
+        return target
--- a/tests/test_fragile_services.py
+++ b/tests/test_fragile_services.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import random
+import tracemalloc
 import unittest
 
 from mothpass.core import fragile_targets
@@ -52,6 +53,20 @@
         self.assertTrue(self.services.record_answer(_SERVICE, None, 1.1))
         self.assertTrue(self.admits(_SLOTS))
 
+    def test_targets_that_come_and_go_are_forgotten(self) -> None:
+        """Guards against memory that grows with each target that was."""
+        self.services.record_answer(_SERVICE, 3.0, 1.0)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        sizes = []
+        for start in (0, 20_000):
+            for number in range(start, start + 20_000):
+                self.services.record_rejection(
+                    _SERVICE, f"i-{number}", daemons=1, now=1.0
+                )
+            sizes.append(tracemalloc.get_traced_memory()[0])
+        self.assertLess(sizes[1], 1.1 * sizes[0])
+
     def test_daemon_that_was_turned_away_stays_away(self) -> None:
         """Guards against rejections that all daemons repeat each second."""
         self.services.record_answer(_SERVICE, 3.0, 1.0)
