Say in one place when a daemon's links are sound

The relay and mothpassd each worked out whether half of the other targets could be reached, and mothpassd asked for a verdict without testimonies to get the same answer back. The rule stands in core/target_deaths.py now. Behaviour is unchanged.

--- a/mothpass/core/target_deaths.py
+++ b/mothpass/core/target_deaths.py
@@ -39,6 +39,15 @@
     has_sound_links: bool
 
 
+def are_links_sound(reached: abc.Collection[bool]) -> bool:
+    """Returns whether a daemon's links are sound, going by other targets.
+
+    Args:
+        reached: Whether each of those that were tried could be reached.
+    """
+    return bool(reached) and 2 * sum(reached) >= len(reached)
+
+
 def judge(
     testimonies: abc.Collection[Testimony],
     *,
--- a/mothpass/daemon/crash_detection.py
+++ b/mothpass/daemon/crash_detection.py
@@ -141,10 +141,7 @@
                 return False
             self._record_death(broken, "new start")
             return True
-        verdict = target_deaths.judge(
-            (), has_peers=False, has_sound_links=has_sound_links
-        )
-        if verdict is target_deaths.Verdict.DEAD:
+        if has_sound_links:
             self._suspect_requests(broken)
         watch = asyncio.get_running_loop().create_task(self._watch(broken))
         self._watches.add(watch)
@@ -239,8 +236,9 @@
         boot_ids = await asyncio.gather(
             *(self._read_boot_id(other) for other in probed)
         )
-        answered = sum(boot_id is not None for boot_id in boot_ids)
-        return answered > 0 and 2 * answered >= len(probed)
+        return target_deaths.are_links_sound(
+            [boot_id is not None for boot_id in boot_ids]
+        )
 
     async def _read_boot_id(self, target: target_states.Target) -> str | None:
         """Returns the boot id that a target answers with, None without one."""
--- a/mothpass/relay/death_witnesses.py
+++ b/mothpass/relay/death_witnesses.py
@@ -190,7 +190,7 @@
         reached = await asyncio.gather(
             *(self._reaches(item) for item in chosen)
         )
-        return bool(chosen) and 2 * sum(reached) >= len(chosen)
+        return target_deaths.are_links_sound(reached)
 
     async def _reaches(self, target: target_table.Target) -> bool:
         try:
