--- a/mothpass/core/target_limits.py
+++ b/mothpass/core/target_limits.py
@@ -61,7 +61,7 @@
         per_s: Requests per second from all daemons, None without a limit.
         read_at: Monotonic seconds of the last answer that this daemon has read.
         dispatches: Requests that this daemon has sent in the window.
-        unsent: Requests that this daemon is about to send.
+        unsent: Requests that have a slot and that this daemon has not sent yet.
     """
 
     __slots__ = (
--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -73,7 +73,6 @@
         registration: Its registration.
         replaced_until: Monotonic seconds until which it gets no requests, as
             another target answered at its address.
-        unsent: Attempts with a slot here that this daemon has not sent yet.
     """
 
     __slots__ = (
@@ -95,7 +94,6 @@
         "recent_dispatches",
         "registration",
         "replaced_until",
-        "unsent",
     )
 
     def __init__(self, *, registration: Registration, now: float) -> None:
@@ -113,7 +111,6 @@
         self.limit = target_limits.StatedLimit()
         self.paused_until = float("-inf")
         self.backoff_until = 0.0
-        self.unsent = 0
         self.recent_dispatches = windows.SlidingCount(window_s=1.0)
         self._consecutive_failures = 0
         self._last_failure_at = 0.0
@@ -136,12 +133,11 @@
     def reserve_slot(self) -> None:
         """Counts an attempt that is to be sent as in flight."""
         self.in_flight += 1
-        self.unsent += 1
         self.limit.unsent += 1
 
     def record_sent(self, now: float) -> None:
         """Records that an attempt with a reserved slot is sent now."""
-        self._end_waiting()
+        self.limit.unsent -= 1
         self.recent_dispatches.record(now)
         self.limit.dispatches.record(now)
 
@@ -149,7 +145,7 @@
         """Ends an attempt with a reserved slot."""
         self.in_flight -= 1
         if not was_sent:
-            self._end_waiting()
+            self.limit.unsent -= 1
 
     def count_dispatches(self, now: float) -> int:
         """Returns the attempts sent in the last second or still to be sent.
@@ -157,11 +153,7 @@
         One that waits for its connection counts for as long as it waits, so
         that no second sees more of them arrive than it allows.
         """
-        return self.recent_dispatches.count(now) + self.unsent
-
-    def _end_waiting(self) -> None:
-        self.unsent -= 1
-        self.limit.unsent -= 1
+        return self.recent_dispatches.count(now) + self.limit.unsent
 
     def is_backing_off(self, now: float) -> bool:
         """Returns whether it failed so recently that other targets go first."""
