--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,31 +1,30 @@
-"""A server that drains goes on to get requests after one torn entry."""
+"""A drain goes unseen after channels to the store went silent."""
 
 import asyncio
-import json
 
 from review.standins import case as case_module
 from review.standins import draining as draining_module
+from review.standins import proxy as proxy_module
 
-# Fields of the torn entry; the others are missing.
-TORN_FIELDS = ("service", "addr", "zone", "state")
-# The server writes its own entry again with its next heartbeat; all is calm for
-# longer than the stability window before it drains.
-CALM_S = 6.0
+# Channels over which nothing has passed for this long go silent.
+IDLE_S = 1.0
+# Longer than the stability window: the daemons are in touch again.
+CALM_S = 3.2
 
 
 async def play(case: case_module.Case) -> bool:
-    """Writes a torn entry once; returns whether the rule is broken."""
-    deployment = draining_module.Deployment(case)
+    """Silences channels to the store; returns whether the rule is broken."""
+    proxy = proxy_module.Proxy(case.store.address)
+    await proxy.open("127.0.0.1")
+    deployment = draining_module.Deployment(case, store=proxy.address)
     await deployment.start()
-    server = deployment.servers[0]
     if case.has_trouble:
-        entry = server.make_entry()
-        torn = {name: entry[name] for name in TORN_FIELDS}
-        case.store.put("servers", server.id, json.dumps(torn).encode())
-        case.record(f"another writer's entry of {server.id}: {torn}")
+        silenced = proxy.silence(IDLE_S)
+        case.record(
+            f"{silenced} open channels to the store go silent, over which "
+            f"nothing has passed for {IDLE_S} s; others and new ones work"
+        )
     await asyncio.sleep(CALM_S)
-    entry_now = case.store.read("servers", server.id)
-    case.record(f"entry of {server.id} now: {entry_now!r}")
     return await deployment.drain()
 
 
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -59,8 +59,10 @@
 
     async def close(self) -> None:
         """Ends all processes; keeps their logs if KEEP_LOGS is set."""
-        for task in self._tasks:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         for fleet in self._fleets:
             await fleet.stop()
             if not os.environ.get("KEEP_LOGS"):
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -97,6 +97,9 @@
                 await self._read(call)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             self.close()
+        except asyncio.CancelledError:
+            self.close()
+            raise
         call.ended_at = now()
         if call.headers.get("connection", "").lower() == "close":
             self.close()
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -130,6 +130,19 @@
                 raise CaseError(f"{self.name} isn't ready")
             await asyncio.sleep(0.05)
 
+    def measure_memory_mb(self) -> float:
+        """Returns the resident memory of the process, 0 without one."""
+        if self.process is None or self.process.returncode is not None:
+            return 0.0
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status")
+            for line in status.read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) / 1000
+        except OSError:
+            pass
+        return 0.0
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         if number is signal.SIGTERM:
