Close a stopping daemon's connections with their answers

Cause: whether a connection is kept was decided with the head of the answer and not asked again at its end, and nothing compared the time that is left before the end of the process with what a request may need.

Fix: the forwarder asks core/shutdowns for each request; a connection closes at the end of an answer whose head didn't say so. What had been read by then is answered first. Whether the connection stays open is kept with each queued request, as the answer to the first of several said `close` for the last one.

--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -137,9 +137,10 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._queued: collections.deque[tuple[relay.ClientHead, bytes]] = (
-            collections.deque()
-        )
+        # Whole requests, and whether the connection may stay open after each.
+        self._queued: collections.deque[
+            tuple[relay.ClientHead, bytes, bool]
+        ] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
@@ -261,8 +262,8 @@
             headers=tuple(self._headers),
             arrived_at=self._started_at,
         )
-        self._keep_alive = self._keep_alive and self._parser.should_keep_alive()
-        self._queued.append((head, b"".join(self._body)))
+        keep_alive = bool(self._parser.should_keep_alive())
+        self._queued.append((head, b"".join(self._body), keep_alive))
         self._reset_request()
         if len(self._queued) >= _MAX_PIPELINED and self._transport is not None:
             self._transport.pause_reading()
@@ -387,8 +388,12 @@
         """Starts the next queued request, or closes the connection."""
         if self._task is not None or self._transport is None:
             return
-        if self._queued:
-            head, body = self._queued.popleft()
+        if not self._keep_alive:
+            # The last answer said so: the client knows that nothing which it
+            # sent after that request is served.
+            self.close()
+        elif self._queued:
+            head, body, self._keep_alive = self._queued.popleft()
             if len(self._queued) < _MAX_PIPELINED:
                 self._transport.resume_reading()
             self.response_started = False
@@ -398,7 +403,8 @@
             self._keep_alive = False
             self.write_rejection(self._rejection)
             self.close()
-        elif not self._keep_alive:
+        elif self._state.is_closing and not self._head_bytes:
+            # The head of the last answer may be from before the shutdown.
             self.close()
         elif not self._head_bytes:
             self._start_timer(self._state.find_limits().idle_timeout_s)
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -14,6 +14,7 @@
 from mothpass.core import queue_admission
 from mothpass.core import results
 from mothpass.core import route_table
+from mothpass.core import shutdowns
 from mothpass.core import target_choice
 from mothpass.core import target_table
 from mothpass.ports import relay
@@ -68,6 +69,7 @@
         "_read_request",
         "_resumption",
         "_sender",
+        "_shutdown",
         "_write_request",
     )
 
@@ -129,6 +131,11 @@
         self._read_request = read_request
         self._write_request = write_request
         self._random = random
+        self._shutdown = shutdowns.NONE
+
+    def start_shutdown(self, shutdown: shutdowns.Shutdown) -> None:
+        """Turns away requests that would outlast a shutdown."""
+        self._shutdown = shutdown
 
     def set_retry_limits(self, *, ratio: float, extra: float) -> None:
         """Changes the retry budget of each service."""
@@ -160,7 +167,7 @@
         client: relay_listener.Responder,
         forwarded: peer_requests.ForwardedRequest | None = None,
     ) -> None:
-        admitted = self._admission.admit(request)
+        admitted = self._admit(request)
         if isinstance(admitted, errors.Refusal):
             self._log_end(request, None, None, admitted.code, admitted.message)
             client.write_rejection(admitted)
@@ -195,6 +202,18 @@
             raise
         self._finish(admitted, progress, refusal)
 
+    def _admit(
+        self, request: relay.Request
+    ) -> admission.Admitted | errors.Refusal:
+        """Returns the admitted request or a refusal."""
+        admitted = self._admission.admit(request)
+        if isinstance(admitted, errors.Refusal):
+            return admitted
+        now = asyncio.get_running_loop().time()
+        if self._shutdown.takes_request(now=now, deadline=admitted.deadline):
+            return admitted
+        return progress_module.make_shutdown_refusal()
+
     async def _find_version(
         self, admitted: admission.Admitted, progress: progress_module.Progress
     ) -> errors.Refusal | None:
--- a/mothpass/relay/progress.py
+++ b/mothpass/relay/progress.py
@@ -9,6 +9,8 @@
 
 # Retry-After of a request that timed out before it got a slot.
 TIMEOUT_RETRY_AFTER_MS = 200
+# Of one that is turned away by a shutdown: other daemons take it at once.
+SHUTDOWN_RETRY_AFTER_MS = 0
 
 
 class PendingPrefill:
@@ -112,3 +114,12 @@
         "no slot before the deadline",
         TIMEOUT_RETRY_AFTER_MS,
     )
+
+
+def make_shutdown_refusal() -> errors.Refusal:
+    """Returns the refusal of a request that another daemon is to serve."""
+    return admission.make_refusal(
+        results.Code.SHUTTING_DOWN,
+        "this daemon is shutting down",
+        SHUTDOWN_RETRY_AFTER_MS,
+    )
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -17,6 +17,7 @@
 from mothpass.core import prompts
 from mothpass.core import results
 from mothpass.core import route_table
+from mothpass.core import shutdowns
 from mothpass.core import target_choice
 from mothpass.core import target_table
 from mothpass.ports import relay
@@ -274,17 +275,21 @@
     async def stop(self) -> None:
         """Drains: completes running requests, then closes the daemon."""
         loop = asyncio.get_running_loop()
-        settings = self.settings
-        end = loop.time() + settings.grace_s - KILL_MARGIN_S
+        end = loop.time() + self.settings.grace_s - KILL_MARGIN_S
+        shutdown = shutdowns.Shutdown(
+            handed_over_at=min(loop.time() + BALANCER_DRAIN_S, end),
+            ends_at=end,
+        )
         event_log.log(
             _logger, "stopping", connections=len(self._clients.connections)
         )
         self._is_leaving = True
         self.fleet_sync.is_leaving = True
         self._clients.is_closing = True
+        self._forwarder.start_shutdown(shutdown)
         # Clients that connect in the meantime are served; their connections
         # close with the answer.
-        await asyncio.sleep(BALANCER_DRAIN_S)
+        await asyncio.sleep(shutdown.handed_over_at - loop.time())
         self._servers[0].close()
         while (
             self._clients.connections or self._peers.has_requests()
