See a drain in time while connections to the store are silent

Cause: every daemon's call for changes of the targets waited 10 s. Only the calls for the operator's table were short at one daemon, the watcher, to find a silent connection in time. Beside it, the call after a silent one could go over an idle connection of the same age, and two lost calls at one moment passed for an outage of the store, in which removals are held for 2.5 s.

--- a/mothpass/adapters/http_fetch.py
+++ b/mothpass/adapters/http_fetch.py
@@ -56,6 +56,8 @@
                 await exchange.wait_for_progress()
             body = await _read_body_in_time(exchange)
         except errors.TargetAnswerLostError as error:
+            # The next call isn't to go over a connection that is as old.
+            pool.drop_idle(address)
             raise errors.TargetAnswerLostError(
                 f"{error}, {exchange.body_bytes} body bytes received"
             ) from error
--- a/mothpass/adapters/http_pool.py
+++ b/mothpass/adapters/http_pool.py
@@ -78,12 +78,19 @@
         connection.idle_deadline = now + min(IDLE_TIMEOUT_MS / 1000, idle_s)
         idle.append(connection)
 
+    def drop_idle(self, address: str) -> None:
+        """Closes the idle connections to an address.
+
+        Connections on one path may fail together and silently, such as when a
+        firewall loses its state.
+        """
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
     def close(self) -> None:
         """Closes all idle connections."""
-        for idle in self._idle.values():
-            for connection in idle:
-                connection.close()
-        self._idle.clear()
+        for address in list(self._idle):
+            self.drop_idle(address)
 
     def prune(self) -> None:
         """Closes idle connections past their deadline."""
--- a/mothpass/platform/daemon.py
+++ b/mothpass/platform/daemon.py
@@ -127,6 +127,7 @@
         read_table=store.read_table,
         follow_table=store.follow_table,
         write_row=store.write_row,
+        drop_store_connections=store.drop_connections,
         read_request=clients.read_request,
         write_request=targets.write_request,
         read_answer_head=targets.read_answer_head,
--- a/mothpass/platform/store.py
+++ b/mothpass/platform/store.py
@@ -63,6 +63,10 @@
         """Sets the ``ip:port`` of the store for the next calls."""
         self._address = address
 
+    def drop_connections(self) -> None:
+        """See ``ports.Ports``."""
+        self._pool.drop_idle(self._address)
+
     async def read_table(self, table: str) -> replicas.Page:
         """See ``replicas.ReadTable``."""
         rows: list[replicas.Row] = []
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -54,9 +54,9 @@
 FETCH_JITTER_PER_DAEMON_S = 0.004
 MAX_FETCH_JITTER_S = 0.3
 # Time for which the store holds a change feed call. A connection may fail
-# silently. One daemon, the watcher, makes shorter calls to detect that in time
-# for a change to be in force, and others then poll the store once. Calls are
-# charged for, so that the other readers make longer ones.
+# silently. One daemon, the watcher, makes shorter calls for all tables to
+# detect that in time for a change to be in force, and others then poll the
+# store once. Calls are charged for, so that the other readers make longer ones.
 CHANGE_FEED_WAIT_S = 10.0
 MIN_WATCHER_WAIT_S = 0.3
 # A daemon that starts knows enough of its peers after this time to tell whether
@@ -100,6 +100,7 @@
 
     __slots__ = (
         "_availability_zone",
+        "_drain_s",
         "_fetching",
         "_gossip",
         "_host",
@@ -176,6 +177,7 @@
         self._is_watcher = False
         self._settled_at = float("inf")
         self._in_force_s = settings.change_in_force_ms / 1000
+        self._drain_s = settings.drain_ms / 1000
         self._store_era = 0
         self._store_restored = asyncio.Event()
         self._polls: set[asyncio.Task[None]] = set()
@@ -212,14 +214,14 @@
                     ports.operator_table,
                     state.apply_operator_rows,
                     ports.compare_operator_values,
-                    self._get_feed_wait_s,
+                    self._get_operator_feed_wait_s,
                     lambda: 0.0,
                 ),
                 (
                     ports.target_table,
                     state.apply_target_rows,
                     ports.compare_target_values,
-                    lambda _: CHANGE_FEED_WAIT_S,
+                    self._get_target_feed_wait_s,
                     self._get_target_feed_pause_s,
                 ),
             )
@@ -384,6 +386,12 @@
             for item in self._replicas.values()
         )
 
+    def _may_reach_store(self) -> bool:
+        return any(
+            item.is_following_store and not item.is_store_down
+            for item in self._replicas.values()
+        )
+
     def is_store_stable(self) -> bool:
         """Returns whether an entry missing from the store is really removed.
 
@@ -400,7 +408,7 @@
     def _must_read(self) -> bool:
         return self._is_settled() and self._gossip.is_reader()
 
-    def _get_feed_wait_s(self, had_changes: bool) -> float:
+    def _get_operator_feed_wait_s(self, had_changes: bool) -> float:
         """Returns the time for which the store holds a call for the routes."""
         if not self._is_watcher:
             return CHANGE_FEED_WAIT_S
@@ -415,6 +423,13 @@
         )
         return max(MIN_WATCHER_WAIT_S, self._in_force_s - margin_s)
 
+    def _get_target_feed_wait_s(self, had_changes: bool) -> float:
+        """Returns the time for which the store holds a call for the targets."""
+        del had_changes
+        if not self._is_watcher:
+            return CHANGE_FEED_WAIT_S
+        return max(MIN_WATCHER_WAIT_S, self._drain_s - WATCHER_MARGIN_S)
+
     def _get_target_feed_pause_s(self) -> float:
         return 0.0 if self._is_watcher else TARGET_FEED_PAUSE_S
 
@@ -434,6 +449,8 @@
         if not is_poller or loop.time() - self._polled_at < MIN_POLL_INTERVAL_S:
             return
         self._polled_at = loop.time()
+        # Those of this daemon may have failed silently as well.
+        self._ports.drop_store_connections()
         for replica in self._replicas.values():
             task = loop.create_task(replica.poll_once())
             self._polls.add(task)
@@ -733,7 +750,7 @@
             self._update_watcher()
             if (
                 self._is_settled()
-                and not self._is_store_reader()
+                and not self._may_reach_store()
                 and not self._gossip.has_reader_peer()
             ):
                 self._store_unreachable_at = asyncio.get_running_loop().time()
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -39,6 +39,8 @@
         name: Name of the table.
         freshness: When the replica was last known to be the newest.
         is_store_reached: Whether the last call to the store succeeded.
+        is_store_down: Whether the last two calls or more failed, not just one
+            connection.
         is_following_store: Whether it reads the store instead of peers.
     """
 
@@ -58,6 +60,7 @@
         "_read",
         "freshness",
         "is_following_store",
+        "is_store_down",
         "is_store_reached",
         "name",
     )
@@ -102,6 +105,7 @@
         self._on_change = on_change
         self._metrics = metrics
         self.is_store_reached = True
+        self.is_store_down = False
         self._read = read
         self._follow = follow
         self._apply_changes = apply_changes
@@ -145,6 +149,7 @@
                 needs_whole = False
                 continue
             is_feed_call = bool(self.version) and not needs_whole
+            was_reached = self.is_store_reached
             try:
                 needs_whole = await self._read_once(not is_feed_call)
                 if is_feed_call:
@@ -154,6 +159,9 @@
                 errors.StoreUnconfirmedError,
             ) as error:
                 self._record_failure(error)
+                if is_feed_call and was_reached:
+                    # Only the connection may have failed.
+                    continue
                 is_backed = bool(self.version) and self._has_reader_peer()
                 pause_s = (
                     PEER_BACKED_RETRY_INTERVAL_S
@@ -358,6 +366,7 @@
             version=store_versions.to_pair(self.version),
             reason=str(error),
         )
+        self.is_store_down = not self.is_store_reached
         if self.is_store_reached:
             self.is_store_reached = False
             event_log.log(
@@ -372,6 +381,7 @@
             self._on_change(self)
 
     def _record_success(self) -> None:
+        self.is_store_down = False
         if not self.is_store_reached:
             self.is_store_reached = True
             event_log.log(_logger, "store_regained", table=self.name)
--- a/mothpass/relay/settings.py
+++ b/mothpass/relay/settings.py
@@ -26,6 +26,7 @@
         cold_slack: Requests a second that a cold target may get in addition.
         change_in_force_ms: Time limit for an operator's change to be in force
             at each daemon.
+        drain_ms: Time limit for a draining target to get no more requests.
         metrics_port: Port at which metrics are served; 0 for none.
     """
 
@@ -44,6 +45,7 @@
     cold_overage: float = 1.5
     cold_slack: float = 5.0
     change_in_force_ms: int = 2000
+    drain_ms: int = 2000
     metrics_port: int = 9464
 
 
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -132,6 +132,20 @@
             for connection in self._opened.pop(address, ()):
                 _cut_connection(connection, how)
 
+    def silence_idle(self, address: str, idle_s: float) -> int:
+        """Silences connections over which nothing has come for a time.
+
+        New ones work. Returns how many went silent.
+        """
+        now = asyncio.get_running_loop().time()
+        silenced = 0
+        for connection in self._opened.get(address, ()):
+            exchange = connection._exchange
+            if exchange is not None and now - exchange.last_byte_at >= idle_s:
+                _cut_connection(connection, Cut.SILENT)
+                silenced += 1
+        return silenced
+
     def heal(self) -> None:
         """Ends all cuts; silent connections stay silent."""
         self._cuts.clear()
--- a/tests/test_http_fetch.py
+++ b/tests/test_http_fetch.py
@@ -53,6 +53,37 @@
         self.piece_bytes, self.pause_s = _SIZE // 8, 0.08
         self.assertEqual(len(await self.fetch()), _SIZE)
 
+    async def test_call_after_a_silent_one_opens_a_connection(self) -> None:
+        """Guards against one silent connection after the other."""
+        accepted = 0
+        is_silent = False
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal accepted
+            accepted += 1
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    if is_silent:
+                        await asyncio.sleep(3600)
+                    writer.write(
+                        b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+                    )
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        await asyncio.gather(self.fetch(), self.fetch())
+        self.assertEqual(accepted, 2)
+        is_silent = True
+        with self.assertRaises(errors.TargetAnswerLostError):
+            await self.fetch()
+        is_silent = False
+        await self.fetch()
+        self.assertEqual(accepted, 3)
+
     async def test_response_that_trickles_is_abandoned(self) -> None:
         self.piece_bytes, self.pause_s = 1, 0.05
         with self.assertRaises(errors.TargetAnswerLostError):
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from mothpass.core import errors
 from mothpass.core import store_versions
 from mothpass.ports import replicas as ports
 from mothpass.relay import metrics
@@ -55,6 +56,27 @@
         await asyncio.wait_for(self.is_called.wait(), 1.0)
         self.assertEqual(self.calls, 2)
 
+    async def test_lost_feed_call_is_made_again_at_once(self) -> None:
+        """Guards against an outage in place of one lost connection."""
+        loop = asyncio.get_running_loop()
+        called_at: list[float] = []
+
+        async def lose(
+            table: str, after: int, wait_s: float
+        ) -> ports.Page | None:
+            del table, after, wait_s
+            called_at.append(loop.time())
+            if len(called_at) > 1:
+                await asyncio.Event().wait()
+            raise errors.StoreUnconfirmedError("silent")
+
+        self.replica._follow = lose
+        running = asyncio.ensure_future(self.replica.run())
+        self.addCleanup(running.cancel)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(called_at), 2)
+        self.assertFalse(self.replica.is_store_down)
+
     async def test_stop_beside_a_restart_of_the_feed_call_ends(self) -> None:
         """Guards against a daemon that never stops: its cancel was consumed."""
         running = asyncio.ensure_future(self.replica.run())
