Follow the targets beside an entry that can't be read

No daemon logged anything.

Cause: decoders raised more than they declared (RecursionError), and the task that follows the targets ended with it, which nobody looked at.

Fix: core/decoding decodes what other parties sent and raises one declared error; the relay and mothpassd use it wherever they decode foreign input. The tasks of a relay daemon run under relay/supervision: logged with the cause, counted, started again with a backoff. A fault with one row doesn't hold up the others.

--- a/mothpass/adapters/platform_http.py
+++ b/mothpass/adapters/platform_http.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from mothpass.adapters import body_deadlines
+from mothpass.core import decoding
 from mothpass.core import errors
 
 T = typing.TypeVar("T")
@@ -241,7 +242,7 @@
             f"read failed with HTTP status {reply.status}"
         )
     try:
-        return msgspec.json.decode(reply.body, type=body_type)
+        return decoding.decode_json(reply.body, body_type)
     except msgspec.DecodeError as error:
         raise errors.StoreUnavailableError(
             f"malformed response: {error}"
--- a/mothpass/adapters/tables_http.py
+++ b/mothpass/adapters/tables_http.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from mothpass.adapters import platform_http
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.ports import tables
 
@@ -74,6 +75,6 @@
             f"transaction failed with HTTP status {reply.status}"
         )
     try:
-        return msgspec.json.decode(reply.body, type=tables.Conflict)
+        return decoding.decode_json(reply.body, tables.Conflict)
     except msgspec.DecodeError as error:
         raise errors.StoreUnconfirmedError(str(error)) from error
--- a/mothpass/adapters/targets_http.py
+++ b/mothpass/adapters/targets_http.py
@@ -10,6 +10,7 @@
 from mothpass.adapters import http_events
 from mothpass.adapters import http_exchanges
 from mothpass.adapters import http_pool
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.ports import targets
 
@@ -101,7 +102,7 @@
                     f"load report: HTTP status {exchange.status}"
                 )
         try:
-            return msgspec.json.decode(body, type=targets.LoadReport)
+            return decoding.decode_json(body, targets.LoadReport)
         except msgspec.DecodeError as error:
             raise errors.TargetAnswerLostError(f"load report: {error}") from (
                 error
@@ -213,7 +214,7 @@
     body = await _read_body(exchange)
     if exchange.status == 503:
         with contextlib.suppress(msgspec.DecodeError):
-            if msgspec.json.decode(body, type=_RefusalBody).ran == "no":
+            if decoding.decode_json(body, _RefusalBody).ran == "no":
                 return errors.TargetRefusedError("rejected by the target")
     return errors.TargetAnswerLostError(f"HTTP status {exchange.status}")
 
--- a/mothpass/core/catalogue.py
+++ b/mothpass/core/catalogue.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from mothpass.core import decoding
 from mothpass.core import documents
 from mothpass.core import errors
 
@@ -214,7 +215,7 @@
     the event loop meanwhile.
     """
     try:
-        return msgspec.json.decode(data, type=Catalogue)
+        return decoding.decode_json(data, Catalogue)
     except msgspec.DecodeError:
         return documents.decode_document(data, Catalogue)
 
--- a/mothpass/core/claims.py
+++ b/mothpass/core/claims.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from mothpass.core import claim_refusals
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.ports import tables
 from mothpass.ports import targets
@@ -159,7 +160,7 @@
     """Decodes a row as read from the store."""
     if row is None:
         return None
-    claim = msgspec.json.decode(row.value, type=Claim)
+    claim = decoding.decode_json(row.value, Claim)
     return Stored(version=row.version, claim=claim)
 
 
--- a/mothpass/core/documents.py
+++ b/mothpass/core/documents.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from mothpass.core import decoding
 from mothpass.core import errors
 
 T = typing.TypeVar("T")
@@ -30,8 +31,8 @@
         errors.DocumentError: With every problem found, each with its path.
     """
     try:
-        raw = msgspec.json.decode(data)
-    except msgspec.DecodeError as error:
+        raw = decoding.decode_json(data, object)
+    except errors.MalformedInputError as error:
         problem = errors.Problem(path="$", message=f"not JSON: {error}")
         raise errors.DocumentError([problem]) from error
     problems = list(_check_value(raw, struct_type, "$"))
--- a/mothpass/core/edits.py
+++ b/mothpass/core/edits.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mothpass.core import catalogue
+from mothpass.core import decoding
 
 MAX_SUMMARY_EDITS = 4
 # Bytes of an encoded edit in addition to its name and its entry.
@@ -111,7 +112,7 @@
 
 def decode_edits(data: bytes) -> list[Edit]:
     """Decodes the result of ``encode_edits``."""
-    return msgspec.json.decode(data, type=list[Edit])
+    return decoding.decode_json(data, list[Edit])
 
 
 def summarize_edits(edits: list[Edit]) -> str:
@@ -155,9 +156,7 @@
             entries[index:end] = []
         else:
             entry_type = _ENTRY_TYPES[section]
-            entries[index:end] = [
-                msgspec.json.decode(edit.entry, type=entry_type)
-            ]
+            entries[index:end] = [decoding.decode_json(edit.entry, entry_type)]
     return entries
 
 
--- a/mothpass/core/errors.py
+++ b/mothpass/core/errors.py
@@ -65,6 +65,13 @@
         self.problems = problems
 
 
+class MalformedInputError(MothpassError, msgspec.DecodeError):
+    """A value that another party sent can't be decoded.
+
+    It stands for all errors that decoders raise, not only for msgspec's own.
+    """
+
+
 class StoreUnavailableError(MothpassError):
     """The store did not accept the call, which had no effect."""
 
--- a/mothpass/core/leases.py
+++ b/mothpass/core/leases.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mothpass.core import decoding
 from mothpass.ports import tables
 
 TABLE = "gates"
@@ -146,7 +147,7 @@
         if row is None:
             lease_row = LeaseRow(holder="", token="")
         else:
-            lease_row = msgspec.json.decode(row.value, type=LeaseRow)
+            lease_row = decoding.decode_json(row.value, LeaseRow)
         if version != self._version:
             self._version = version
             self._version_seen_at = now
@@ -165,7 +166,7 @@
         self._version_seen_at = now
         sent_at = self._sent_at.get(take.token)
         assert take.write.value is not None
-        holder = msgspec.json.decode(take.write.value, type=LeaseRow).holder
+        holder = decoding.decode_json(take.write.value, LeaseRow).holder
         self._holder = holder
         if holder == self._daemon and sent_at is not None:
             self._record_held(sent_at, self._version)
--- a/mothpass/core/pruning.py
+++ b/mothpass/core/pruning.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from mothpass.core import claims
+from mothpass.core import decoding
 from mothpass.ports import tables
 
 LEASE_TABLE = "claims_pruning"
@@ -46,7 +47,7 @@
         The write; None while deletes of an earlier holder may still arrive.
     """
     if found is not None:
-        lease = msgspec.json.decode(found.value, type=PruneLease)
+        lease = decoding.decode_json(found.value, PruneLease)
         if wall_ms <= lease.until_ms + claims.MAX_CLOCK_SKEW_MS:
             return None
     lease = PruneLease(until_ms=wall_ms + LEASE_DURATION_MS)
--- a/mothpass/core/revisions.py
+++ b/mothpass/core/revisions.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from mothpass.core import catalogue
+from mothpass.core import decoding
 from mothpass.core import edits as edits_module
 from mothpass.core import errors
 from mothpass.ports import tables
@@ -268,19 +269,19 @@
 
 def decode_snapshot(data: bytes) -> Revision:
     """Decodes the result of ``encode_snapshot``."""
-    return msgspec.json.decode(data, type=Revision)
+    return decoding.decode_json(data, Revision)
 
 
 def decode_change(row: tables.Row) -> Change:
     """Decodes the row of a change."""
-    return msgspec.json.decode(row.value, type=Change)
+    return decoding.decode_json(row.value, Change)
 
 
 def decode_head(row: tables.Row | None) -> Head:
     """Decodes the head row; version 0 without one."""
     if row is None:
         return Head(version=EMPTY.version, digest=EMPTY.digest)
-    return msgspec.json.decode(row.value, type=Head)
+    return decoding.decode_json(row.value, Head)
 
 
 def needs_snapshot(row: Change) -> bool:
--- a/mothpass/core/stream_memory.py
+++ b/mothpass/core/stream_memory.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.core import stream_origins
 
@@ -81,8 +82,8 @@
         errors.DocumentError: If it can't be read.
     """
     try:
-        return msgspec.msgpack.decode(value, type=Snapshot)
-    except msgspec.DecodeError as error:
+        return decoding.decode_msgpack(value, Snapshot)
+    except errors.MalformedInputError as error:
         problem = errors.Problem(path="", message=str(error))
         raise errors.DocumentError([problem]) from error
 
--- a/mothpass/daemon/answers.py
+++ b/mothpass/daemon/answers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.core import results
 from mothpass.ports import targets
@@ -110,9 +111,7 @@
             there are none.
     """
     try:
-        chunks = [
-            msgspec.json.decode(event.data, type=_Chunk) for event in events
-        ]
+        chunks = [decoding.decode_json(event.data, _Chunk) for event in events]
     except msgspec.DecodeError as error:
         raise _build_chunk_error(str(error)) from error
     if not chunks:
--- a/mothpass/daemon/catalogue_log.py
+++ b/mothpass/daemon/catalogue_log.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mothpass.core import decoding
 from mothpass.core import edits
 from mothpass.core import errors
 from mothpass.core import history
@@ -212,4 +213,4 @@
 
 
 def _decode_pointer(row: tables.Row) -> revisions.SnapshotPointer:
-    return msgspec.json.decode(row.value, type=revisions.SnapshotPointer)
+    return decoding.decode_json(row.value, revisions.SnapshotPointer)
--- a/mothpass/daemon/client_requests.py
+++ b/mothpass/daemon/client_requests.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from mothpass.core import catalogue
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.core import prompt_suspects
 from mothpass.core import results
@@ -246,7 +247,7 @@
 
 def _decode(body: bytes, kind: type[ChatBody]) -> ChatBody:
     try:
-        return msgspec.json.decode(body, type=kind)
+        return decoding.decode_json(body, kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         message = f"invalid request body: {error}"
         raise build_rejection(results.Code.BAD_REQUEST, message) from error
@@ -258,7 +259,7 @@
     The daemon always requests a stream from targets and assembles whole
     answers itself, so that their connections are monitored and resumed too.
     """
-    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    fields = decoding.decode_json(body, dict[str, msgspec.Raw])
     fields["stream"] = msgspec.Raw(b"true")
     return msgspec.json.encode(fields)
 
--- a/mothpass/daemon/control.py
+++ b/mothpass/daemon/control.py
@@ -11,6 +11,7 @@
 from mothpass.adapters import peer_links
 from mothpass.adapters import peer_server
 from mothpass.adapters import peer_transport
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.core import gate_table
 from mothpass.core import gates
@@ -239,7 +240,7 @@
         if fetched.changes:
             self.components.catalogues.apply_changes(
                 [
-                    msgspec.json.decode(item, type=revisions.Change)
+                    decoding.decode_json(item, revisions.Change)
                     for item in fetched.changes
                 ]
             )
--- a/mothpass/daemon/exchange.py
+++ b/mothpass/daemon/exchange.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from mothpass.core import count_reports
+from mothpass.core import decoding
 from mothpass.core import grid
 from mothpass.core import load_digests
 from mothpass.core import prompt_suspects
@@ -294,7 +295,7 @@
             return
         try:
             changes = [
-                msgspec.json.decode(item, type=revisions.Change)
+                decoding.decode_json(item, revisions.Change)
                 for item in batch.changes
             ]
         except msgspec.DecodeError as error:
--- a/mothpass/daemon/operators.py
+++ b/mothpass/daemon/operators.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from mothpass.core import catalogue
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.core import results
 from mothpass.core import revisions
@@ -311,7 +312,7 @@
 async def _read_body(request: blacksheep.Request, kind: type[BodyT]) -> BodyT:
     data = await _read_bytes(request)
     try:
-        return msgspec.json.decode(data, type=kind)
+        return decoding.decode_json(data, kind)
     except msgspec.DecodeError as error:
         raise errors.RefusalError(
             _build_refusal(results.Code.BAD_REQUEST, str(error))
--- a/mothpass/platform/catalogue.py
+++ b/mothpass/platform/catalogue.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from mothpass.core import decoding
+from mothpass.core import errors
 from mothpass.core import route_table
 
 # Table and key of the operator's document in the store.
@@ -95,9 +97,9 @@
     """Decodes the operator's document into a route table.
 
     Raises:
-        msgspec.DecodeError: If the document is invalid.
+        errors.MalformedInputError: If the document is invalid.
     """
-    document = msgspec.json.decode(raw, type=_Document)
+    document = decoding.decode_json(raw, _Document)
     has_teams = document.tenants is not None
     teams = {
         key: route_table.Team(name=tenant.name, priority=tenant.priority)
@@ -129,10 +131,10 @@
         return 0
     try:
         versions = [
-            msgspec.json.decode(raw, type=_DocumentVersion).version
+            decoding.decode_json(raw, _DocumentVersion).version
             for raw in (first, second)
         ]
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except errors.MalformedInputError:
         return 0
     return versions[0] - versions[1]
 
--- a/mothpass/platform/members.py
+++ b/mothpass/platform/members.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from mothpass.core import decoding
+from mothpass.core import errors
 from mothpass.core import target_table
 
 # Table of the entries, keyed by target id.
@@ -29,17 +31,14 @@
     """Decodes a target's entry.
 
     Raises:
-        ValueError: If the entry is incomplete or invalid.
+        errors.MalformedInputError: If the entry is incomplete or invalid.
     """
-    try:
-        entry = msgspec.json.decode(raw, type=_Entry)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ValueError(f"entry {key}: {error}") from error
+    entry = decoding.decode_json(raw, _Entry)
     if entry.state not in (_READY, _DRAINING):
-        raise ValueError(f"entry {key}: unknown state {entry.state!r}")
+        raise errors.MalformedInputError(f"unknown state {entry.state!r}")
     host, _, port = entry.addr.rpartition(":")
     if not host or not port.isdigit():
-        raise ValueError(f"entry {key}: invalid address {entry.addr!r}")
+        raise errors.MalformedInputError(f"invalid address {entry.addr!r}")
     return target_table.Registration(
         id=key,
         service=entry.service,
@@ -60,10 +59,8 @@
     """
     del key
     try:
-        entries = [
-            msgspec.json.decode(raw, type=_Entry) for raw in (first, second)
-        ]
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        entries = [decoding.decode_json(raw, _Entry) for raw in (first, second)]
+    except errors.MalformedInputError:
         return 0
     known, other = ((item.born, item.seq) for item in entries)
     if known[0] is None or other[0] is None:
--- a/mothpass/platform/store.py
+++ b/mothpass/platform/store.py
@@ -9,6 +9,7 @@
 
 from mothpass.adapters import http_fetch
 from mothpass.adapters import http_pool
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.core import store_versions
 from mothpass.ports import replicas
@@ -177,8 +178,8 @@
 
 def _decode_rows(body: bytes | None) -> _Rows:
     try:
-        return msgspec.json.decode(body or b"", type=_Rows)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(body or b"", _Rows)
+    except errors.MalformedInputError as error:
         raise errors.StoreUnavailableError(f"rows: {error}") from error
 
 
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -8,12 +8,11 @@
 import time
 import zlib
 
-import msgspec
-
 from mothpass.adapters import event_log
 from mothpass.adapters import http_fetch
 from mothpass.adapters import http_pool
 from mothpass.adapters import relay_listener
+from mothpass.core import decoding
 from mothpass.core import departures
 from mothpass.core import errors
 from mothpass.core import preference
@@ -35,6 +34,7 @@
 from mothpass.relay import replicas
 from mothpass.relay import settings as settings_module
 from mothpass.relay import state as state_module
+from mothpass.relay import supervision
 from mothpass.relay import table_server
 
 PEERS_TABLE = "daemons"
@@ -254,9 +254,15 @@
             self._gossip.add_candidates(
                 [f"{seed.rpartition(':')[0]}:{self._port}"]
             )
-        runs = [replica.run() for replica in self._replicas.values()]
-        runs += [self._tick(), self._register()]
-        return [loop.create_task(run) for run in runs]
+        runs = {
+            f"replica {name}": replica.run
+            for name, replica in self._replicas.items()
+        }
+        runs |= {"gossip": self._tick, "registration": self._register}
+        return [
+            loop.create_task(supervision.run_forever(name, run, self._metrics))
+            for name, run in runs.items()
+        ]
 
     def announce(self) -> None:
         """Sends this daemon's state to its peers at once."""
@@ -672,10 +678,10 @@
             )
             if reply.status != 200:
                 raise errors.TargetAnswerLostError(f"status {reply.status}")
-            page = msgspec.msgpack.decode(
-                zlib.decompress(reply.body), type=replica_ports.Page
+            page = decoding.decode_msgpack(
+                zlib.decompress(reply.body), replica_ports.Page
             )
-        except (errors.MothpassError, msgspec.DecodeError, zlib.error) as error:
+        except (errors.MothpassError, zlib.error) as error:
             replica.count_read("peer", "failed")
             event_log.log(
                 _logger,
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -13,6 +13,8 @@
 import msgspec
 
 from mothpass.adapters import event_log
+from mothpass.core import decoding
+from mothpass.core import errors
 from mothpass.core import peer_counts
 from mothpass.core import preference
 from mothpass.core import prompt_suspects
@@ -261,8 +263,8 @@
     ) -> None:
         """Merges the state of another daemon."""
         try:
-            message = msgspec.msgpack.decode(data, type=GossipMessage)
-        except msgspec.DecodeError as error:
+            message = decoding.decode_msgpack(data, GossipMessage)
+        except errors.MalformedInputError as error:
             event_log.log(
                 _logger, "datagram_dropped", source=addr[0], reason=str(error)
             )
--- a/mothpass/relay/peer_questions.py
+++ b/mothpass/relay/peer_questions.py
@@ -3,10 +3,9 @@
 import asyncio
 import typing
 
-import msgspec
-
 from mothpass.adapters import http_fetch
 from mothpass.adapters import http_pool
+from mothpass.core import decoding
 from mothpass.core import errors
 
 _Answer = typing.TypeVar("_Answer")
@@ -38,6 +37,6 @@
         pool, address, request.encode(), deadline=now + timeout_s
     )
     try:
-        return msgspec.msgpack.decode(reply.body, type=answer_type)
-    except msgspec.DecodeError as error:
+        return decoding.decode_msgpack(reply.body, answer_type)
+    except errors.MalformedInputError as error:
         raise errors.TargetAnswerLostError(str(error)) from error
--- a/mothpass/relay/peer_requests.py
+++ b/mothpass/relay/peer_requests.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from mothpass.adapters import relay_listener
+from mothpass.core import decoding
 from mothpass.core import errors
 from mothpass.core import results
 from mothpass.ports import relay
@@ -103,9 +104,9 @@
     """Returns a peer's request, with times of this daemon's clock.
 
     Raises:
-        msgspec.DecodeError: If it can't be decoded.
+        errors.MalformedInputError: If it can't be decoded.
     """
-    forwarded = msgspec.msgpack.decode(body, type=ForwardedRequest)
+    forwarded = decoding.decode_msgpack(body, ForwardedRequest)
     request = msgspec.structs.replace(
         forwarded.request, arrived_at=now, deadline=now + forwarded.timeout_s
     )
@@ -146,8 +147,8 @@
 
 def _make_refused_head(status: int, encoded: bytes) -> relay.AnswerHead:
     try:
-        refusal = msgspec.json.decode(encoded, type=errors.Refusal)
-    except msgspec.DecodeError:
+        refusal = decoding.decode_json(encoded, errors.Refusal)
+    except errors.MalformedInputError:
         refusal = errors.Refusal(
             code=results.Code.INTERNAL,
             ran=results.Ran.UNKNOWN,
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -12,6 +12,7 @@
 from mothpass.adapters import http_pool
 from mothpass.adapters import relay_listener
 from mothpass.core import cold_rates
+from mothpass.core import errors
 from mothpass.core import fleet_retry_budget
 from mothpass.core import fragile_targets
 from mothpass.core import prompts
@@ -37,6 +38,7 @@
 from mothpass.relay import state as state_module
 from mothpass.relay import stream_memory
 from mothpass.relay import stream_resumption
+from mothpass.relay import supervision
 from mothpass.relay import target_notices
 
 # Long enough for a connection to another zone, short enough to try another
@@ -257,12 +259,13 @@
                 await relay_listener.open_listener(listener, address)
             )
         self._tasks = await self.fleet_sync.start()
-        for run in (
-            self._run_dispatch(),
-            self._run_housekeeping(),
-            self._stream_memory.run(),
+        for name, run in (
+            ("dispatch", self._run_dispatch),
+            ("housekeeping", self._run_housekeeping),
+            ("stream memory", self._stream_memory.run),
         ):
-            self._tasks.append(loop.create_task(run))
+            task = supervision.run_forever(name, run, self._metrics)
+            self._tasks.append(loop.create_task(task))
         event_log.log(
             _logger,
             "started",
@@ -468,7 +471,7 @@
         now = asyncio.get_running_loop().time()
         try:
             forwarded = peer_requests.decode_request(body, now)
-        except msgspec.DecodeError as error:
+        except errors.MalformedInputError as error:
             event_log.log(
                 _logger,
                 "forwarded_request_dropped",
--- a/mothpass/relay/state.py
+++ b/mothpass/relay/state.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections import abc
+import functools
 import logging
 
-import msgspec
-
 from mothpass.adapters import event_log
+from mothpass.core import errors
 from mothpass.core import route_table
 from mothpass.core import stream_origins
 from mothpass.core import target_table
@@ -18,10 +18,10 @@
 
 _logger = logging.getLogger("mothpass.state")
 
-# Decodes the operator's document. Raises msgspec.DecodeError.
+# Decodes the operator's document. Raises errors.MalformedInputError.
 DecodeRoutes = abc.Callable[[bytes], route_table.RouteTable]
 
-# Decodes a target's entry. Raises ValueError.
+# Decodes a target's entry. Raises errors.MalformedInputError.
 DecodeEntry = abc.Callable[[str, bytes], target_table.Registration]
 
 
@@ -89,14 +89,9 @@
         """Applies changes of the operator's table."""
         del is_store_stable
         for row in rows:
-            if row.key == self._document_key and row.value is not None:
-                self._apply_document(row.value)
-            elif row.key.startswith(self._closed_zone_prefix):
-                zone = row.key.removeprefix(self._closed_zone_prefix)
-                if row.value is None:
-                    self._closed_zones.discard(zone)
-                else:
-                    self._closed_zones.add(zone)
+            _apply_guarded(
+                row.key, functools.partial(self._apply_operator_row, row)
+            )
         self._apply_closed_zones()
 
     def apply_target_rows(
@@ -106,9 +101,14 @@
         now = asyncio.get_running_loop().time()
         for row in rows:
             if row.value is None:
-                self._apply_removal(row.key, is_store_stable, now)
+                apply = functools.partial(
+                    self._apply_removal, row.key, is_store_stable, now
+                )
             else:
-                self._apply_entry(row.key, row.value, now)
+                apply = functools.partial(
+                    self._apply_entry, row.key, row.value, now
+                )
+            _apply_guarded(row.key, apply)
         self.has_targets = True
         self.versions.record_start(now)
 
@@ -121,10 +121,20 @@
                     key, "not registered again after the store recovered"
                 )
 
+    def _apply_operator_row(self, row: replicas.Row) -> None:
+        if row.key == self._document_key and row.value is not None:
+            self._apply_document(row.value)
+        elif row.key.startswith(self._closed_zone_prefix):
+            zone = row.key.removeprefix(self._closed_zone_prefix)
+            if row.value is None:
+                self._closed_zones.discard(zone)
+            else:
+                self._closed_zones.add(zone)
+
     def _apply_document(self, raw: bytes) -> None:
         try:
             routes = self._decode_routes(raw)
-        except msgspec.DecodeError as error:
+        except errors.MalformedInputError as error:
             event_log.log(
                 _logger, "routes_rejected", logging.ERROR, reason=str(error)
             )
@@ -159,8 +169,10 @@
         self._held_until.pop(key, None)
         try:
             registration = self._decode_entry(key, raw)
-        except ValueError as error:
-            event_log.log(_logger, "entry_rejected", reason=str(error))
+        except errors.MalformedInputError as error:
+            event_log.log(
+                _logger, "entry_rejected", target=key, reason=str(error)
+            )
             self._record_departure(key, now)
             self.targets.remove(key)
             return
@@ -209,3 +221,11 @@
         self.targets.remove(key)
         self._remove_cached_prompts(key)
         event_log.log(_logger, "target_gone", target=key, reason=reason)
+
+
+def _apply_guarded(key: str, apply: abc.Callable[[], None]) -> None:
+    """Applies one row; a fault with it doesn't hold up the others."""
+    try:
+        apply()
+    except Exception:  # noqa: BLE001 - decoded values may still be harmful
+        _logger.exception("row_failed", extra={"fields": {"key": key}})
--- a/tests/test_peer_requests.py
+++ b/tests/test_peer_requests.py
@@ -56,7 +56,7 @@
         self.assertEqual(received.avoided, ["i-1"])
 
     def test_field_that_is_missing_is_an_error(self) -> None:
-        with self.assertRaises(msgspec.DecodeError):
+        with self.assertRaises(errors.MalformedInputError):
             peer_requests.decode_request(msgspec.msgpack.encode({}), 0.0)
 
 
