Take no entry for a target whose numbers or address can't be used

Cause: an entry that decodes may still harm where it is used. Counts, times, ports and ids had no bounds, and OverflowError of a connect passed for no connection error.

Evidence: on the code before, decode_entry accepted ports of 70,000, 0, 400 digits and of Arabic digits, slots of 400 digits, a start above 64 bits and an address and an id with a line break, which would have ended in headers; connecting raised OverflowError (tests/platform/test_foreign_entries.py).

Fix: bounds for each number, a port from 1 to 65,535, ids and addresses that can stand in a header; whatever an address raises at the connect is a target out of reach.

--- a/mothpass/adapters/http_pool.py
+++ b/mothpass/adapters/http_pool.py
@@ -115,7 +115,8 @@
                     host,
                     int(port),
                 )
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The latter two are of addresses that can't exist.
             raise errors.TargetUnreachableError(
                 f"no connection to {address}: {error}"
             ) from error
--- a/mothpass/platform/members.py
+++ b/mothpass/platform/members.py
@@ -1,5 +1,7 @@
 """Decodes the entries under which targets register themselves."""
 
+import typing
+
 import msgspec
 
 from mothpass.core import decoding
@@ -13,6 +15,15 @@
 _DRAINING = "draining"
 
 
+_MAX_PORT = 65_535
+# Numbers that daemons also pass on to each other have 64 bits there.
+_MAX_COUNT = 2**31 - 1
+_MAX_MS = 2**53
+
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_MS)]
+
+
 class _Entry(msgspec.Struct, kw_only=True, rename="camel"):
     """An entry as a target writes it."""
 
@@ -21,9 +32,9 @@
     zone: str
     state: str
     version: str = ""
-    slots: int = 0
-    cold_left_ms: float = 0.0
-    born: int | None = None
+    slots: _Count = 0
+    cold_left_ms: typing.Annotated[float, msgspec.Meta(le=_MAX_MS)] = 0.0
+    born: _Milliseconds | None = None
     seq: int | None = None
 
 
@@ -36,8 +47,9 @@
     entry = decoding.decode_json(raw, _Entry)
     if entry.state not in (_READY, _DRAINING):
         raise errors.MalformedInputError(f"unknown state {entry.state!r}")
-    host, _, port = entry.addr.rpartition(":")
-    if not host or not port.isdigit():
+    if not _is_token(key):
+        raise errors.MalformedInputError(f"invalid id {key!r}")
+    if not _is_address(entry.addr):
         raise errors.MalformedInputError(f"invalid address {entry.addr!r}")
     return target_table.Registration(
         id=key,
@@ -52,6 +64,21 @@
     )
 
 
+def _is_token(text: str) -> bool:
+    """Returns whether a text can stand in a header as it is."""
+    return (
+        bool(text) and text.isascii() and text.isprintable() and " " not in text
+    )
+
+
+def _is_address(text: str) -> bool:
+    """Returns whether a text is a host and a port to connect to."""
+    host, _, port = text.rpartition(":")
+    if not host or not _is_token(text) or not port.isdigit():
+        return False
+    return len(port) <= len(str(_MAX_PORT)) and 0 < int(port) <= _MAX_PORT
+
+
 def compare_values(key: str, first: bytes, second: bytes) -> int:
     """Compares entries of a target; see ``replicas.CompareValues``.
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -48,6 +48,16 @@
     + b"1"
     + b"}" * _DEPTH
     + b"}",
+    "port out of range": _change(addr="127.0.0.1:70000"),
+    "port of 400 digits": _change(addr="127.0.0.1:" + "7" * 400),
+    "port of other digits": _change(addr="127.0.0.1:\u0667\u0667"),
+    "port 0": _change(addr="127.0.0.1:0"),
+    "address with a line break": _change(addr="127.0.0.1\r\nx: y:80"),
+    "slots of 400 digits": _change(slots=10**400),
+    "negative slots": _change(slots=-1),
+    "start above 64 bits": _change(born=2**70),
+    "cold for ever": _WHOLE.replace(b'"coldLeftMs": 0', b'"coldLeftMs": 1e300')
+    + b"}",
     "number of 5,000 digits": _WHOLE.replace(
         b'"slots": 8', b'"slots": ' + b"8" * 5000
     )
@@ -69,6 +79,14 @@
             ):
                 members.decode_entry("i-1", raw)
 
+    def test_id_that_breaks_a_header_is_no_target(self) -> None:
+        for key in ("i-1\r\nx: y", "i 1", "\u00ef-1", ""):
+            with (
+                self.subTest(key),
+                self.assertRaises(errors.MalformedInputError),
+            ):
+                members.decode_entry(key, _change())
+
     def test_odd_entries_are_as_old_as_any(self) -> None:
         for name, raw in _ODD.items():
             with self.subTest(name):
@@ -122,6 +140,17 @@
         await self.add_daemon(2)
         await self.check_service(2)
 
+    async def test_address_that_can_not_exist_is_out_of_reach(
+        self,
+    ) -> None:
+        """Guards against requests that end with the error of a connect."""
+        for address in ("127.0.0.1:70000", "127.0.0.1:" + "7" * 400, "\x00:80"):
+            with (
+                self.subTest(address[:20]),
+                self.assertRaises(errors.TargetUnreachableError),
+            ):
+                await self.pools[0].acquire(address, fresh=True)
+
 
 class FailingRowsTest(fleet.FleetTest):
     """Rows that decode and fail where they are applied."""
