Answer each request by the end of a shutdown

Cause: the last step of the shutdown closed all connections; the requests in progress knew nothing of its deadline and had no time left to answer.

--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -70,6 +70,7 @@
         "_resumption",
         "_sender",
         "_shutdown",
+        "_timeouts",
         "_write_request",
     )
 
@@ -132,10 +133,19 @@
         self._write_request = write_request
         self._random = random
         self._shutdown = shutdowns.NONE
+        # Of the requests in progress.
+        self._timeouts: set[asyncio.Timeout] = set()
 
     def start_shutdown(self, shutdown: shutdowns.Shutdown) -> None:
-        """Turns away requests that would outlast a shutdown."""
+        """Ends all requests by the end of a shutdown, those in progress too.
+
+        Each gets an answer, as far as none has begun.
+        """
         self._shutdown = shutdown
+        for timeout in self._timeouts:
+            when = timeout.when()
+            if when is not None and not timeout.expired():
+                timeout.reschedule(min(when, shutdown.ends_at))
 
     def set_retry_limits(self, *, ratio: float, extra: float) -> None:
         """Changes the retry budget of each service."""
@@ -184,13 +194,19 @@
             forwarded=forwarded,
         )
         refusal: errors.Refusal | None
+        timeout = asyncio.timeout_at(
+            min(admitted.deadline, self._shutdown.ends_at)
+        )
+        self._timeouts.add(timeout)
         try:
-            async with asyncio.timeout_at(admitted.deadline):
+            async with timeout:
                 refusal = await self._find_version(admitted, progress)
                 if refusal is None:
                     refusal = await self._make_attempts(admitted, progress)
         except TimeoutError:
-            refusal = progress_module.make_timeout_refusal(progress)
+            refusal = progress_module.make_timeout_refusal(
+                progress, is_shutdown=self._shutdown.ends_at < admitted.deadline
+            )
         except asyncio.CancelledError:
             self._log_end(
                 request,
@@ -200,6 +216,8 @@
                 "client disconnected",
             )
             raise
+        finally:
+            self._timeouts.discard(timeout)
         self._finish(admitted, progress, refusal)
 
     def _admit(
--- a/mothpass/relay/progress.py
+++ b/mothpass/relay/progress.py
@@ -101,14 +101,25 @@
             self.version = forwarded.version
 
 
-def make_timeout_refusal(progress: Progress) -> errors.Refusal:
-    """Returns the refusal of a request that reached its deadline."""
+def make_timeout_refusal(
+    progress: Progress, *, is_shutdown: bool
+) -> errors.Refusal:
+    """Returns the refusal of a request that reached its deadline.
+
+    Args:
+        progress: Progress of the request.
+        is_shutdown: Whether the deadline is the end of a shutdown.
+    """
     if progress.attempt_count > progress.not_run_attempts:
         return errors.Refusal(
             code=results.Code.OUTCOME_UNKNOWN,
             ran=results.Ran.UNKNOWN,
-            message="no answer before the deadline",
+            message="no answer before the shutdown"
+            if is_shutdown
+            else "no answer before the deadline",
         )
+    if is_shutdown:
+        return make_shutdown_refusal()
     return admission.make_refusal(
         results.Code.OVERLOADED,
         "no slot before the deadline",
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -52,6 +52,8 @@
 BALANCER_DRAIN_S = 2.6
 # Margin before SIGKILL at which running requests are aborted.
 KILL_MARGIN_S = 0.4
+# Before that, for the answers of requests that no target has answered.
+FINAL_ANSWERS_S = 0.2
 HOUSEKEEPING_INTERVAL_S = 1.0
 DRAIN_CHECK_INTERVAL_S = 0.1
 
@@ -281,7 +283,7 @@
         end = loop.time() + self.settings.grace_s - KILL_MARGIN_S
         shutdown = shutdowns.Shutdown(
             handed_over_at=min(loop.time() + BALANCER_DRAIN_S, end),
-            ends_at=end,
+            ends_at=end - FINAL_ANSWERS_S,
         )
         event_log.log(
             _logger, "stopping", connections=len(self._clients.connections)
--- a/tests/platform/test_shutdowns.py
+++ b/tests/platform/test_shutdowns.py
@@ -80,6 +80,36 @@
         self.assertEqual([item.runs for item in self.models], [[], []])
         await stopping
 
+    async def test_request_without_an_answer_gets_one_at_the_end(self) -> None:
+        """Guards against connections that close without an answer."""
+        for target in self.plain:
+            target.answer = target_standin.hang
+        paying = asyncio.ensure_future(self.send_request("POST", "/pay/1"))
+        await self.wait_for(lambda: any(item.runs for item in self.plain))
+        await self.stop(grace_s=1.2)
+        answer = await paying
+        self.assertEqual(answer.status, 504)
+        self.assertIn(b'"ran":"unknown"', answer.body)
+
+    async def test_request_without_a_slot_is_turned_away_at_the_end(
+        self,
+    ) -> None:
+        """Guards against queued requests that are cut at the end."""
+        for target in self.plain:
+            target.answer = target_standin.hang
+        calls = [
+            asyncio.ensure_future(self.send_request("POST", "/pay/1"))
+            for _ in range(60)
+        ]
+        await asyncio.sleep(0.3)
+        await self.stop(grace_s=1.2)
+        answers = [await call for call in calls]
+        runs = sum(len(item.runs) for item in self.plain)
+        statuses = [answer.status for answer in answers]
+        self.assertEqual(statuses.count(504), runs)
+        self.assertEqual(statuses.count(503), len(calls) - runs)
+        self.assertGreater(len(calls), runs)
+
 
 if __name__ == "__main__":
     unittest.main()
