Use no connection again whose last answer named no request

Cause: a sound target's refusal names no request, so a repeated one passed for that of the next request on the connection.

Fix: a connection is kept only after an answer that names its request. mothpassd, whose engines name the attempt in each answer, skips those of others.

--- a/mothpass/adapters/targets_http.py
+++ b/mothpass/adapters/targets_http.py
@@ -69,6 +69,7 @@
             _encode_post(attempt),
             deadline=attempt.deadline,
             fresh=attempt.idempotency_key is not None,
+            accepts_response=_make_matcher(attempt.id),
         ) as exchange:
             if await _wait_for_status(exchange) == 503:
                 raise await _build_open_error(exchange)
@@ -123,6 +124,7 @@
             # Resumes over a new connection, since all open ones may have gone
             # silent together.
             fresh=build_error is _build_resume_error,
+            accepts_response=_make_matcher(attempt.id),
         ) as exchange:
             if await _wait_for_status(exchange) != 200:
                 raise await build_error(exchange)
@@ -148,6 +150,9 @@
         deadline: float,
         silence_ms: int | None = None,
         fresh: bool = False,
+        accepts_response: http_exchanges.AcceptsResponse = (
+            http_exchanges.accept_any
+        ),
     ) -> abc.AsyncIterator[http_exchanges.Exchange]:
         """Sends a request and releases the connection at the end.
 
@@ -161,7 +166,10 @@
                 "deadline passed, request not sent"
             )
         exchange = connection.send(
-            request, silence_ms=silence_ms, deadline=deadline
+            request,
+            silence_ms=silence_ms,
+            deadline=deadline,
+            accepts_response=accepts_response,
         )
         try:
             yield exchange
@@ -169,6 +177,17 @@
             self._pool.release(address, connection)
 
 
+def _make_matcher(attempt_id: str) -> http_exchanges.AcceptsResponse:
+    """Returns whether a response is that of an attempt, not an earlier one."""
+
+    def matches(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
+        del status
+        named = dict(headers).get(b"x-attempt-id")
+        return named is None or named == attempt_id.encode()
+
+    return matches
+
+
 def _find_control_deadline() -> float:
     """Returns the deadline of a cancellation or a load report."""
     return asyncio.get_running_loop().time() + CONTROL_TIMEOUT_MS / 1000
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -186,6 +186,7 @@
         is_reused = connection.exchange_count > 0
         attempt.on_connected(not is_reused)
         idle_timeout_s = 0.0
+        is_named = False
         exchange = None
         try:
             if not attempt.may_send():
@@ -198,6 +199,7 @@
             attempt.on_sent()
             head = await self._wait_for_head(attempt, exchange)
             idle_timeout_s = _compute_idle_timeout(head)
+            is_named = head.request_id is not None
             return await self._deliver(attempt, exchange, head, delivery)
         except errors.TargetUnreachableError as error:
             return Outcome(end=End.NOT_RUN, reason=str(error))
@@ -217,7 +219,11 @@
                 address,
                 connection,
                 idle_s=idle_timeout_s,
-                max_idle_connections=attempt.max_idle_connections,
+                # An answer that names no request may come once more in place
+                # of the next one, and nothing would tell it from that.
+                max_idle_connections=attempt.max_idle_connections
+                if is_named
+                else 0,
             )
 
     def _send_request(
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -5,6 +5,7 @@
 
 from tests.platform import fleet
 from tests.platform import target_standin
+from tests.platform import wire
 
 
 class ReusedConnectionsTest(fleet.FleetTest):
@@ -43,6 +44,64 @@
         self.assertEqual(len(runs), len(set(runs)))
 
 
+class RepeatedRefusalsTest(fleet.FleetTest):
+    """Targets that write an earlier refusal once more, then run the request."""
+
+    async def find_false_refusals(
+        self, status: int, **fields: str
+    ) -> list[str]:
+        """Returns the requests that were refused though a target ran them."""
+        for target in self.plain:
+            target.answer = _make_repeating(
+                status,
+                {name.replace("_", "-"): fields[name] for name in fields},
+            )
+        refused = []
+        for number in range(60):
+            headers = self.make_headers()
+            answer = await self.send_request(
+                "GET", f"/read/{number}", headers=headers
+            )
+            if answer.status in (408, 421, 429, 503):
+                refused.append(headers["Attempt-Id"])
+        runs = {run for target in self.plain for run in target.runs}
+        self.assertGreater(len(runs), 20)
+        return [item for item in refused if item in runs]
+
+    async def test_refusal_written_again_refuses_no_other_request(self) -> None:
+        """Guards against callers told 'not run' for what a target runs."""
+        for status in (503, 429):
+            with self.subTest(status=status):
+                false = await self.find_false_refusals(status, Not_Run="1")
+                self.assertEqual(false, [])
+
+
+def _make_repeating(
+    status: int, headers: dict[str, str]
+) -> target_standin.Script:
+    """Returns a script that refuses each third request of a connection.
+
+    When the next request of that connection arrives, it writes the refusal
+    again before it runs the request.
+    """
+    counts: dict[asyncio.StreamWriter, int] = {}
+
+    async def run(
+        target: target_standin.Target,
+        request: wire.Request,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        counts[writer] = counts.get(writer, 0) + 1
+        if counts[writer] % 3 == 0:
+            wire.write_answer(writer, status, headers, b"")
+            return
+        if counts[writer] % 3 == 1 and counts[writer] > 1:
+            wire.write_answer(writer, status, headers, b"")
+        await target_standin.answer_normally(target, request, writer)
+
+    return run
+
+
 class EarlyAnswersTest(fleet.FleetTest):
     """A target that answers before it has read a long body.
 
--- a/tests/test_targets_http.py
+++ b/tests/test_targets_http.py
@@ -186,6 +186,13 @@
         with self.assertRaises(errors.TargetRefusedError):
             await self._collect(self.targets.open_stream(self._build_attempt()))
 
+    async def test_refusal_of_an_earlier_attempt_is_skipped(self) -> None:
+        """Guards against 'not run' for an attempt that the target runs."""
+        earlier = _response(b'{"ran":"no"}', b"503 X").replace(b"a1", b"a0")
+        self.scripts = [earlier + _HEAD + _event(0, last=True) + _END]
+        stream = self.targets.open_stream(self._build_attempt())
+        self.assertEqual(await self._collect(stream), [0])
+
     async def test_other_503_is_lost(self) -> None:
         self.scripts = [_response(b"busy", b"503 X")]
         with self.assertRaises(errors.TargetAnswerLostError):
