Continue an unknown stream only by versions that the store confirms

Fix: a daemon polls the store after the request's arrival. A target is in the store before any daemon can use it, so that poll shows all versions that can have begun the stream; without it peers are asked, which do the same, and without them the stream is refused at once. A removal of a target that was never seen counts as an unknown version.

--- a/mothpass/core/stream_origins.py
+++ b/mothpass/core/stream_origins.py
@@ -20,6 +20,8 @@
 LIFETIME_S = 20.0
 # Lost datagrams aren't resent, so that two rounds carry each origin.
 _ROUNDS_PER_ORIGIN = 2
+# Stands for a version that no registration has named.
+_UNSEEN_VERSION = 0
 # Origins that wait for a round; the oldest are dropped in a burst.
 _MAX_PENDING = 256
 
@@ -97,12 +99,13 @@
 class VersionHistory:
     """Software versions that have served each service of late."""
 
-    __slots__ = ("_departed_at", "_known_since")
+    __slots__ = ("_departed_at", "_known_since", "_unseen_at")
 
     def __init__(self) -> None:
         """Starts without knowledge."""
         self._departed_at: dict[tuple[str, int], float] = {}
         self._known_since = float("inf")
+        self._unseen_at = float("-inf")
 
     def record_start(self, now: float) -> None:
         """Records that the targets are known from now on."""
@@ -119,6 +122,13 @@
         key = registration.service, fingerprint_version(registration)
         self._departed_at[key] = now
 
+    def record_unseen(self, now: float) -> None:
+        """Records that a target has left whose registration wasn't seen.
+
+        It may have served any service, at any version.
+        """
+        self._unseen_at = now
+
     def merge_former(
         self, versions: abc.Mapping[str, abc.Iterable[int]], now: float
     ) -> None:
@@ -154,8 +164,9 @@
         present = (
             fingerprint_version(target.registration) for target in registered
         )
+        unseen = (_UNSEEN_VERSION,) if self._unseen_at >= since else ()
         return Versions(
-            known=frozenset(itertools.chain(departed, present)),
+            known=frozenset(itertools.chain(departed, present, unseen)),
             is_complete=self._known_since <= since,
         )
 
@@ -186,33 +197,35 @@
 
 
 def answer_origin(
-    *, recorded: int | None, versions: Versions, is_in_touch: bool
+    *, recorded: int | None, versions: Versions, is_confirmed: bool
 ) -> Answer:
     """Returns what a daemon knows by itself of the origin of a stream.
 
     Args:
         recorded: Version that the daemon has recorded, None if none.
         versions: Versions that have served of late.
-        is_in_touch: Whether the daemon hears of new versions.
+        is_confirmed: Whether it knows all targets that were registered when it
+            was asked.
     """
     if recorded is not None:
         return Answer(version=recorded)
     if len(versions.known) > 1:
         return Answer(is_ambiguous=True)
-    if not versions.known or not versions.is_complete or not is_in_touch:
+    if not versions.known or not versions.is_complete or not is_confirmed:
         return Answer()
     return Answer(version=next(iter(versions.known)))
 
 
 def merge_answers(
-    answers: abc.Iterable[Answer], *, versions: Versions, is_in_touch: bool
+    answers: abc.Iterable[Answer], *, versions: Versions, is_confirmed: bool
 ) -> int | None:
     """Returns the version at which a stream of unknown origin goes on.
 
     Args:
         answers: What the asked peers know.
         versions: Versions that this daemon knows of.
-        is_in_touch: Whether this daemon hears of new versions.
+        is_confirmed: Whether it knows all targets that were registered when
+            the stream was taken up.
 
     Returns:
         The fingerprint of the version, None if it can't be known.
@@ -222,7 +235,7 @@
     if found:
         return found.pop() if len(found) == 1 else None
     is_ambiguous = any(item.is_ambiguous for item in answers)
-    if is_ambiguous or not is_in_touch or len(versions.known) != 1:
+    if is_ambiguous or not is_confirmed or len(versions.known) != 1:
         return None
     # No daemon has been up for long, as after the loss of all of them.
     return next(iter(versions.known))
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -66,8 +66,6 @@
 # Changes of targets come in bursts. A reader that isn't the watcher gets the
 # first of a burst from the watcher, and all others with its own next call.
 TARGET_FEED_PAUSE_S = 0.4
-# A daemon whose targets are older than this may lack some.
-MAX_TARGET_LAG_S = 1.0
 # Part of the time limit for a change that covers the timeout of a silent call,
 # the gossip to other daemons, their poll and the transfer of its answer.
 WATCHER_MARGIN_S = 1.4
@@ -348,13 +346,13 @@
             now=asyncio.get_running_loop().time(),
         )
 
-    def is_in_touch(self) -> bool:
-        """Returns whether new targets and routes reach this daemon in time."""
-        now = asyncio.get_running_loop().time()
-        _, since = self._newer_since.get(self._ports.target_table, (0, now))
-        standing = self.assess_routes()
-        is_current = standing is route_freshness.Standing.CURRENT
-        return is_current and now - since <= MAX_TARGET_LAG_S
+    async def confirm_targets(self) -> bool:
+        """Makes sure that all targets registered before the call are known.
+
+        Returns:
+            Whether the store confirms it.
+        """
+        return await self._replicas[self._ports.target_table].confirm()
 
     @property
     def _operator_replica(self) -> replicas.Replica:
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -21,6 +21,8 @@
 # Bounds of the jitter factor, as daemons that fail at the same time would also
 # retry at the same time.
 RETRY_JITTER = (0.5, 1.5)
+# For a poll that a client's request waits for; a slow store takes half of it.
+CONFIRM_TIMEOUT_S = 0.5
 # A daemon that replicates from peers checks whether it must read the store.
 ROLE_CHECK_INTERVAL_S = 0.1
 # Keys in a log line.
@@ -46,6 +48,7 @@
 
     __slots__ = (
         "_apply_changes",
+        "_confirmation",
         "_copy",
         "_feed_call",
         "_follow",
@@ -115,6 +118,7 @@
         self._has_reader_peer = has_reader_peer
         self._is_store_stable = is_store_stable
         self._feed_call: asyncio.Future[replicas.Page | None] | None = None
+        self._confirmation: asyncio.Task[None] | None = None
         self._had_changes = False
         self.freshness = route_freshness.Freshness()
         self.is_following_store = True
@@ -180,6 +184,33 @@
         if call is not None:
             call.cancel()
 
+    async def confirm(self) -> bool:
+        """Polls the store, so that all rows from before the call are applied.
+
+        Calls at the same time share a poll.
+
+        Returns:
+            Whether that succeeded.
+        """
+        called_at = asyncio.get_running_loop().time()
+        # A poll that is under way may be from before the call.
+        for _ in range(2):
+            if self._confirmation is None:
+                self._confirmation = asyncio.ensure_future(self.poll_once())
+                self._confirmation.add_done_callback(self._end_confirmation)
+            try:
+                async with asyncio.timeout_at(called_at + CONFIRM_TIMEOUT_S):
+                    await asyncio.shield(self._confirmation)
+            except TimeoutError:
+                return False
+            if self.freshness.confirmed_at >= called_at:
+                return True
+        return False
+
+    def _end_confirmation(self, task: asyncio.Task[None]) -> None:
+        del task
+        self._confirmation = None
+
     async def poll_once(self) -> None:
         """Polls the store for changes, beside a change feed call.
 
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -167,7 +167,7 @@
                 list_peer_addresses=self.fleet_sync.list_peer_addresses,
                 random=random,
             ).ask,
-            is_in_touch=self.fleet_sync.is_in_touch,
+            confirm_targets=self.fleet_sync.confirm_targets,
             load_memory=self._stream_memory.load,
             metrics=self._metrics,
         )
@@ -464,7 +464,7 @@
         if question is None:
             await self.fleet_sync.answer_peer(head, body, client)
             return
-        answer = self._resumption.answer(question)
+        answer = await self._resumption.answer(question)
         client.write_response(200, (), msgspec.msgpack.encode(answer))
 
     async def _answer_forwarded(
--- a/mothpass/relay/state.py
+++ b/mothpass/relay/state.py
@@ -42,6 +42,7 @@
         "_decode_routes",
         "_document_key",
         "_held_until",
+        "_rejected",
         "_remove_cached_prompts",
         "has_targets",
         "routes",
@@ -82,6 +83,8 @@
         self._remove_cached_prompts = remove_cached_prompts
         self._closed_zones: set[str] = set()
         self._held_until: dict[str, float] = {}
+        # Keys of the entries that name no target.
+        self._rejected: set[str] = set()
 
     def apply_operator_rows(
         self, rows: list[replicas.Row], is_store_stable: bool
@@ -175,7 +178,9 @@
             )
             self._record_departure(key, now)
             self.targets.remove(key)
+            self._rejected.add(key)
             return
+        self._rejected.discard(key)
         self._record_departure(key, now)
         is_new = self.targets.put(
             registration, now, may_predate_daemon=not self.has_targets
@@ -202,7 +207,12 @@
     def _apply_removal(
         self, key: str, is_store_stable: bool, now: float
     ) -> None:
-        if is_store_stable or key not in self.targets.targets:
+        is_known = key in self.targets.targets
+        if not is_known and key not in self._rejected:
+            # It came and went while this daemon was cut off.
+            self.versions.record_unseen(now)
+        self._rejected.discard(key)
+        if is_store_stable or not is_known:
             self._remove(key, "removed")
             return
         self._held_until[key] = now + RECOVERY_HOLD_S
--- a/mothpass/relay/stream_resumption.py
+++ b/mothpass/relay/stream_resumption.py
@@ -31,7 +31,7 @@
 
     __slots__ = (
         "_ask_origin",
-        "_is_in_touch",
+        "_confirm_targets",
         "_load_memory",
         "_metrics",
         "_origins",
@@ -46,7 +46,7 @@
         versions: stream_origins.VersionHistory,
         targets: target_table.TargetTable,
         ask_origin: AskOrigin,
-        is_in_touch: abc.Callable[[], bool],
+        confirm_targets: abc.Callable[[], abc.Awaitable[bool]],
         load_memory: abc.Callable[[], abc.Awaitable[bool]],
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -57,7 +57,8 @@
             versions: Software versions that have served each service.
             targets: Targets of all services.
             ask_origin: Asks peers for the origin of a stream.
-            is_in_touch: Returns whether this daemon hears of new versions.
+            confirm_targets: Makes sure that all targets registered before the
+                call are known; returns whether that is so.
             load_memory: Merges what earlier daemons knew into the origins and
                 versions; returns whether that is done.
             metrics: Counters and histograms.
@@ -67,7 +68,7 @@
         self._versions = versions
         self._targets = targets
         self._ask_origin = ask_origin
-        self._is_in_touch = is_in_touch
+        self._confirm_targets = confirm_targets
         self._metrics = metrics
 
     def record_start(
@@ -111,14 +112,24 @@
             ORIGIN_RETRY_AFTER_MS,
         )
 
-    def answer(
+    async def answer(
         self, question: origin_questions.Question
     ) -> stream_origins.Answer:
         """Returns what this daemon knows by itself of a stream's origin."""
+        recorded = self._origins.find(question.stream)
+        if recorded is not None:
+            return stream_origins.Answer(version=recorded)
+        # The version may have joined since this daemon last heard of any.
+        is_confirmed = await self._confirm_targets()
+        return self._answer(question, is_confirmed=is_confirmed)
+
+    def _answer(
+        self, question: origin_questions.Question, *, is_confirmed: bool
+    ) -> stream_origins.Answer:
         return stream_origins.answer_origin(
             recorded=self._origins.find(question.stream),
             versions=self._assess_versions(question.service),
-            is_in_touch=self._is_in_touch(),
+            is_confirmed=is_confirmed,
         )
 
     async def _find_origin(
@@ -132,11 +143,15 @@
             else stream_origins.fingerprint(resumed_id),
             service=admitted.service.name,
         )
-        own = self.answer(question)
+        recorded = self._origins.find(question.stream)
+        if recorded is not None:
+            return "known", recorded
+        is_confirmed = await self._confirm_targets()
+        own = self._answer(question, is_confirmed=is_confirmed)
         is_remembered = True
         if own.version is None:
             is_remembered = await self._load_memory()
-            own = self.answer(question)
+            own = self._answer(question, is_confirmed=is_confirmed)
         if own.version is not None:
             return "known", own.version
         answers = [own]
@@ -145,7 +160,7 @@
         version = stream_origins.merge_answers(
             answers,
             versions=self._assess_versions(question.service),
-            is_in_touch=is_remembered and self._is_in_touch(),
+            is_confirmed=is_remembered and is_confirmed,
         )
         return ("unknown" if version is None else "asked"), version
 
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 
+from mothpass.core import stream_origins
 from tests.platform import fleet
 from tests.platform import target_standin
 from tests.platform import wire
@@ -368,3 +369,108 @@
         else target_standin.answer_normally
     )
     await script(target, request, writer)
+
+
+class OutOfStepTest(_VersionsTest):
+    """Streams of a version that joins while a daemon is out of step."""
+
+    daemons = 2
+    versions = ("v1", "v1")
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.endpoint = await self.store.open_endpoint()
+        await self.add_daemon(2, self.endpoint.address)
+        await self.wait_for(self.has_all_targets)
+        # They have run for long enough to know that there was one version.
+        since = (
+            asyncio.get_running_loop().time() - 2 * stream_origins.LIFETIME_S
+        )
+        for service in self.services:
+            service.state.versions.record_start(since)
+
+    def cut_off_from_store(self) -> None:
+        """Makes the store silent for the last daemon."""
+        self.endpoint.is_silent = True
+
+    def cut_off_from_peers(self) -> None:
+        """Cuts the last daemon off from all others."""
+        self.services[2].fleet_sync._gossip.close()
+        peers = [item.fleet_sync.address for item in self.services]
+        self.pools[2].cut(peers[:2], fleet.Cut.SILENT)
+        for pool in self.pools[:2]:
+            pool.cut(peers[2:], fleet.Cut.SILENT)
+
+    async def check_streams(self) -> int:
+        """Lets a version join; its streams are taken up at the last daemon.
+
+        Returns:
+            How many streams went on.
+        """
+        joined = [await self.add_target("models", "v2") for _ in range(4)]
+        await self.wait_for(
+            lambda: joined[-1].id in self.services[0].state.targets.targets
+        )
+        for target in (*self.models, *joined):
+            target.answer = target_standin.stream(4, pause_s=0.05)
+        taken_up = served = 0
+        for number in range(2 * _STREAMS):
+            began_as, begun = await self.begin_stream(number)
+            if list_versions(begun.body) == {"v2"}:
+                # At once, often before the others have told of it.
+                taken_up += 1
+                served += await self.check_taken_up({began_as: begun}, 2)
+        self.assertGreater(taken_up, 0)
+        return served
+
+    async def begin_stream(self, number: int) -> tuple[str, wire.Answer]:
+        """Leaves a stream of the first daemon after its first event."""
+        headers = self.make_chat_headers()
+        headers["Prompt-Prefix"] = f"{number:x}a:80,{number:x}b:30,cc:10"
+        client = await wire.Client.connect(self.addresses[0])
+        client.send("POST", "/chat/1", headers, b"x")
+        begun = await client.read_head()
+        begun.body = await client.read_event()
+        client.close()
+        return headers["Attempt-Id"], begun
+
+    async def test_daemon_in_step_takes_them_up_at_once(self) -> None:
+        """Guards against a version that a daemon is about to hear of."""
+        self.assertGreater(await self.check_streams(), 0)
+
+    async def test_daemon_without_the_store_asks_others(self) -> None:
+        """Guards against a version that the store knows of."""
+        self.cut_off_from_store()
+        self.assertGreater(await self.check_streams(), 0)
+
+    async def test_daemon_without_peers_asks_the_store(self) -> None:
+        """Guards against a version that only others know of."""
+        self.cut_off_from_peers()
+        await self.check_streams()
+
+    async def test_version_that_came_and_went_unseen_is_no_other(self) -> None:
+        """Guards against a stream of a version that only others have seen."""
+        self.cut_off_from_store()
+        self.cut_off_from_peers()
+        joined = await self.add_target("models", "v2")
+        await self.wait_for(
+            lambda: joined.id in self.services[0].state.targets.targets
+        )
+        self.store.remove("servers", joined.id)
+        self.endpoint.is_silent = False
+        # The last daemon reads the store again.
+        last = self.services[2].fleet_sync
+        for _ in range(150):
+            if await last.confirm_targets():
+                break
+            await asyncio.sleep(0.1)
+        _, answer = await self.send_chat(
+            1, 2, Last_Event_Id="1", Resumes="begun-at-v2"
+        )
+        self.assertEqual(answer.status, 503)
+
+    async def test_daemon_without_both_refuses(self) -> None:
+        """Guards against a guess before a daemon notices that it is cut off."""
+        self.cut_off_from_store()
+        self.cut_off_from_peers()
+        self.assertEqual(await self.check_streams(), 0)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -26,13 +26,13 @@
     *,
     known: frozenset[int] = _ONE,
     is_complete: bool = True,
-    is_in_touch: bool = True,
+    is_confirmed: bool = True,
 ) -> stream_origins.Answer:
     """Returns what a daemon answers."""
     return stream_origins.answer_origin(
         recorded=recorded,
         versions=make_versions(known, is_complete=is_complete),
-        is_in_touch=is_in_touch,
+        is_confirmed=is_confirmed,
     )
 
 
@@ -41,15 +41,19 @@
 
     def test_recorded_version_goes_before_all(self) -> None:
         self.assertEqual(
-            answer(7, known=_TWO, is_complete=False, is_in_touch=False).version,
+            answer(
+                7, known=_TWO, is_complete=False, is_confirmed=False
+            ).version,
             7,
         )
 
-    def test_only_version_is_certain_at_a_daemon_that_is_in_touch(self) -> None:
+    def test_only_version_is_certain_at_a_daemon_that_is_confirmed(
+        self,
+    ) -> None:
         self.assertEqual(answer().version, 1)
         for uncertain in (
             answer(is_complete=False),
-            answer(is_in_touch=False),
+            answer(is_confirmed=False),
             answer(known=frozenset()),
         ):
             self.assertEqual(uncertain, stream_origins.Answer())
@@ -65,10 +69,10 @@
         self,
         *answers: stream_origins.Answer,
         known: frozenset[int] = _ONE,
-        is_in_touch: bool = True,
+        is_confirmed: bool = True,
     ) -> int | None:
         return stream_origins.merge_answers(
-            answers, versions=make_versions(known), is_in_touch=is_in_touch
+            answers, versions=make_versions(known), is_confirmed=is_confirmed
         )
 
     def test_peer_that_knows_decides(self) -> None:
@@ -90,7 +94,7 @@
         self.assertEqual(self.merge(stream_origins.Answer()), 1)
         self.assertEqual(self.merge(), 1)
         self.assertIsNone(self.merge(known=_TWO))
-        self.assertIsNone(self.merge(is_in_touch=False))
+        self.assertIsNone(self.merge(is_confirmed=False))
 
 
 class OriginsTest(unittest.TestCase):
