--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -12,15 +12,21 @@
 from mothpass.adapters import peer_messages
 from mothpass.adapters import peers_pb2
 from mothpass.core import claims
+from mothpass.core import decoding
 from mothpass.core import leases
 from mothpass.core import prompt_suspects
 from mothpass.core import pruning
 from mothpass.core import revisions
+from mothpass.core import stream_origins
 from mothpass.ports import members
 from mothpass.ports import peers
 from mothpass.ports import replicas
 from mothpass.ports import targets
+from mothpass.relay import death_witnesses
 from mothpass.relay import gossip
+from mothpass.relay import origin_questions
+from mothpass.relay import peer_requests
+from mothpass.relay import table_server
 
 _GOSSIP = (
     "nKJkMc0D6AWBp3NlcnZlcnMJgaNpLTECw8LDka0xMC4wLjAuMjo3MzQwkYerZmluZ2"
@@ -37,6 +43,30 @@
 )
 _GRANT_REQUEST = "CgJlMRICYjEYhAcgAQ=="
 _RELEASE = "CgJlMRICYjEaBXRyaWFsIAMoBDAB"
+# By type, a message with all of its fields as ba31649 wrote it.
+_MESSAGES: dict[type[msgspec.Struct], str] = {
+    gossip.GossipMessage: (
+        "3AAVoXgHB4GheAeBoXgHw8PDkaF4kYerZmluZ2VycHJpbnQHpWJvb3RzkaF4qGZvcm"
+        "dpdmVukaF4qHBvc2l0aW9uB6x0cmlhbF9udW1iZXIHqHRyaWFsX2J5oXimYWdlX21z"
+        "B5GSoXiheIGheAeRoXiRoXiRkweBBwcHgaF4yz/4AAAAAAAAgaF4kgcHB5GSBweheJ"
+        "GheA=="
+    ),
+    peer_requests.ForwardedRequest: (
+        "hadyZXF1ZXN0jaJpZKF4pm1ldGhvZMQBeaN1cmzEAXmkaG9zdKF4p2hlYWRlcnORks"
+        "QBecQBeaRib2R5xAF5p2FwaV9rZXmheKhkZWFkbGluZcs/+AAAAAAAAKZwcm9tcHSR"
+        "gqJpZKF4pnRva2VucwetcHJvbXB0X3Rva2VucweocG9zaXRpb24HqnJlc3VtZWRfaW"
+        "SheKphcnJpdmVkX2F0yz/4AAAAAAAAqXRpbWVvdXRfc8s/+AAAAAAAAKxtYXhfYXR0"
+        "ZW1wdHMHp2F2b2lkZWSRoXindmVyc2lvbgc="
+    ),
+    stream_origins.Answer: ("gqd2ZXJzaW9uB6xpc19hbWJpZ3VvdXPD"),
+    replicas.Page: (
+        "hKd2ZXJzaW9uB6Ryb3dzkYOja2V5oXindmVyc2lvbgeldmFsdWXEAXmoaXNfd2hvbG"
+        "XDpGhlbGSRg6NrZXmheKd2ZXJzaW9uB6V2YWx1ZcQBeQ=="
+    ),
+    death_witnesses.Answer: (
+        "gal0ZXN0aW1vbnmCrnJlYWNoZXNfdGFyZ2V0w69oYXNfc291bmRfbGlua3PD"
+    ),
+}
 # JSON documents by the type that reads them.
 _DOCUMENTS: dict[type[msgspec.Struct], bytes] = {
     claims.Claim: (
@@ -110,6 +140,29 @@
         self.assertEqual(msgspec.msgpack.encode(page), data)
 
 
+class UpgradeFormTest(unittest.TestCase):
+    """Checks messages between this release and the one before."""
+
+    def test_messages_of_both_releases_have_one_form(self) -> None:
+        """Guards against daemons of two releases that drop each other's."""
+        for message_type, encoded in _MESSAGES.items():
+            with self.subTest(message_type.__name__):
+                data = base64.b64decode(encoded)
+                message = decoding.decode_msgpack(data, message_type)
+                self.assertEqual(msgspec.msgpack.encode(message), data)
+
+    def test_paths_of_questions_are_those_of_the_release_before(self) -> None:
+        """Guards against questions that the other release doesn't know."""
+        question = origin_questions.read_question("/streams/7?a%2Fb")
+        self.assertEqual(
+            question, origin_questions.Question(stream=7, service="a/b")
+        )
+        self.assertEqual(death_witnesses.read_target_id("/targets/i-1"), "i-1")
+        self.assertEqual(
+            (peer_requests.PATH, table_server.PATH), (b"/requests", "/tables/")
+        )
+
+
 class PeerFormTest(unittest.TestCase):
     """Checks what daemons of mothpassd send each other."""
 
