Keep one record of a target whose entries go back to an earlier start

Cause: restoring a former start added it beside the present one, which stayed in the list by service for good.

Fix: a registration replaces what its id has, whichever start either names, and only then is a former start taken back with what it had said.

--- a/mothpass/core/target_table.py
+++ b/mothpass/core/target_table.py
@@ -251,16 +251,20 @@
         Returns:
             Whether this is a start that was not known before.
         """
-        self._restore(registration)
         target = self.targets.get(registration.id)
         if target is None or _is_new_start(target.registration, registration):
+            former = self._take_former(registration)
             if target is not None:
                 self.remove(registration.id)
-            target = Target(registration=registration, now=now)
-            if may_predate_daemon:
-                target.first_seen = float("-inf")
-            self._add(target)
-            return True
+            if former is None:
+                target = Target(registration=registration, now=now)
+                if may_predate_daemon:
+                    target.first_seen = float("-inf")
+                self._add(target)
+                return True
+            former.is_gone = False
+            self._add(former)
+            target = former
         if registration.service != target.registration.service:
             self._by_service[target.registration.service].remove(target)
             self._by_service.setdefault(registration.service, []).append(target)
@@ -281,17 +285,16 @@
             if len(self._former) > _MAX_FORMER_TARGETS:
                 del self._former[next(iter(self._former))]
 
-    def _restore(self, registration: Registration) -> None:
-        """Adds a former target again if its start is registered again."""
-        former = self._former.pop(registration.id, None)
+    def _take_former(self, registration: Registration) -> Target | None:
+        """Returns the former target whose start is registered again, if any."""
+        former = self._former.get(registration.id)
         if (
             former is None
             or registration.started_at_ms is None
             or _is_new_start(former.registration, registration)
         ):
-            return
-        former.is_gone = False
-        self._add(former)
+            return None
+        return self._former.pop(registration.id)
 
     def set_closed_zones(
         self, zones: abc.Iterable[str], *, cold_s: float, now: float
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import hypothesis
+from hypothesis import strategies
 import msgspec
 
 from mothpass.core import target_table
@@ -51,6 +53,102 @@
         return [target.id for target in self.table.list_usable("models", 9.0)]
 
 
+def _vary_registration(
+    target_id: str,
+    service: str,
+    address: str,
+    started_at_ms: int | None,
+    is_draining: bool,
+) -> target_table.Registration:
+    return msgspec.structs.replace(
+        _make_registration(target_id, started_at_ms=started_at_ms),
+        service=service,
+        address=address,
+        is_draining=is_draining,
+    )
+
+
+_REGISTRATIONS = strategies.builds(
+    _vary_registration,
+    strategies.sampled_from(["i-1", "i-2"]),
+    strategies.sampled_from(["models", "plain"]),
+    strategies.sampled_from(["10.0.0.1:80", "10.0.0.2:80"]),
+    strategies.sampled_from([None, 1000, 2000]),
+    strategies.booleans(),
+)
+# A registration, or the id of one that ends.
+_CHANGES = strategies.lists(
+    _REGISTRATIONS | strategies.sampled_from(["i-1", "i-2"]), max_size=12
+)
+
+
+class OneRecordTest(unittest.TestCase):
+    """Registrations that go back and forth, whoever wrote them."""
+
+    def test_former_start_leaves_no_second_record(self) -> None:
+        """Guards against a record that no later registration reaches."""
+        table = target_table.TargetTable()
+        own = _make_registration("i-1", started_at_ms=1000)
+        torn = _make_registration("i-1", started_at_ms=None)
+        for number, registration in enumerate((own, torn, own)):
+            table.put(registration, float(number))
+        draining = msgspec.structs.replace(own, is_draining=True)
+        table.put(draining, 3.0)
+        self.assertEqual(table.list_usable("models", 9.0), [])
+
+    def test_state_of_a_start_outlives_a_torn_registration(self) -> None:
+        """Guards against a pause that is forgotten with one entry."""
+        table = target_table.TargetTable()
+        own = _make_registration("i-1", started_at_ms=1000)
+        table.put(own, 0.0)
+        table.targets["i-1"].paused_until = 60.0
+        table.put(_make_registration("i-1", started_at_ms=None), 1.0)
+        self.assertFalse(table.put(own, 2.0))
+        self.assertEqual(table.list_usable("models", 9.0), [])
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(_CHANGES)
+    def test_all_indexes_hold_what_the_last_registration_said(
+        self, changes: list[target_table.Registration | str]
+    ) -> None:
+        """Guards against targets that one index has and another hasn't."""
+        table = target_table.TargetTable()
+        expected: dict[str, target_table.Registration] = {}
+        for number, change in enumerate(changes):
+            if isinstance(change, str):
+                table.remove(change)
+                expected.pop(change, None)
+            else:
+                table.put(change, float(number))
+                expected[change.id] = change
+            self.check(table, expected)
+
+    def check(
+        self,
+        table: target_table.TargetTable,
+        expected: dict[str, target_table.Registration],
+    ) -> None:
+        """Checks each index against the last registrations."""
+        known = {key: item.registration for key, item in table.targets.items()}
+        self.assertEqual(known, expected)
+        self.assertFalse(any(item.is_gone for item in table.targets.values()))
+        for service in ("models", "plain"):
+            listed = [item.id for item in table.list_registered(service)]
+            wanted = [
+                key for key, item in expected.items() if item.service == service
+            ]
+            self.assertEqual(sorted(listed), sorted(wanted))
+        owned = [
+            item.address
+            for key, item in expected.items()
+            if key not in table._owners.superseded
+        ]
+        # Each address has one owner.
+        self.assertEqual(
+            sorted(owned), sorted({item.address for item in expected.values()})
+        )
+
+
 class FormerTargetsTest(unittest.TestCase):
     """Targets whose registration ends and comes back."""
 
