--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -331,6 +331,20 @@
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
+    async def drain_target(
+        self, target: target_standin.Target, timeout_s: float
+    ) -> None:
+        """Lets a plain target drain; waits until all daemons know of it."""
+        entry = target.encode_entry("plain", state="draining", seq=2)
+        self.store.put("servers", target.id, entry)
+        await self.wait_for(
+            lambda: all(
+                item.state.targets.targets[target.id].registration.is_draining
+                for item in self.services
+            ),
+            timeout_s,
+        )
+
     async def wait_until_followed(self) -> None:
         """Waits until change feed calls of both tables wait at the store.
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -113,15 +113,7 @@
     async def check_service(self, daemon: int) -> None:
         """Checks that requests are served, and none by a drained target."""
         leaving = self.plain[0]
-        entry = leaving.encode_entry("plain", state="draining", seq=2)
-        self.store.put("servers", leaving.id, entry)
-        await self.wait_for(
-            lambda: all(
-                item.state.targets.targets[leaving.id].registration.is_draining
-                for item in self.services
-            ),
-            2.0,
-        )
+        await self.drain_target(leaving, 2.0)
         before = len(leaving.requests)
         for number in range(20):
             for path in ("/read", "/pay"):
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -33,16 +33,7 @@
     async def test_drain_is_seen_in_time(self) -> None:
         """Guards against a drain that is seen when a long call times out."""
         await self.silence_feeds()
-        leaving = self.plain[0]
-        entry = leaving.encode_entry("plain", state="draining", seq=2)
-        self.store.put("servers", leaving.id, entry)
-        await self.wait_for(
-            lambda: all(
-                item.state.targets.targets[leaving.id].registration.is_draining
-                for item in self.services
-            ),
-            _DRAIN_S,
-        )
+        await self.drain_target(self.plain[0], _DRAIN_S)
 
     async def test_removal_is_seen_in_time(self) -> None:
         """Guards against silence that passes for an outage of the store."""
