--- a/mothpass/adapters/event_log.py
+++ b/mothpass/adapters/event_log.py
@@ -19,6 +19,9 @@
     """Handler that writes records as JSON lines to a file descriptor.
 
     A record's message is the event name; its ``fields`` are added to the line.
+
+    Attributes:
+        dropped_lines: Lines that weren't written, since the start.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -35,11 +38,12 @@
         )
         self._dropped = 0
         self._last_line_is_partial = False
+        self.dropped_lines = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a line, or counts it as dropped."""
         if not self._bucket.try_take(time.monotonic()):
-            self._dropped += 1
+            self._count_dropped()
             return
         line: dict[str, object] = {
             "time": round(record.created, 3),
@@ -60,10 +64,16 @@
         try:
             written = os.write(self._descriptor, data)
         except BlockingIOError:
-            self._dropped += 1
+            self._count_dropped()
             return
+        self._dropped = 0
         self._last_line_is_partial = written < len(data)
-        self._dropped = 1 if self._last_line_is_partial else 0
+        if self._last_line_is_partial:
+            self._count_dropped()
+
+    def _count_dropped(self) -> None:
+        self._dropped += 1
+        self.dropped_lines += 1
 
 
 def start_logging(descriptor: int, level: int = logging.INFO) -> None:
@@ -73,6 +83,15 @@
     root.setLevel(level)
 
 
+def count_dropped_lines() -> int:
+    """Returns the number of lines that weren't written since the start."""
+    return sum(
+        handler.dropped_lines
+        for handler in logging.getLogger().handlers
+        if isinstance(handler, LineHandler)
+    )
+
+
 def log(
     logger: logging.Logger,
     event: str,
--- a/mothpass/platform/daemon.py
+++ b/mothpass/platform/daemon.py
@@ -141,7 +141,8 @@
     )
 
 
-async def _run(path: str, settings: settings_module.Settings) -> None:
+async def _run(path: str, settings: settings_module.Settings) -> bool:
+    """Runs the daemon; returns whether it was shut down gracefully."""
     pool = build_pool()
     store = build_store(settings, pool)
     service = build_service(settings, pool, store)
@@ -150,7 +151,7 @@
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     polling = loop.create_task(reloader.poll_file())
     try:
-        await service_module.run_until_stopped(service)
+        return await service_module.run_until_stopped(service)
     finally:
         polling.cancel()
 
@@ -167,8 +168,8 @@
         )
         return EXIT_SETTINGS
     try:
-        uvloop.run(_run(path, settings))
+        is_graceful = uvloop.run(_run(path, settings))
     except OSError as error:
         event_log.log(_logger, "not_started", logging.ERROR, reason=str(error))
         return EXIT_FAILED
-    return 0
+    return 0 if is_graceful else EXIT_FAILED
--- a/mothpass/relay/metrics.py
+++ b/mothpass/relay/metrics.py
@@ -29,6 +29,10 @@
         elif len(self._counters) < MAX_SERIES:
             self._counters[key] = amount
 
+    def set_count(self, name: str, value: int) -> None:
+        """Sets a counter that is kept elsewhere."""
+        self._counters[(name, ())] = value
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Adds a duration to a histogram."""
         key = (name, tuple(labels.items()))
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -506,6 +506,9 @@
     ) -> None:
         del head, body
         headers = ((b"content-type", b"text/plain"),)
+        self._metrics.set_count(
+            "log_lines_dropped", event_log.count_dropped_lines()
+        )
         client.write_response(200, headers, self._metrics.render())
 
 
@@ -519,12 +522,24 @@
     return settings_module.decode_settings(pathlib.Path(path).read_bytes())
 
 
-async def run_until_stopped(service: Service) -> None:
-    """Runs a daemon until SIGTERM or SIGINT, then shuts it down gracefully."""
+async def run_until_stopped(service: Service) -> bool:
+    """Runs a daemon until SIGTERM or SIGINT, then shuts it down gracefully.
+
+    Returns:
+        Whether the shutdown succeeded.
+
+    Raises:
+        OSError: If an address can't be bound.
+    """
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
     await service.start()
     await stop_requested.wait()
-    await service.stop()
+    try:
+        await service.stop()
+    except Exception:  # noqa: BLE001 - the process ends, whatever the error
+        _logger.exception("shutdown_failed")
+        return False
+    return True
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -1,5 +1,6 @@
 """Tests of the program as a process: settings, signals and logs."""
 
+import asyncio
 import gc
 import importlib
 import json
@@ -15,6 +16,7 @@
 from unittest import mock
 
 from mothpass.platform import __main__ as program
+from mothpass.relay import service as service_module
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _WAIT_S = 10.0
@@ -131,5 +133,23 @@
         self.wait_for_event("stopped")
 
 
+class ShutdownErrorTest(unittest.IsolatedAsyncioTestCase):
+    """A shutdown one of whose steps fails."""
+
+    async def test_error_of_a_shutdown_is_logged_as_such(self) -> None:
+        """Guards against shutdowns that end early for no known reason."""
+        service = mock.Mock()
+        service.start = mock.AsyncMock()
+        service.stop = mock.AsyncMock(side_effect=OSError("no space left"))
+        running = asyncio.ensure_future(
+            service_module.run_until_stopped(service)
+        )
+        await asyncio.sleep(0.05)
+        with self.assertLogs("mothpass.relay", "ERROR") as logs:
+            os.kill(os.getpid(), signal.SIGTERM)
+            self.assertFalse(await running)
+        self.assertEqual(logs.records[0].getMessage(), "shutdown_failed")
+
+
 if __name__ == "__main__":
     unittest.main()
