Let no work fail as its log line can't be written

Cause: the log handler raised the error of its write. Each step of the shutdown logs, so that the first line, stopping, ended the shutdown and with it the process. A daemon whose log is on a full disk didn't start, and a request whose log line failed ended as an internal error.

Fix: the handler raises nothing, as those of the standard library; a line that isn't written is counted. That holds wherever something is logged. mothpassd logs over the standard library's handler.

--- a/mothpass/adapters/event_log.py
+++ b/mothpass/adapters/event_log.py
@@ -19,6 +19,7 @@
     """Handler that writes records as JSON lines to a file descriptor.
 
     A record's message is the event name; its ``fields`` are added to the line.
+    A line that can't be written is dropped: no work may fail for want of a log.
 
     Attributes:
         dropped_lines: Lines that weren't written, since the start.
@@ -45,6 +46,15 @@
         if not self._bucket.try_take(time.monotonic()):
             self._count_dropped()
             return
+        try:
+            self._write_line(self._encode(record))
+        except OSError:
+            self._count_dropped()
+        except Exception:  # noqa: BLE001 - such as fields that can't be encoded
+            self._count_dropped()
+            self.handleError(record)
+
+    def _encode(self, record: logging.LogRecord) -> bytes:
         line: dict[str, object] = {
             "time": round(record.created, 3),
             "level": record.levelname.lower(),
@@ -57,15 +67,13 @@
             )
         if self._dropped:
             line["lines_dropped"] = self._dropped
-        data = msgspec.json.encode(line) + b"\n"
+        return msgspec.json.encode(line) + b"\n"
+
+    def _write_line(self, data: bytes) -> None:
         if self._last_line_is_partial:
             # The rest of the previous line is lost; start a new line.
             data = b"\n" + data
-        try:
-            written = os.write(self._descriptor, data)
-        except BlockingIOError:
-            self._count_dropped()
-            return
+        written = os.write(self._descriptor, data)
         self._dropped = 0
         self._last_line_is_partial = written < len(data)
         if self._last_line_is_partial:
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import unittest
+from unittest import mock
 
 from mothpass.adapters import event_log
 
@@ -39,6 +40,22 @@
         self.assertEqual(line["lines_dropped"], 2)
         self.assertEqual(self.handler.dropped_lines, 2)
 
+    def test_line_that_nobody_reads_is_dropped(self) -> None:
+        """Guards against work that fails as its log line can't be written."""
+        os.close(self.reader)
+        self.emit("first")
+        self.assertEqual(self.handler.dropped_lines, 1)
+
+    def test_line_that_can_not_be_encoded_is_dropped(self) -> None:
+        """Guards against work that fails for a field of its log line."""
+        self.addCleanup(os.close, self.reader)
+        with mock.patch.object(self.handler, "handleError") as handle_error:
+            self.emit("first", reason=OSError("x"))
+        handle_error.assert_called_once()
+        self.emit("second")
+        line = json.loads(os.read(self.reader, 65_536))
+        self.assertEqual(line["lines_dropped"], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
