Show that bytes behind a request cut the stream of its answer

A client that sends an empty line or a part of its next head while a stream runs starts the header timeout, which closes the connection under the stream. A part of a head that comes behind a queued request is left without any timeout.

--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -152,3 +152,61 @@
         await self.send_request("POST", "/pay/1", body=body)
         await self.send_request("GET", "/read/after")
         self.assertEqual(seen, [body, b"/read/after"])
+
+
+class BytesDuringAnswersTest(fleet.FleetTest):
+    """Bytes that clients send while an answer is being written.
+
+    The document gives a head 0.5 s to arrive.
+    """
+
+    async def start_stream(self, events: int = 10) -> wire.Client:
+        """Returns the connection of a client that gets an event per 0.1 s."""
+        for target in self.models:
+            target.answer = target_standin.stream(events, pause_s=0.1)
+        client = await wire.Client.connect(self.addresses[0])
+        self.addCleanup(client.close)
+        client.send("POST", "/chat/1", self.make_chat_headers(), b"hi")
+        await client.read_head()
+        return client
+
+    async def read_events(self, client: wire.Client) -> int:
+        """Reads a stream; returns its number of events, -1 if it is cut."""
+        events = 0
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while await client.read_event():
+                events += 1
+            return events
+        return -1
+
+    async def test_empty_line_after_a_request_does_not_cut_its_stream(
+        self,
+    ) -> None:
+        """Guards against the header timeout in the middle of an answer."""
+        client = await self.start_stream()
+        client.write(b"\r\n")
+        self.assertEqual(await self.read_events(client), 10)
+        client.send("GET", "/read/1", self.make_headers())
+        answer = await client.read()
+        self.assertEqual((answer.status, answer.is_whole), (200, True))
+
+    async def test_part_of_the_next_head_does_not_cut_a_stream(self) -> None:
+        """Guards against the header timeout in the middle of an answer."""
+        client = await self.start_stream()
+        client.write(b"GET /read/1 HTTP/1.1\r\nHo")
+        self.assertEqual(await self.read_events(client), 10)
+        self.assertFalse(await client.is_closed(timeout_s=0.2))
+        self.assertTrue(await client.is_closed(timeout_s=1.5))
+
+    async def test_part_of_a_head_behind_a_queued_request_times_out(
+        self,
+    ) -> None:
+        """Guards against connections without a timeout."""
+        client = await self.start_stream(events=3)
+        client.send("GET", "/read/1", self.make_headers())
+        await asyncio.sleep(0.1)
+        client.write(b"GET /read/2 HTTP/1.1\r\nHo")
+        self.assertEqual(await self.read_events(client), 3)
+        answer = await client.read()
+        self.assertEqual((answer.status, answer.is_whole), (200, True))
+        self.assertTrue(await client.is_closed(timeout_s=1.5))
