Bound a head that begins during an answer from the answer's end

Callers saw: a stream was cut, with its status given, at the header timeout after its client had sent an empty line behind the request's body, or a part of its next head. A part of a head behind a queued request held its connection without any timeout.

Cause: the header timeout started with the first byte of a head, whatever was in progress on the connection, and closed the connection when it was over. The next request's start stopped it for good.

Evidence: the three tests of tests.platform.test_connections.BytesDuringAnswersTest failed on the code before, and pass.

Fix: while a request is in progress, no header timeout runs. It starts at the end of the last answer if a head has begun by then.

--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -195,7 +195,7 @@
         """Parses received bytes and rejects malformed or oversized requests."""
         if self._rejection is not None:
             return
-        if not self._head_bytes and self._in_head:
+        if not self._head_bytes and self._in_head and self._task is None:
             self._start_header_timer()
         if self._in_head:
             self._head_bytes += len(data)
@@ -408,6 +408,9 @@
             self.close()
         elif not self._head_bytes:
             self._start_timer(self._state.find_limits().idle_timeout_s)
+        elif self._in_head and self._timer is None:
+            # The head began during the last answer.
+            self._start_header_timer()
 
     async def _serve(self, head: relay.ClientHead, body: bytes) -> None:
         try:
