Probe targets in turn, so that a lost path is known after two probes

Callers saw: a daemon that had lost its path to a service's targets could go on for more than 5 s without knowing it. Meanwhile requests were sent to targets first and waited for connections that couldn't be opened, and peers weren't told.

Cause: each probe drew one of all targets at random. A path counts as lost once two targets are out of reach, so that draws of the one that had failed already showed nothing, for any number of probes. Nor did they tell a crashed target from the path, or find out that all targets had been tried.

Fix: a probe goes to a target without a failed connection, at random so that daemons spread, else to the one that failed the longest ago. Two probes meet two targets, n probes meet n.

--- a/mothpass/core/target_paths.py
+++ b/mothpass/core/target_paths.py
@@ -99,6 +99,37 @@
             and connected_at < attempted_at
         )
 
+    def pick_to_probe(
+        self,
+        service: str,
+        target_ids: abc.Collection[str],
+        *,
+        random: random_module.Random,
+    ) -> str:
+        """Returns the id of the target whose failure is the longest ago.
+
+        Targets without a failed connection go first, in random order, so that
+        daemons don't probe the same one.
+
+        Args:
+            service: Name of the service.
+            target_ids: Ids of its targets, at least one.
+            random: Source of randomness.
+        """
+        failed_at = self._failed_at.get(service, {})
+        failures = {
+            target_id: failed_at.get(target_id, float("-inf"))
+            for target_id in target_ids
+        }
+        oldest = min(failures.values())
+        return random.choice(
+            [
+                target_id
+                for target_id, failure in failures.items()
+                if failure == oldest
+            ]
+        )
+
     def has_connected_since(self, service: str, since: float) -> bool:
         """Returns whether a connection was opened since a time."""
         return self._connected_at.get(service, float("-inf")) >= since
--- a/mothpass/relay/path_probes.py
+++ b/mothpass/relay/path_probes.py
@@ -117,7 +117,12 @@
             while True:
                 targets = self._targets.list_registered(service)
                 if targets:
-                    await self._probe(self._random.choice(targets))
+                    target_id = self.paths.pick_to_probe(
+                        service,
+                        [item.id for item in targets],
+                        random=self._random,
+                    )
+                    await self._probe(self._targets.targets[target_id])
                 if not self.paths.is_suspected(service, loop.time()):
                     return
                 await asyncio.sleep(PROBE_INTERVAL_S)
