Show that a shutdown drops a whole request behind an answer

Two requests come over one connection, both whole before the SIGTERM; the first is answered after it. That answer says Connection: close, and the second request, read long before, ends without one.

--- a/tests/platform/test_shutdowns.py
+++ b/tests/platform/test_shutdowns.py
@@ -64,6 +64,26 @@
         self.assertTrue(await client.is_closed())
         await stopping
 
+    async def test_request_read_before_an_answer_begins_is_answered(
+        self,
+    ) -> None:
+        """Guards against whole requests that end without an answer."""
+        for target in self.models:
+            target.answer = target_standin.stream(2, first_s=0.6)
+        client = await wire.Client.connect(self.addresses[0])
+        self.addCleanup(client.close)
+        client.send("POST", "/chat/1", self.make_chat_headers(), b"hi")
+        client.send("GET", "/read/1", self.make_headers())
+        await self.wait_for(lambda: any(item.runs for item in self.models))
+        stopping = self.stop()
+        first = await client.read()
+        self.assertEqual((first.status, first.is_whole), (200, True))
+        second = await client.read()
+        self.assertEqual((second.status, second.is_whole), (200, True))
+        self.assertEqual(second.headers["connection"], "close")
+        self.assertTrue(await client.is_closed())
+        await stopping
+
     async def test_long_request_after_the_handover_is_turned_away(self) -> None:
         """Guards against requests that are taken and cut at the end."""
         client = await wire.Client.connect(self.addresses[0])
