Answer what was read before an answer begins in a shutdown

Callers saw: two requests came over one connection, both whole before the SIGTERM. The first was answered after it, and the connection closed without an answer to the second (LOST: a process had read it whole).

Cause: the head of the first answer said Connection: close as the daemon shut down, though another request was queued behind it, and a connection that has said so drops its queue.

Evidence: test_request_read_before_an_answer_begins_is_answered of tests.platform.test_shutdowns failed on the code before, and passes.

Fix: in a shutdown the answer that finds no request queued says Connection: close.

--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -334,7 +334,8 @@
     def _encode_head(
         self, status: int, headers: abc.Iterable[relay.Header]
     ) -> bytes:
-        self._keep_alive = self._keep_alive and not self._state.is_closing
+        if self._state.is_closing and not self._queued:
+            self._keep_alive = False
         try:
             phrase = http.HTTPStatus(status).phrase.encode()
         except ValueError:
