--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -13,7 +13,8 @@
 TEAM = "victoria-harbour"
 TEAM_KEY = "victoria-harbour-test-key"
 ZONES = ("bc-west-a", "bc-west-b")
-_OPERATOR_TOKEN = "operator-token-of-the-tests"
+PEER_KEY = "secret-of-the-daemons-in-tests"
+OPERATOR_TOKEN = "operator-token-of-the-tests"
 _REGION = "bc-west"
 _SILENCE_TIMEOUT_MS = 300
 _COLD_IN_FLIGHT = 4
@@ -39,6 +40,7 @@
 
     __slots__ = (
         "_operator_addresses",
+        "_peer_addresses",
         "_ready_daemons",
         "daemons",
         "members",
@@ -63,6 +65,7 @@
         self.daemons: dict[str, processes.Process] = {}
         self.targets: dict[str, processes.Process] = {}
         self._operator_addresses: dict[str, str] = {}
+        self._peer_addresses: dict[str, str] = {}
         self._ready_daemons: set[str] = set()
 
     def add_engine(
@@ -92,14 +95,47 @@
         """Starts a service that registers itself."""
         return self._add_target("service", name, zone, {"serves": [SERVICE]})
 
-    def add_daemon(self, name: str, zone: int = 0) -> processes.Process:
-        """Starts a daemon."""
+    def add_daemon(
+        self,
+        name: str,
+        zone: int = 0,
+        *,
+        changes: dict[str, dict[str, object]] | None = None,
+        max_descriptors: int | None = None,
+        log: int | None = None,
+    ) -> processes.Process:
+        """Starts a daemon.
+
+        Args:
+            name: Instance id.
+            zone: Index of its availability zone.
+            changes: Settings that extend those of the tests, by section.
+            max_descriptors: Most descriptors that it may open, None for the
+                limit of the tests.
+            log: Descriptor of its log, None for a file.
+
+        Returns:
+            Its process.
+        """
         settings = self._build_settings(name, zone)
-        process = self.started.launch_daemon(settings)
+        for section, fields in (changes or {}).items():
+            settings[section] |= fields
+        process = self.started.launch_daemon(
+            settings, max_descriptors=max_descriptors, log=log
+        )
         self.daemons[name] = process
         self._operator_addresses[name] = settings["operators"]["address"]
+        self._peer_addresses[name] = settings["peers"]["address"]
         return process
 
+    def get_operator_address(self, daemon: str) -> str:
+        """Returns the address at which a daemon listens for operators."""
+        return self._operator_addresses[daemon]
+
+    def get_peer_address(self, daemon: str) -> str:
+        """Returns the address at which a daemon listens for its peers."""
+        return self._peer_addresses[daemon]
+
     def wait_ready(self) -> None:
         """Waits until all new daemons are ready and know all targets.
 
@@ -123,7 +159,7 @@
     ) -> http_calls.Answer:
         """Sends an operator's request to a daemon."""
         body = None if document is None else json.dumps(document).encode()
-        headers = {"Authorization": f"Bearer {_OPERATOR_TOKEN}"}
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
         return http_calls.call(
             self._operator_addresses[daemon], method, path, body, headers
         )
@@ -199,11 +235,11 @@
             "callers": {"address": processes.find_free_address()},
             "operators": {
                 "address": processes.find_free_address(),
-                "token_sha256": [_hash(_OPERATOR_TOKEN)],
+                "token_sha256": [_hash(OPERATOR_TOKEN)],
             },
             "peers": {
                 "address": processes.find_free_address(),
-                "key": "secret-of-the-daemons-in-tests",
+                "key": PEER_KEY,
                 "tick_ms": 100,
             },
             "platform": {
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -154,11 +154,20 @@
             name, known_address, _STANDIN, kind, "--config", str(path)
         )
 
-    def launch_daemon(self, settings: dict[str, typing.Any]) -> Process:
+    def launch_daemon(
+        self,
+        settings: dict[str, typing.Any],
+        *,
+        max_descriptors: int | None = None,
+        log: int | None = None,
+    ) -> Process:
         """Starts a daemon without waiting until it is ready.
 
         Args:
             settings: Complete settings of the daemon.
+            max_descriptors: Most descriptors that it may open, None for the
+                limit of this process.
+            log: Descriptor of its standard error, None for a file.
 
         Returns:
             The process with the address of its listener for clients.
@@ -166,7 +175,14 @@
         name = str(settings["instance"]["id"])
         path = self.write_document(f"{name}-{len(self._started)}", settings)
         address = str(settings["callers"]["address"])
-        return self._start(name, address, _DAEMON, str(path))
+        return self._start(
+            name,
+            address,
+            _DAEMON,
+            str(path),
+            max_descriptors=max_descriptors,
+            log_descriptor=log,
+        )
 
     def write_document(self, name: str, document: object) -> pathlib.Path:
         """Writes a JSON file to the folder and returns its path."""
@@ -175,16 +191,26 @@
         return path
 
     def _start(
-        self, name: str, address: str | None, module: str, *arguments: str
+        self,
+        name: str,
+        address: str | None,
+        module: str,
+        *arguments: str,
+        max_descriptors: int | None = None,
+        log_descriptor: int | None = None,
     ) -> Process:
+        command = [sys.executable, "-m", module, *arguments]
+        if max_descriptors is not None:
+            limit = f'ulimit -n {max_descriptors} && exec "$@"'
+            command = ["sh", "-c", limit, "sh", *command]
         log = self.folder / f"{name}-{len(self._started)}.log"
         with log.open("w", encoding="utf-8") as stream:
             popen = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
+                command,
                 cwd=_ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
-                stderr=stream,
+                stderr=stream if log_descriptor is None else log_descriptor,
                 text=True,
             )
         process = Process(name=name, popen=popen, log=log, address=address)
