Let mothpassd drop log lines that it can't write at once

What callers saw: no answers from a daemon whose log is a pipe that nobody reads.

Cause: the handler of the standard library writes to standard error in blocking mode, on the event loop. A full pipe stops the loop.

Fix: mothpassd logs over the handler of the relay, whose writes don't block; it counts what it drops and the next line tells the number.

--- a/mothpass/adapters/event_log.py
+++ b/mothpass/adapters/event_log.py
@@ -18,24 +18,29 @@
 class LineHandler(logging.Handler):
     """Handler that writes records as JSON lines to a file descriptor.
 
-    A record's message is the event name; its ``fields`` are added to the line.
+    Without a formatter, a record's message is the event name, and its
+    ``fields`` are added to the line. A formatter finds the number of lines that
+    were dropped before a record in its ``lines_dropped``.
     A line that can't be written is dropped: no work may fail for want of a log.
 
     Attributes:
         dropped_lines: Lines that weren't written, since the start.
     """
 
-    def __init__(self, descriptor: int) -> None:
+    def __init__(
+        self, descriptor: int, *, max_lines_per_s: float = MAX_LINES_PER_S
+    ) -> None:
         """Sets the descriptor to non-blocking mode.
 
         Args:
             descriptor: Open file descriptor, such as that of standard output.
+            max_lines_per_s: Lines above this rate are dropped.
         """
         super().__init__()
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._bucket = buckets.TokenBucket(
-            rate=MAX_LINES_PER_S, burst=MAX_BURST_LINES, now=time.monotonic()
+            rate=max_lines_per_s, burst=MAX_BURST_LINES, now=time.monotonic()
         )
         self._dropped = 0
         self._last_line_is_partial = False
@@ -55,6 +60,9 @@
             self.handleError(record)
 
     def _encode(self, record: logging.LogRecord) -> bytes:
+        if self.formatter is not None:
+            record.lines_dropped = self._dropped or None
+            return self.format(record).encode() + b"\n"
         line: dict[str, object] = {
             "time": round(record.created, 3),
             "level": record.levelname.lower(),
--- a/mothpass/daemon/telemetry.py
+++ b/mothpass/daemon/telemetry.py
@@ -8,6 +8,7 @@
 import msgspec
 import statsd
 
+from mothpass.adapters import event_log
 from mothpass.core import results
 from mothpass.daemon import settings
 from mothpass.daemon import status_page
@@ -26,7 +27,10 @@
     "ms",
     "attempts",
     "detail",
+    "lines_dropped",
 )
+# A daemon logs a line for each request, and handles hundreds a second.
+MAX_LINES_PER_S = 2000.0
 
 
 class JsonFormatter(logging.Formatter):
@@ -52,10 +56,14 @@
 def start_logging(level: str) -> None:
     """Writes all logs to standard error as JSON lines.
 
+    A line that can't be written is dropped; the daemon never waits for its log.
+
     Args:
         level: Minimum level that is logged, as in the settings.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = event_log.LineHandler(
+        sys.stderr.fileno(), max_lines_per_s=MAX_LINES_PER_S
+    )
     handler.setFormatter(JsonFormatter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
 
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from mothpass.adapters import event_log
+from mothpass.daemon import telemetry
 
 
 class LineHandlerTest(unittest.TestCase):
@@ -46,6 +47,22 @@
         self.emit("first")
         self.assertEqual(self.handler.dropped_lines, 1)
 
+    def test_formatter_finds_the_number_of_dropped_lines(self) -> None:
+        """Guards against lines of a formatter that are lost unseen."""
+        self.addCleanup(os.close, self.reader)
+        self.handler.setFormatter(telemetry.JsonFormatter())
+        with self.assertRaises(BlockingIOError):
+            while True:
+                os.write(self.writer, b"x" * 65_536)
+        self.emit("first")
+        os.set_blocking(self.reader, False)
+        with self.assertRaises(BlockingIOError):
+            while True:
+                os.read(self.reader, 65_536)
+        self.emit("second")
+        line = json.loads(os.read(self.reader, 65_536))
+        self.assertEqual((line["event"], line["lines_dropped"]), ("second", 1))
+
     def test_line_that_can_not_be_encoded_is_dropped(self) -> None:
         """Guards against work that fails for a field of its log line."""
         self.addCleanup(os.close, self.reader)
