Show that a version in a dropped history isn't known as another one

Both tests make the last daemon one that has run for long: a young one reads the memory of streams in the store, which names v2, and passes. No product code changes.

--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -57,6 +57,7 @@
         self.waiting_calls: list[str] = []
         self._rows: dict[tuple[str, str], Row] = {}
         self._changes: list[tuple[str, Row]] = []
+        self._dropped_version = 0
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
         self._servers: list[asyncio.Server] = []
@@ -107,6 +108,10 @@
             table, {**row, "ver": self.version, "removed": True}
         )
 
+    def drop_history(self) -> None:
+        """Drops all changes up to now; feed calls that need them get 410."""
+        self._dropped_version = self.version
+
     def restore(self, version: int) -> None:
         """Comes back from a copy that was taken at an earlier version.
 
@@ -206,6 +211,8 @@
     ) -> tuple[int, dict[str, object]]:
         loop = asyncio.get_running_loop()
         until = loop.time() + int(query["waitMs"]) / 1000
+        if int(query["after"]) < self._dropped_version:
+            return 410, {}
         while True:
             if int(query["after"]) > self.version:
                 return 410, {}
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -450,6 +450,21 @@
 
     async def test_version_that_came_and_went_unseen_is_no_other(self) -> None:
         """Guards against a stream of a version that only others have seen."""
+        await self.check_unseen_version(drops_history=False)
+
+    async def test_version_of_a_dropped_history_is_no_other(self) -> None:
+        """Guards against the same where the store has dropped its removal."""
+        await self.check_unseen_version(drops_history=True)
+        self.assertIn("/-/rows-get", self.endpoint.calls)
+
+    async def check_unseen_version(self, *, drops_history: bool) -> None:
+        """Takes a stream up whose version came and went during a cut-off.
+
+        Args:
+            drops_history: Whether the store drops its history by then.
+        """
+        # A daemon that has run for long reads no memory of earlier ones.
+        self.services[2]._stream_memory._started_at = float("-inf")
         self.cut_off_from_store()
         self.cut_off_from_peers()
         joined = await self.add_target("models", "v2")
@@ -457,6 +472,9 @@
             lambda: joined.id in self.services[0].state.targets.targets
         )
         self.store.remove("servers", joined.id)
+        if drops_history:
+            self.store.drop_history()
+        self.endpoint.calls.clear()
         self.endpoint.is_silent = False
         # The last daemon reads the store again.
         last = self.services[2].fleet_sync
