Complete no response that was given up by the close of its connection

Cause: a body without a length ends with its connection, and the close by this side counted as that end too: a response given up after a flood of interim responses was complete after all, with the bytes at hand.

Evidence: test_abandoned_response_is_not_completed_by_the_close failed before.

Fix: a failed exchange stays failed, whatever the connection does next.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -183,8 +183,9 @@
             self._pause_reading()
 
     def mark_complete(self) -> None:
-        """Marks the response as complete."""
-        self.complete = True
+        """Marks the response as complete, unless the exchange has failed."""
+        if self._failure is None:
+            self.complete = True
 
     def record_progress(self) -> None:
         """Restarts the silence timeout after bytes have arrived.
--- /dev/null
+++ b/tests/test_http_exchanges.py
@@ -0,0 +1,122 @@
+"""Tests of which responses of a target count as whole."""
+
+import asyncio
+import typing
+import unittest
+
+from mothpass.adapters import http_exchanges
+
+_HEAD = b"HTTP/1.1 200 OK\r\nServer-Seal: x\r\n"
+_CHUNKED_BODY = b"\r\n4\r\ndone\r\n0\r\n\r\n"
+
+
+class _Transport:
+    """Transport of a connection to a target that only listens."""
+
+    def __init__(self) -> None:
+        self._is_closing = False
+
+    def write(self, data: bytes) -> None:
+        del data
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return self._is_closing
+
+    def abort(self) -> None:
+        self._is_closing = True
+
+
+class WholeResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Responses that end with a clean close of the connection."""
+
+    def receive(self, data: bytes) -> http_exchanges.Exchange:
+        """Returns the exchange after a target has sent bytes and closed."""
+        loop = asyncio.get_running_loop()
+        connection = http_exchanges.Connection(loop=loop)
+        connection.connection_made(typing.cast(asyncio.Transport, _Transport()))
+        exchange = connection.send(
+            b"", silence_ms=None, deadline=loop.time() + 60
+        )
+        self.addCleanup(exchange.close)
+        connection.data_received(data)
+        if connection.is_open():
+            connection.eof_received()
+        connection.connection_lost(None)
+        return exchange
+
+    async def test_framed_response_cut_at_any_byte_is_not_whole(self) -> None:
+        """Guards against a head or body that a close makes whole."""
+        for response in (
+            _HEAD + b"Content-Length: 4\r\n\r\ndone",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nSeal: x\r\n\r\ndone",
+            b"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+            _HEAD + b"Transfer-Encoding: chunked\r\n" + _CHUNKED_BODY,
+            _HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\n0\r\nTrailer: x\r\n\r\n",
+            b"HTTP/1.1 103 Early Hints\r\n\r\n"
+            + _HEAD
+            + b"Content-Length: 4\r\n\r\ndone",
+        ):
+            for size in range(1, len(response)):
+                with self.subTest(cut=response[:size]):
+                    self.assertFalse(self.receive(response[:size]).complete)
+            self.assertTrue(self.receive(response).complete)
+
+    async def test_unframed_response_cut_within_its_head_is_not_whole(
+        self,
+    ) -> None:
+        """Guards against a head without its end that counts as an answer."""
+        head = _HEAD + b"Content-Type: text/plain\r\n\r\n"
+        for size in range(1, len(head)):
+            with self.subTest(cut=head[:size]):
+                exchange = self.receive(head[:size])
+                self.assertEqual((exchange.status, exchange.complete), (0, 0))
+        self.assertTrue(self.receive(head).complete)
+
+    async def test_damaged_head_is_no_response(self) -> None:
+        """Guards against a length that is guessed."""
+        for fields in (
+            b"Content-Length: 8\r\n 00\r\n\r\n12345678",
+            b"Content-Length: 4\r\nContent-Length: 4\r\n\r\ndone",
+            b"Content-Length: 4\r\nContent-Length: 8\r\n\r\ndone",
+            b"Content-Length: 4, 4\r\n\r\ndone",
+            b"Content-Length: +4\r\n\r\ndone",
+            b"Content-Length: -4\r\n\r\ndone",
+            b"Content-Length: 4x\r\n\r\ndone",
+            b"Content-Length:\r\n\r\ndone",
+            b"Content-Length : 4\r\n\r\ndone",
+            b"Content-Length: 99999999999999999999999\r\n\r\ndone",
+            b"Content-Len\r\n\r\ndone",
+            b"Content-Length: 4\n\ndone",
+            b"\ndone",
+            b"\rdone",
+            b"Odd: a\r\n b\r\n\r\ndone",
+            b"Odd: a\0b\r\n\r\ndone",
+            b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+            + _CHUNKED_BODY,
+            b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n"
+            + _CHUNKED_BODY,
+            b"Transfer-Encoding:\r\n\r\ndone",
+        ):
+            with self.subTest(fields=fields):
+                exchange = self.receive(_HEAD + fields)
+                self.assertEqual((exchange.status, exchange.complete), (0, 0))
+
+    async def test_abandoned_response_is_not_completed_by_the_close(
+        self,
+    ) -> None:
+        """Guards against a part of a body that this side has cut off."""
+        interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        count = http_exchanges.MAX_OVERHEAD_BYTES // len(interim) + 9
+        exchange = self.receive(interim * count + _HEAD + b"\r\na part")
+        self.assertFalse(exchange.complete)
+
+
+if __name__ == "__main__":
+    unittest.main()
