Take no answer whose transfer coding isn't known

Cause: anything but chunks counted as a body that ends with the connection.

Evidence: test_unknown_transfer_coding_is_no_response failed before for all of its seven headers.

Fix: a response is in chunks or has no transfer coding; any other is lost.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -404,6 +404,12 @@
         if not self._accepts_response(status, self._headers):
             self._skips_message = True
             return
+        if not _is_transfer_coding_known(self._headers):
+            self._skips_message = True
+            exchange.fail(
+                errors.TargetAnswerLostError("unknown transfer coding")
+            )
+            return
         exchange.headers = dict(self._headers)
         exchange.header_list = self._headers
         exchange.set_status(status)
@@ -443,8 +449,20 @@
             callback()
 
 
+def _is_transfer_coding_known(headers: list[tuple[bytes, bytes]]) -> bool:
+    """Returns whether a body is sent as it is or in chunks."""
+    codings = [
+        value.strip().lower()
+        for name, value in headers
+        if name == b"transfer-encoding"
+    ]
+    return codings in ([], [b"chunked"])
+
+
 def _is_read_until_close(status: int, headers: dict[bytes, bytes]) -> bool:
     """Returns whether a response has neither a length nor chunks."""
-    if status in _BODILESS_STATUSES or b"content-length" in headers:
-        return False
-    return b"chunked" not in headers.get(b"transfer-encoding", b"").lower()
+    return (
+        status not in _BODILESS_STATUSES
+        and b"content-length" not in headers
+        and b"transfer-encoding" not in headers
+    )
--- a/tests/test_http_exchanges.py
+++ b/tests/test_http_exchanges.py
@@ -108,6 +108,24 @@
                 exchange = self.receive(_HEAD + fields)
                 self.assertEqual((exchange.status, exchange.complete), (0, 0))
 
+    async def test_unknown_transfer_coding_is_no_response(self) -> None:
+        """Guards against encoded bytes that pass for the body."""
+        for codings in (
+            [b"gzip"],
+            [b"chunke"],
+            [b"xchunked"],
+            [b"gzip, chunked"],
+            [b"chunked, gzip"],
+            [b"gzip", b"chunked"],
+            [b"chunked", b"gzip"],
+        ):
+            fields = b"".join(
+                b"Transfer-Encoding: %s\r\n" % item for item in codings
+            )
+            with self.subTest(codings=codings):
+                exchange = self.receive(_HEAD + fields + _CHUNKED_BODY)
+                self.assertEqual((exchange.status, exchange.complete), (0, 0))
+
     async def test_abandoned_response_is_not_completed_by_the_close(
         self,
     ) -> None:
