Send the events in front of a gap before a run is given up

Cause: the events of one read advanced the position one by one; a skipped id then gave up the run, and with it the bytes of the events in front of it. The next run went on behind events that the client never got.

Evidence: test_events_before_a_gap_are_not_lost failed before: one read with events 0 and 3, and a stream without event 0, ended as whole.

Fix: the events up to the gap are sent, then the run is given up, so that the position is always that of the last event sent.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -318,7 +318,7 @@
                 last_event_at = exchange.last_byte_at
             else:
                 _check_event_in_time(attempt, exchange, last_event_at)
-            data = _take_new_events(events, delivery)
+            data, failure = _take_new_events(events, delivery)
             if data:
                 # The client may disconnect, and the stream be taken up
                 # elsewhere, while the write is pending.
@@ -326,6 +326,8 @@
                 _start_stream(head, delivery)
                 delivery.record_sent()
                 await delivery.client.write_chunk(data)
+            if failure is not None:
+                raise failure
             if is_last:
                 break
         if splitter.has_partial_event or exchange.read_until_close:
@@ -359,25 +361,32 @@
 
 def _take_new_events(
     events: list[server_sent_events.Event], delivery: Delivery
-) -> bytes:
-    """Returns the events that are new to the client; advances its position.
+) -> tuple[bytes, errors.TargetAnswerLostError | None]:
+    """Takes the events that are new to the client; advances its position.
 
-    Raises:
-        errors.TargetAnswerLostError: If an event id is skipped.
+    Args:
+        events: Events of a run, in order.
+        delivery: State of the answer.
+
+    Returns:
+        The bytes for the client, and the failure if nothing that follows them
+        belongs to the stream.
     """
-    new_events = []
+    new_events: list[bytes] = []
+    failure = None
     for event in events:
         if event.id is not None:
             last_id = delivery.position
             if last_id is not None and event.id <= last_id:
                 continue
             if last_id is not None and event.id != last_id + 1:
-                raise errors.TargetAnswerLostError(
-                    f"event {event.id} follows event {last_id}"
-                )
+                failure = f"event {event.id} follows event {last_id}"
+                break
             delivery.position = event.id
         new_events.append(event.data)
-    return b"".join(new_events)
+    return b"".join(new_events), (
+        None if failure is None else errors.TargetAnswerLostError(failure)
+    )
 
 
 def _classify_failure(head: relay.AnswerHead) -> End | None:
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -196,6 +196,59 @@
     return run
 
 
+def stream_text(
+    *pieces: bytes, is_whole: bool = True, is_signed: bool = True
+) -> Script:
+    """Returns a script that answers with a stream of any bytes.
+
+    Args:
+        *pieces: Chunks of the stream.
+        is_whole: Whether the stream gets its end, or is reset.
+        is_signed: Whether its head has the signature.
+    """
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        target.runs.append(request.headers["attempt-id"])
+        headers = make_headers(request) | {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        if not is_signed:
+            del headers["Server-Seal"]
+        writer.write(wire.encode_head(200, headers))
+        for piece in pieces:
+            wire.write_chunk(writer, piece)
+        if is_whole:
+            wire.write_chunk(writer, b"")
+        else:
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+
+    return run
+
+
+def close_after(head: bytes) -> Script:
+    """Returns a script that sends bytes and closes the connection cleanly.
+
+    Args:
+        head: The bytes, ``ID`` in place of the request's id.
+    """
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        request_id = request.headers["attempt-id"]
+        target.runs.append(request_id)
+        writer.write(head.replace(b"ID", request_id.encode()))
+        await writer.drain()
+        writer.close()
+
+    return run
+
+
 def silence_stream(events: int) -> Script:
     """Returns a script that stops sending after events."""
 
--- /dev/null
+++ b/tests/test_answer_delivery.py
@@ -0,0 +1,149 @@
+"""Tests of what an attempt delivers of a target's answer."""
+
+import asyncio
+from collections import abc
+import unittest
+
+from mothpass.adapters import http_pool
+from mothpass.core import errors
+from mothpass.platform import targets
+from mothpass.ports import relay
+from mothpass.relay import attempts
+from tests.platform import target_standin
+
+
+class _Client:
+    """Client that keeps its answer."""
+
+    def __init__(self) -> None:
+        self.body = b""
+        self.is_whole = False
+        self.response_started = False
+
+    def write_response(
+        self, status: int, headers: abc.Iterable[relay.Header], body: bytes
+    ) -> None:
+        del status, headers
+        self.body = body
+        self.is_whole = True
+
+    def write_rejection(self, refusal: errors.Refusal) -> None:
+        raise AssertionError(refusal)
+
+    def start_stream(
+        self, status: int, headers: abc.Iterable[relay.Header]
+    ) -> None:
+        del status, headers
+        self.response_started = True
+
+    async def write_chunk(self, data: bytes) -> None:
+        self.body += data
+
+    def end_stream(self) -> None:
+        self.is_whole = True
+
+    def abort(self) -> None:
+        pass
+
+
+def make_events(start: int, end: int) -> bytes:
+    """Returns the events of a stream from one id up to another."""
+    return b"".join(
+        target_standin.make_event(number) for number in range(start, end)
+    )
+
+
+class StreamTest(unittest.IsolatedAsyncioTestCase):
+    """Streams of four events, by one or several attempts."""
+
+    async def asyncSetUp(self) -> None:
+        self.outcomes: list[attempts.Outcome] = []
+
+    async def deliver(
+        self,
+        *scripts: target_standin.Script,
+        position: int | None = None,
+    ) -> _Client:
+        """Returns the client after attempts at targets with these scripts."""
+        client = _Client()
+        delivery = attempts.Delivery(client=client, position=position)
+        pool = http_pool.ConnectionPool(connect_timeout_ms=1000)
+        sender = attempts.AttemptSender(
+            pool=pool, read_head=targets.read_answer_head
+        )
+        self.outcomes.clear()
+        for script in scripts:
+            target = target_standin.Target("i-1")
+            await target.open()
+            target.answer = script
+            outcome = await sender.send(
+                _make_attempt(target, delivery), delivery
+            )
+            target.close()
+            self.outcomes.append(outcome)
+            if outcome.end is attempts.End.DELIVERED:
+                break
+        return client
+
+    def check(
+        self, client: _Client, body: bytes, *, is_whole: bool = False
+    ) -> None:
+        """Checks what a client got."""
+        self.assertEqual((client.body, client.is_whole), (body, is_whole))
+
+    async def test_events_before_a_gap_are_not_lost(self) -> None:
+        """Guards against a missing event where a gap follows at once."""
+        client = await self.deliver(
+            target_standin.stream_text(make_events(0, 1) + make_events(3, 4)),
+            target_standin.stream(4),
+        )
+        self.check(client, make_events(0, 4), is_whole=True)
+        client = await self.deliver(
+            target_standin.break_stream(2),
+            target_standin.stream_text(make_events(2, 3) + make_events(4, 5)),
+            target_standin.stream(4),
+        )
+        self.check(client, make_events(0, 4), is_whole=True)
+
+
+def _make_attempt(
+    target: target_standin.Target,
+    delivery: attempts.Delivery,
+) -> attempts.Attempt:
+    deadline = asyncio.get_running_loop().time() + 10
+    position = b""
+    if delivery.position is not None:
+        position = b"Last-Event-Id: %d\r\n" % delivery.position
+    return attempts.Attempt(
+        request=relay.Request(
+            id="a1",
+            method=b"POST",
+            url=b"/chat/1",
+            host="shop.example",
+            headers=(),
+            body=b"",
+            api_key=None,
+            deadline=deadline,
+            prompt=(),
+            prompt_tokens=0,
+            position=delivery.position,
+            resumed_id=None,
+            arrived_at=0.0,
+        ),
+        address=target.address,
+        data=b"POST /chat/1 HTTP/1.1\r\nAttempt-Id: a1\r\n%s\r\n" % position,
+        deadline=deadline,
+        silence_timeout_s=None,
+        needs_new_connection=True,
+        max_idle_connections=0,
+        may_send=lambda: True,
+        on_connected=lambda _: None,
+        on_sent=lambda: None,
+        on_bytes=lambda _: None,
+        on_head=lambda _: None,
+        on_event=lambda _: None,
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
