Forward no stream that its target hasn't signed

Callers got a 200 without the target's signature, and events of an unsigned run behind those of a signed one (MIXED).

Cause: the signature was asked for on the way of answers with a plain body only.

Evidence: test_unsigned_stream_is_no_answer failed before.

Fix: an unsigned stream is lost before its first byte, as a plain 2xx is.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -267,6 +267,8 @@
         delivery: Delivery,
     ) -> Outcome:
         if head.status == 200 and _is_event_stream(head):
+            if not head.is_signed:
+                raise errors.TargetAnswerLostError("unsigned stream")
             return await self._forward_stream(attempt, exchange, head, delivery)
         body = await http_fetch.read_body(exchange)
         attempt.on_bytes(exchange.last_byte_at)
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -105,6 +105,14 @@
         )
         self.check(client, make_events(0, 4), is_whole=True)
 
+    async def test_unsigned_stream_is_no_answer(self) -> None:
+        """Guards against a success, or a rest, that no target has signed."""
+        script = target_standin.stream_text(make_events(0, 4), is_signed=False)
+        self.check(await self.deliver(script), b"")
+        rest = target_standin.stream_text(make_events(2, 4), is_signed=False)
+        client = await self.deliver(target_standin.break_stream(2), rest)
+        self.check(client, make_events(0, 2))
+
 
 def _make_attempt(
     target: target_standin.Target,
