Take nothing but an event stream as a success where one is due

Cause: a signed 200 without the type of an event stream counted as a plain answer, whatever the route; one without a length ends with its connection.

Fix: an attempt knows whether a stream is due; another 2xx is then lost, at a daemon and at a peer.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -124,6 +124,7 @@
         deadline: Monotonic seconds at which the attempt times out.
         silence_timeout_s: Time without a byte after which the attempt is
             abandoned; None to wait until the deadline.
+        expects_stream: Whether only an event stream is a success.
         needs_new_connection: Whether a pooled connection may not be reused.
         max_idle_connections: Idle connections that the pool may keep to the
             target.
@@ -142,6 +143,7 @@
     data: bytes
     deadline: float
     silence_timeout_s: float | None
+    expects_stream: bool
     needs_new_connection: bool
     max_idle_connections: int
     may_send: abc.Callable[[], bool]
@@ -285,7 +287,9 @@
         if delivery.is_streaming:
             # A started stream can only be resumed by another stream.
             return Outcome(end=End.BROKEN, reason=f"status {head.status}")
-        failure_end = _classify_failure(head)
+        failure_end = _classify_failure(
+            head, expects_stream=attempt.expects_stream
+        )
         if failure_end is not None:
             return Outcome(
                 end=failure_end,
@@ -391,11 +395,13 @@
     )
 
 
-def _classify_failure(head: relay.AnswerHead) -> End | None:
+def _classify_failure(
+    head: relay.AnswerHead, *, expects_stream: bool
+) -> End | None:
     """Returns the end of a failed attempt, None if the answer is delivered."""
     if head.execution_state is relay.ExecutionState.UNKNOWN:
         return End.LOST
-    if 200 <= head.status < 300 and not head.is_signed:
+    if 200 <= head.status < 300 and (expects_stream or not head.is_signed):
         return End.LOST
     return End.FAILED if head.status >= 500 else None
 
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -443,6 +443,7 @@
             silence_timeout_s=self._compute_silence_timeout(
                 admitted, progress, target
             ),
+            expects_stream=admitted.route.kind is route_table.Kind.STREAM,
             needs_new_connection=not admitted.route.is_retryable
             or progress.attempt_count > 0,
             max_idle_connections=self._compute_idle_share(admitted),
--- a/mothpass/relay/peer_forwarding.py
+++ b/mothpass/relay/peer_forwarding.py
@@ -15,6 +15,7 @@
 
 from mothpass.adapters import event_log
 from mothpass.core import results
+from mothpass.core import route_table
 from mothpass.core import target_paths
 from mothpass.relay import admission
 from mothpass.relay import attempts
@@ -128,6 +129,7 @@
             deadline=admitted.deadline + attempts.DEADLINE_MARGIN_S,
             # The peer detects silent targets.
             silence_timeout_s=None,
+            expects_stream=admitted.route.kind is route_table.Kind.STREAM,
             needs_new_connection=not admitted.route.is_retryable,
             max_idle_connections=MAX_IDLE_CONNECTIONS,
             may_send=lambda: True,
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -11,6 +11,12 @@
 from mothpass.relay import attempts
 from tests.platform import target_standin
 
+_SIGNED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: "
+    + target_standin.SIGNATURE.encode()
+    + b"\r\n"
+)
+
 
 class _Client:
     """Client that keeps its answer."""
@@ -63,6 +69,7 @@
         self,
         *scripts: target_standin.Script,
         position: int | None = None,
+        expects_stream: bool = True,
     ) -> _Client:
         """Returns the client after attempts at targets with these scripts."""
         client = _Client()
@@ -77,7 +84,7 @@
             await target.open()
             target.answer = script
             outcome = await sender.send(
-                _make_attempt(target, delivery), delivery
+                _make_attempt(target, delivery, expects_stream), delivery
             )
             target.close()
             self.outcomes.append(outcome)
@@ -113,10 +120,33 @@
         client = await self.deliver(target_standin.break_stream(2), rest)
         self.check(client, make_events(0, 2))
 
+    async def test_success_without_a_stream_is_none_where_one_is_due(
+        self,
+    ) -> None:
+        """Guards against an empty or short body in place of a stream."""
+        for rest in (
+            b"\r\n",
+            b"\r\nout of memory",
+            b"Content-Length: 4\r\n\r\ndone",
+            b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}",
+        ):
+            with self.subTest(rest=rest):
+                script = target_standin.close_after(_SIGNED_HEAD + rest)
+                self.check(await self.deliver(script), b"")
+                self.assertEqual(self.outcomes[-1].end, attempts.End.LOST)
+
+    async def test_body_may_end_with_its_connection(self) -> None:
+        """Guards against whole answers without a length that are refused."""
+        for body in (b"", b"done"):
+            script = target_standin.close_after(_SIGNED_HEAD + b"\r\n" + body)
+            client = await self.deliver(script, expects_stream=False)
+            self.check(client, body, is_whole=True)
+
 
 def _make_attempt(
     target: target_standin.Target,
     delivery: attempts.Delivery,
+    expects_stream: bool,
 ) -> attempts.Attempt:
     deadline = asyncio.get_running_loop().time() + 10
     position = b""
@@ -142,6 +172,7 @@
         data=b"POST /chat/1 HTTP/1.1\r\nAttempt-Id: a1\r\n%s\r\n" % position,
         deadline=deadline,
         silence_timeout_s=None,
+        expects_stream=expects_stream,
         needs_new_connection=True,
         max_idle_connections=0,
         may_send=lambda: True,
