Let a stream go on only with the next events

Cause: only events with an id were checked. What had none was passed on from any run, and the end of a run was the end of the stream though the run had shown no event of it.

Fix: behind events of another run, or that the client brings, an event needs the next id; comments are dropped. A rest needs one new event before its end counts. First runs are unchanged.

--- a/mothpass/core/server_sent_events.py
+++ b/mothpass/core/server_sent_events.py
@@ -17,6 +17,13 @@
     data: bytes
     id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether there is no field, so that receivers ignore it."""
+        return all(
+            not line or line.startswith(b":") for line in self.data.split(b"\n")
+        )
+
 
 class EventSplitter:
     """Splits received bytes into events and buffers an incomplete one."""
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -76,6 +76,7 @@
         client: Writes the answer to the client.
         position: Id of the last event sent to the client, None for none.
         is_streaming: Whether the head of a stream was sent.
+        is_numbered: Whether all events sent to the client have an id.
         first_byte_at: Monotonic seconds of the first bytes, None before.
         longest_gap_s: Longest pause between bytes sent to the client.
     """
@@ -84,6 +85,7 @@
         "_sent_at",
         "client",
         "first_byte_at",
+        "is_numbered",
         "is_streaming",
         "longest_gap_s",
         "position",
@@ -99,6 +101,7 @@
         self.client = client
         self.position = position
         self.is_streaming = False
+        self.is_numbered = True
         self.first_byte_at: float | None = None
         self.longest_gap_s = 0.0
         self._sent_at = 0.0
@@ -310,6 +313,9 @@
         delivery: Delivery,
     ) -> Outcome:
         splitter = server_sent_events.EventSplitter()
+        was_streaming = delivery.is_streaming
+        first_position = delivery.position
+        goes_on = was_streaming or first_position is not None
         last_event_at = exchange.last_byte_at
         while True:
             await exchange.wait_for_progress()
@@ -324,7 +330,7 @@
                 last_event_at = exchange.last_byte_at
             else:
                 _check_event_in_time(attempt, exchange, last_event_at)
-            data, failure = _take_new_events(events, delivery)
+            data, failure = _take_new_events(events, delivery, goes_on=goes_on)
             if data:
                 # The client may disconnect, and the stream be taken up
                 # elsewhere, while the write is pending.
@@ -338,6 +344,9 @@
                 break
         if splitter.has_partial_event or exchange.read_until_close:
             raise errors.TargetAnswerLostError("stream ended within an event")
+        if was_streaming and delivery.position == first_position:
+            # Nothing shows that this run knows where the stream ends.
+            raise errors.TargetAnswerLostError("stream went on without events")
         _start_stream(head, delivery)
         delivery.client.end_stream()
         return Outcome(end=End.DELIVERED, status=head.status)
@@ -366,13 +375,18 @@
 
 
 def _take_new_events(
-    events: list[server_sent_events.Event], delivery: Delivery
+    events: list[server_sent_events.Event],
+    delivery: Delivery,
+    *,
+    goes_on: bool,
 ) -> tuple[bytes, errors.TargetAnswerLostError | None]:
     """Takes the events that are new to the client; advances its position.
 
     Args:
         events: Events of a run, in order.
         delivery: State of the answer.
+        goes_on: Whether the client has an earlier part of the stream from
+            another run. Only events with the next ids may follow it.
 
     Returns:
         The bytes for the client, and the failure if nothing that follows them
@@ -389,6 +403,13 @@
                 failure = f"event {event.id} follows event {last_id}"
                 break
             delivery.position = event.id
+        elif not event.is_comment:
+            if goes_on:
+                failure = f"no event id after event {delivery.position}"
+                break
+            delivery.is_numbered = False
+        elif goes_on:
+            continue
         new_events.append(event.data)
     return b"".join(new_events), (
         None if failure is None else errors.TargetAnswerLostError(failure)
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -11,6 +11,12 @@
 from mothpass.relay import attempts
 from tests.platform import target_standin
 
+_TEXTS = (
+    b"the server is out of memory\n\n",
+    b"event: error\ndata: out of memory\n\n",
+    b"HTTP/1.1 500 Internal Server Error\nServer-Seal: x\n\n",
+    b"id: last\ndata: part\n\n",
+)
 _SIGNED_HEAD = (
     b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: "
     + target_standin.SIGNATURE.encode()
@@ -142,6 +148,71 @@
             client = await self.deliver(script, expects_stream=False)
             self.check(client, body, is_whole=True)
 
+    async def test_text_without_an_event_id_does_not_follow(self) -> None:
+        """Guards against the text of an error in the middle of a stream."""
+        for text in _TEXTS:
+            for events in (2, 3):
+                with self.subTest(text=text, events=events):
+                    rest = make_events(2, events) + text
+                    client = await self.deliver(
+                        target_standin.break_stream(2),
+                        target_standin.stream_text(rest),
+                    )
+                    self.check(client, make_events(0, events))
+
+    async def test_text_does_not_follow_what_a_client_has(self) -> None:
+        """Guards against the text of an error behind a client's events."""
+        for text in _TEXTS:
+            with self.subTest(text=text):
+                client = await self.deliver(
+                    target_standin.stream_text(text),
+                    target_standin.stream(4),
+                    position=1,
+                )
+                self.check(client, make_events(2, 4), is_whole=True)
+
+    async def test_text_of_a_first_run_is_unchanged(self) -> None:
+        """Guards against a body that is no longer the target's."""
+        body = b": beat\n\n" + make_events(0, 1) + b"event: error\ndata: x\n\n"
+        client = await self.deliver(target_standin.stream_text(body))
+        self.check(client, body, is_whole=True)
+
+    async def test_comments_of_the_rest_are_dropped(self) -> None:
+        """Guards against streams that end for a heartbeat."""
+        client = await self.deliver(
+            target_standin.break_stream(2),
+            target_standin.stream_text(
+                b": beat\n\n", make_events(2, 3), b":\n\n", make_events(3, 4)
+            ),
+        )
+        self.check(client, make_events(0, 4), is_whole=True)
+
+    async def test_rest_without_an_event_is_no_end(self) -> None:
+        """Guards against a part of a stream that ends as if complete."""
+        for rest in ([], [b": beat\n\n"], [make_events(0, 2)], [b"id: 2\nda"]):
+            with self.subTest(rest=rest):
+                client = await self.deliver(
+                    target_standin.break_stream(2),
+                    target_standin.stream_text(*rest),
+                )
+                self.check(client, make_events(0, 2))
+
+    async def test_client_with_all_events_gets_the_end(self) -> None:
+        """Guards against a stream whose end can't be fetched."""
+        client = await self.deliver(target_standin.stream(4), position=3)
+        self.check(client, b"", is_whole=True)
+
+    async def test_torn_head_does_not_end_a_stream(self) -> None:
+        """Guards against a torn head in a stream, or as its end."""
+        head = _SIGNED_HEAD + b"Content-Type: text/event-stream\r\n"
+        for rest in (b"", b"Transfer-Enc", b"\r\n", b"\r\nerror\n\n"):
+            with self.subTest(rest=rest):
+                client = await self.deliver(
+                    target_standin.break_stream(2),
+                    target_standin.close_after(head + rest),
+                )
+                self.check(client, make_events(0, 2))
+
 
 def _make_attempt(
     target: target_standin.Target,
