Join runs only where a stream may be resumed and its ids say how

Callers got pieces of two runs in one answer (ORDER): an event stream on a plain idempotent route, or one whose first run had sent events without an id.

Cause: whether another run may follow was decided by whether the request may run again. For a stream that has begun, its route must also let it be resumed, and a position must cover all that the client has.

Evidence: of tests/platform/test_broken_answers.py, through real daemons, test_stream_on_a_plain_route_is_not_continued and test_text_in_a_first_run_lets_no_other_run_follow failed before. Its torn heads with a status of their own passed before.

Fix: a started stream is continued only if its route is resumable and every event that was sent has an id; otherwise it ends incomplete.

--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -349,6 +349,11 @@
         )
         if not admitted.route.is_retryable:
             return False
+        delivery = progress.delivery
+        if delivery.is_streaming and not (
+            admitted.route.is_resumable and delivery.is_numbered
+        ):
+            return False
         if self._crash_detector.crash_suspects.is_quarantined(
             admitted.fingerprint, now=asyncio.get_running_loop().time()
         ):
