Show that a peer adds neither text nor an end to a broken stream

A daemon without a path forwards requests to a peer; the stream of the peer is followed by the same rules as a target's.

--- a/tests/platform/test_cut_daemons.py
+++ b/tests/platform/test_cut_daemons.py
@@ -133,6 +133,22 @@
         ]
         self.assertLessEqual(int(request.headers["deadline-ms"]), 600)
 
+    async def test_broken_stream_of_a_peer_ends_incomplete(self) -> None:
+        """Guards against an error's text, or an end, that a peer adds."""
+        events = target_standin.make_event(0) + target_standin.make_event(1)
+        for rest in ([b"event: error\ndata: x\n\n"], []):
+            with self.subTest(rest=rest):
+                self.script_all(
+                    self.models,
+                    target_standin.break_stream(2),
+                    target_standin.stream_text(*rest),
+                )
+                answer = await self.send_request(
+                    "POST", "/chat/1", self.make_chat_headers()
+                )
+                self.assertEqual(answer.body, events)
+                self.assertFalse(answer.is_whole)
+
     async def test_unrepeatable_request_runs_once_and_its_loss_is_unknown(
         self,
     ) -> None:
