Show that requests which come late in a shutdown are answered or not taken

At each 0.5 s of the grace, payments and streams on new and kept connections, and with bodies that come late, whose targets need 1.2 s or never answer.

--- a/tests/platform/test_shutdowns.py
+++ b/tests/platform/test_shutdowns.py
@@ -1,6 +1,7 @@
 """Tests of what a daemon's shutdown does to the requests of its clients."""
 
 import asyncio
+from collections import abc
 import unittest
 from unittest import mock
 
@@ -131,5 +132,170 @@
         self.assertGreater(len(calls), runs)
 
 
+class LateRequestsTest(fleet.FleetTest):
+    """Requests that come at any time of a shutdown's grace."""
+
+    grace_s = 6.0
+
+    async def asyncSetUp(self) -> None:
+        """Gives the routes more time than the grace."""
+        await super().asyncSetUp()
+        document = fleet.make_document(2)
+        routes = document["routes"]
+        assert isinstance(routes, list)
+        for route in routes:
+            route["timeoutMs"] = 20_000
+        self.store.put("op", "config", document)
+        await self.wait_for_version(2)
+
+    def set_answers(self, script: target_standin.Script) -> None:
+        for target in (*self.plain, *self.models):
+            target.answer = script
+
+    async def open_client(self, path: str, headers: dict[str, str]) -> "_Send":
+        """Returns a function that sends a request on a kept connection."""
+        client = await wire.Client.connect(self.addresses[0])
+        client.send("GET", "/open/1", self.make_headers())
+        self.assertEqual((await client.read()).status, 200)
+
+        async def send() -> wire.Answer:
+            client.send("POST", path, headers, b"hi")
+            return await client.read()
+
+        return send
+
+    async def begin_request(
+        self, path: str, headers: dict[str, str]
+    ) -> "_Send":
+        """Returns a function that sends the body of a request begun before."""
+        client = await wire.Client.connect(self.addresses[0])
+        client.send("POST", path, headers | {"Content-Length": "2"})
+
+        async def send() -> wire.Answer:
+            client.write(b"hi")
+            return await client.read()
+
+        return send
+
+    async def connect_late(self, path: str, headers: dict[str, str]) -> "_Send":
+        """Returns a function that sends a request on a new connection."""
+
+        async def send() -> wire.Answer:
+            try:
+                return await self.send_request("POST", path, headers, b"hi")
+            except OSError:
+                return wire.Answer()
+
+        return send
+
+    async def send_late(self, budget_ms: int) -> list[tuple[str, wire.Answer]]:
+        """Sends requests each 0.5 s of a shutdown.
+
+        Returns:
+            Id and answer of each.
+        """
+
+        async def send(
+            delay_s: float, request_id: str, send_now: _Send
+        ) -> tuple[str, wire.Answer]:
+            await asyncio.sleep(delay_s)
+            return request_id, await send_now()
+
+        planned = []
+        for step in range(int(self.grace_s / 0.5)):
+            for path in ("/pay/1", "/once/1"):
+                for prepare in (
+                    self.open_client,
+                    self.begin_request,
+                    self.connect_late,
+                ):
+                    # The budget of a request counts from its head.
+                    ms = budget_ms
+                    if prepare == self.begin_request:
+                        ms += step * 500
+                    headers = self.make_chat_headers(Deadline_Ms=str(ms))
+                    if path == "/pay/1":
+                        del headers["Prompt-Prefix"]
+                    send_now = await prepare(path, headers)
+                    planned.append(
+                        (step * 0.5, headers["Attempt-Id"], send_now)
+                    )
+        [service] = self.services
+        service.settings = msgspec.structs.replace(
+            service.settings, grace_s=self.grace_s
+        )
+        stopping = asyncio.ensure_future(service.stop())
+        answers = await asyncio.gather(*(send(*item) for item in planned))
+        await stopping
+        return answers
+
+    def check_answers(self, answers: list[tuple[str, wire.Answer]]) -> None:
+        """Checks that each request that ran, and only such, may be unclear."""
+        runs = [
+            run for target in (*self.plain, *self.models) for run in target.runs
+        ]
+        self.assertEqual(len(runs), len(set(runs)))
+        for request_id, answer in answers:
+            with self.subTest(request_id=request_id, status=answer.status):
+                if request_id in runs:
+                    self.assertIn(answer.status, (200, 502, 504))
+                    self.assertTrue(answer.is_whole)
+                else:
+                    self.assertIn(answer.status, (0, 429, 503, 504))
+
+    async def test_late_requests_that_run_get_their_answers(self) -> None:
+        """Guards against requests that are passed on late, then cut."""
+        for target in self.plain:
+            target.answer = _answer_slowly
+        for target in self.models:
+            target.answer = target_standin.stream(4, pause_s=0.3)
+        answers = await self.send_late(budget_ms=2000)
+        self.check_answers(answers)
+        statuses = [answer.status for _, answer in answers]
+        self.assertGreater(statuses.count(200), len(answers) / 4)
+
+    async def test_late_requests_that_hang_get_a_final_answer(self) -> None:
+        """Guards against requests that end with their connection."""
+        self.set_answers(_hang_if_posted)
+        self.check_answers(await self.send_late(budget_ms=1500))
+
+    async def test_late_requests_with_long_budgets_get_a_final_answer(
+        self,
+    ) -> None:
+        """Guards against requests that outlast the grace."""
+        self.set_answers(_hang_if_posted)
+        self.check_answers(await self.send_late(budget_ms=20_000))
+
+
+_Send = abc.Callable[[], abc.Awaitable[wire.Answer]]
+
+
+async def _answer_slowly(
+    target: target_standin.Target,
+    request: wire.Request,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Runs a posted request for 1.2 s; others at once."""
+    target.runs.append(request.headers["attempt-id"])
+    if request.method == "POST":
+        await asyncio.sleep(1.2)
+    headers = target_standin.make_headers(request)
+    wire.write_answer(writer, 200, headers, b"done")
+
+
+async def _hang_if_posted(
+    target: target_standin.Target,
+    request: wire.Request,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Runs the request and never answers; others at once."""
+    script = (
+        target_standin.hang
+        if request.method == "POST"
+        else target_standin.answer_normally
+    )
+    await script(target, request, writer)
+
+
 if __name__ == "__main__":
     unittest.main()
