Free what a cancelled request held at once

Cause: the frame of the forwarder kept the timeout of the request, which refers to the task, whose exception refers to the frame by its traceback: a cycle with the body and what had come of the answer. Few objects are made beside it, so that a garbage collection came late.

Fix: the frame drops the timeout with the end of the request.

--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -218,6 +218,9 @@
             raise
         finally:
             self._timeouts.discard(timeout)
+            # It refers to the task. The traceback of a cancelled request would
+            # be part of a cycle, and keep its body until that is collected.
+            del timeout
         self._finish(admitted, progress, refusal)
 
     def _admit(
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import gc
 
+from mothpass.ports import relay
 from tests.platform import fleet
 from tests.platform import target_standin
 from tests.platform import wire
@@ -210,3 +212,29 @@
         answer = await client.read()
         self.assertEqual((answer.status, answer.is_whole), (200, True))
         self.assertTrue(await client.is_closed(timeout_s=1.5))
+
+
+class AbandonedRequestsTest(fleet.FleetTest):
+    """Requests whose clients leave before the answer."""
+
+    async def test_request_of_a_client_that_has_left_is_freed(self) -> None:
+        """Guards against bodies that are held until a garbage collection."""
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for target in self.plain:
+            target.answer = target_standin.hang
+        client = await wire.Client.connect(self.addresses[0])
+        headers = self.make_headers()
+        client.send("POST", "/pay/1", headers, b"x" * 9000)
+        await self.wait_for(lambda: any(item.runs for item in self.plain))
+        self.assertTrue(_is_held(headers["Attempt-Id"]))
+        client.close()
+        await self.wait_for(lambda: not _is_held(headers["Attempt-Id"]))
+
+
+def _is_held(request_id: str) -> bool:
+    return any(
+        isinstance(item, relay.Request) and item.id == request_id
+        for item in gc.get_objects()
+    )
