Let a crowd's senders end before their sockets close

The crowd closed its sockets while senders still waited to write. The loop keeps what it waits for by descriptor: a cancelled sender then dropped the wait of the next connection with the same number, and the ordinary request never connected (test_pipelined_large_requests_use_up_the_memory hung on a code whose daemon reads slowly; the code before reads all and has no sender left by then). Crowd, bounds and checks are as they were.

--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -61,10 +61,13 @@
                 while await self._is_active(pid):
                     pass
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Closes all connections."""
         for task in self._tasks:
             task.cancel()
+        # A task that still sends would take the descriptor of its socket, once
+        # it is closed, for that of the next connection.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for client in self._sockets:
             client.close()
 
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -118,13 +118,13 @@
         """Checks the bounds and an ordinary request beside a crowd."""
         await self.start_process()
         crowd = crowd_module.Crowd(address=self.address)
-        self.addCleanup(crowd.close)
+        self.addAsyncCleanup(crowd.close)
         crowd.open(messages, receive_buffer_bytes)
         await crowd.settle(self.process.pid, _WAIT_S)
         self.check_bounds()
         await self.check_ordinary_request()
         self.check_bounds()
-        crowd.close()
+        await crowd.close()
         await self.check_ordinary_request()
         self.check_bounds()
 
