Bound what all connections together make a daemon hold

Cause: each limit was one of a single request, or of a number of requests: bodies had no time to be whole, so that any number of them stayed; eight whole requests were queued behind one in service, and all that came in one read; a body was kept as a list of its chunks, whatever their size; trailers weren't counted; answers were written for clients that read none. Nothing bounded the sum.

Fix: all connections of all listeners report the bytes that they hold to one budget, max_client_bytes: unfinished requests, requests in service with their copies, unread answers. Above it the largest unfinished request is rejected, or the largest unread answer is closed; what takes up to 32 KiB is kept, so that ordinary requests are served beside a crowd. What follows a request isn't parsed before it has been answered and read. A body is one buffer, has to arrive without a pause of idleTimeoutMs and within the longest time-out of the routes, and trailers are bounded as headers are.

--- a/mothpass/adapters/http_fetch.py
+++ b/mothpass/adapters/http_fetch.py
@@ -99,14 +99,12 @@
     Raises:
         errors.TargetAnswerLostError: If it was lost or is too large.
     """
-    chunks = []
-    size = 0
+    body = bytearray()
     while not exchange.complete:
         await exchange.wait_for_progress()
-        chunks.append(exchange.read_available())
-        size += len(chunks[-1])
-        on_progress(size)
-        if size > body_deadlines.MAX_BODY_BYTES:
+        body += exchange.read_available()
+        on_progress(len(body))
+        if len(body) > body_deadlines.MAX_BODY_BYTES:
             raise errors.TargetAnswerLostError("response too large")
-    chunks.append(exchange.read_available())
-    return b"".join(chunks)
+    body += exchange.read_available()
+    return bytes(body)
--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -13,7 +13,9 @@
 import typing
 
 import httptools
+import msgspec
 
+from mothpass.core import client_memory
 from mothpass.core import errors
 from mothpass.core import results
 from mothpass.core import route_table
@@ -25,8 +27,22 @@
     ran=results.Ran.UNKNOWN,
     message="internal error",
 )
-# Pipelined requests queued on a connection before reading is paused.
-_MAX_PIPELINED = 8
+# Bytes behind a request in service above which reading is paused. Below that
+# it goes on, so that a disconnect is seen at once.
+_MAX_UNPARSED_BYTES = 65_536
+# Bytes parsed at a time: all requests that end within them are queued.
+_SLICE_BYTES = 1024
+# What a connection, a request and a header take beside their own bytes.
+_CONNECTION_BYTES = 4096
+_REQUEST_BYTES = 2048
+_HEADER_BYTES = 160
+# Copies of a body while its request is in service: as received, and as sent
+# to a target.
+BODY_COPIES = 2
+# Copies of a response while it is joined from its parts.
+_ANSWER_COPIES = 2
+# After a rejection for want of room.
+_RETRY_AFTER_MS = 500
 _ACCEPT_BACKLOG = 2048
 
 # Returns the request limits in force.
@@ -45,6 +61,9 @@
     def response_started(self) -> bool:
         """Whether any byte of the response was written."""
 
+    def record_answer_size(self, size_bytes: int) -> None:
+        """Records how much of a response is held before it is written."""
+
     def write_response(
         self, status: int, headers: abc.Iterable[relay.Header], body: bytes
     ) -> None:
@@ -68,6 +87,22 @@
         """Closes the connection at once."""
 
 
+class _QueuedRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole request that isn't in service yet.
+
+    Attributes:
+        head: Its head.
+        body: Its body.
+        keep_alive: Whether the connection may stay open after it.
+        head_cost: Bytes that it takes beside its body.
+    """
+
+    head: relay.ClientHead
+    body: bytes
+    keep_alive: bool
+    head_cost: int
+
+
 class ListenerState:
     """State that all connections of a listener share.
 
@@ -76,12 +111,35 @@
         is_closing: Whether each connection closes after its next response.
     """
 
-    __slots__ = ("connections", "find_limits", "handle", "is_closing")
+    __slots__ = (
+        "body_copies",
+        "connections",
+        "find_limits",
+        "handle",
+        "is_closing",
+        "memory",
+    )
+
+    def __init__(
+        self,
+        *,
+        handle: Handle,
+        find_limits: FindLimits,
+        memory: client_memory.ClientMemory,
+        body_copies: int = BODY_COPIES,
+    ) -> None:
+        """Starts without connections.
 
-    def __init__(self, *, handle: Handle, find_limits: FindLimits) -> None:
-        """Starts without connections."""
+        Args:
+            handle: Handles a request.
+            find_limits: Returns the limits of requests in force.
+            memory: Budget that the connections of all listeners share.
+            body_copies: Copies of a body while its request is in service.
+        """
         self.handle = handle
         self.find_limits = find_limits
+        self.memory = memory
+        self.body_copies = body_copies
         self.connections: set[ClientConnection] = set()
         self.is_closing = False
 
@@ -104,28 +162,48 @@
 class ClientConnection(asyncio.Protocol):
     """Client connection; it handles one request at a time.
 
+    What it holds for its client is bounded in each phase: heads, bodies and
+    trailers by the limits of requests, all together by the budget that the
+    connections share. Bytes behind the request in service aren't parsed.
+
     Attributes:
         response_started: Whether any byte of the current response was
             written.
     """
 
     __slots__ = (
+        "_answer_bytes",
         "_body",
-        "_body_bytes",
+        "_body_bytes_left",
         "_chunked",
+        "_deadline",
         "_head_bytes",
+        "_header_cost",
         "_headers",
+        "_held_bytes",
         "_in_head",
+        "_in_message",
+        "_is_paused",
+        "_is_waiting",
         "_keep_alive",
+        "_last_byte_at",
         "_loop",
         "_parser",
         "_queued",
+        "_queued_cost",
+        "_reading_since",
         "_rejection",
+        "_serving_cost",
         "_started_at",
         "_state",
         "_task",
         "_timer",
+        "_trailer_bytes",
         "_transport",
+        "_unparsed",
+        "_unparsed_since",
+        "_unsent_bytes",
+        "_unsent_timer",
         "_url",
         "_writable",
         "response_started",
@@ -137,36 +215,49 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        # Whole requests, and whether the connection may stay open after each.
-        self._queued: collections.deque[
-            tuple[relay.ClientHead, bytes, bool]
-        ] = collections.deque()
+        self._queued: collections.deque[_QueuedRequest] = collections.deque()
+        self._queued_cost = 0
+        self._serving_cost = 0
+        self._held_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._deadline = 0.0
         self._writable = asyncio.Event()
         self._writable.set()
+        self._unsent_bytes = 0
+        self._unsent_timer: asyncio.TimerHandle | None = None
         self._rejection: errors.Refusal | None = None
         self._keep_alive = True
         self._chunked = False
+        self._is_paused = False
+        # For a request, with its idle timeout running.
+        self._is_waiting = False
         self.response_started = False
-        self._in_head = True
-        self._head_bytes = 0
-        self._headers: list[relay.Header] = []
-        self._url = b""
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._started_at = 0.0
+        self._unparsed = bytearray()
+        self._unparsed_since = 0.0
+        self._last_byte_at = 0.0
+        self._answer_bytes = 0
+        self._trailer_bytes = 0
+        self._reset_request()
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is running, queued or partly received."""
-        return self._task is None and not self._queued and not self._head_bytes
+        return self._task is None and not self._queued and not self._in_message
+
+    @property
+    def reclaimable_bytes(self) -> int:
+        """Bytes that ``reclaim`` frees; see ``client_memory.Holder``."""
+        if self._transport is None:
+            return 0
+        return max(self._count_unserved(), self._count_unsent())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection and starts its idle timeout."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self._state.connections.add(self)
-        self._start_timer(self._state.find_limits().idle_timeout_s)
+        self._update_held()
+        self._enter_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the running request, as its client is gone."""
@@ -174,10 +265,13 @@
         self._transport = None
         self._state.connections.discard(self)
         self._stop_timer()
+        self._stop_unsent_timer()
+        self._unsent_bytes = 0
         self._writable.set()
-        self._queued.clear()
+        self._drop_unserved()
         if self._task is not None:
             self._task.cancel()
+        self._update_held()
 
     def eof_received(self) -> bool:
         """Treats a half-closed connection as a disconnect."""
@@ -186,40 +280,30 @@
     def pause_writing(self) -> None:
         """Blocks writers while the send buffer is full."""
         self._writable.clear()
+        self._watch_unsent()
 
     def resume_writing(self) -> None:
         """Unblocks the writers."""
         self._writable.set()
+        self._stop_unsent_timer()
+        self._unsent_bytes = 0
+        self._update_held()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and rejects malformed or oversized requests."""
         if self._rejection is not None:
             return
-        if not self._head_bytes and self._in_head and self._task is None:
-            self._start_header_timer()
-        if self._in_head:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(
-                results.Code.BAD_REQUEST, "protocol upgrades are not supported"
-            )
-        except httptools.HttpParserError as error:
-            self._reject(results.Code.BAD_REQUEST, f"not HTTP: {error}")
-        else:
-            limit = self._state.find_limits().header_bytes
-            if self._in_head and self._head_bytes > limit:
-                self._reject(results.Code.HEADERS_TOO_LARGE, "head too large")
+        self._last_byte_at = self._loop.time()
+        if self._is_serving():
+            self._keep_unparsed(data)
+            return
+        self._parse(data)
         self._serve_next()
 
     def on_message_begin(self) -> None:
         """Starts reading a request."""
-        self._headers = []
-        self._url = b""
-        self._body = []
-        self._body_bytes = 0
-        self._started_at = self._loop.time()
+        self._in_message = True
+        self._started_at = self._last_byte_at
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the URL."""
@@ -229,28 +313,27 @@
         """Adds a header; trailers after a body are ignored."""
         if self._in_head:
             self._headers.append((name.lower(), value))
+            self._header_cost += _HEADER_BYTES + len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Checks the request head and answers ``Expect: 100-continue``."""
         self._in_head = False
-        self._stop_timer()
         limits = self._state.find_limits()
         size = len(self._url) + sum(len(n) + len(v) for n, v in self._headers)
+        self._body_bytes_left = self._parse_content_length()
         if size > limits.header_bytes:
             self._reject(results.Code.HEADERS_TOO_LARGE, "head too large")
         elif self._parser.get_http_version() != "1.1":
             self._reject(results.Code.BAD_REQUEST, "only HTTP/1.1 is served")
-        elif self._parse_content_length() > limits.body_bytes:
+        elif self._body_bytes_left > limits.body_bytes:
             self._reject(results.Code.BODY_TOO_LARGE, "body too large")
-        elif self._task is None and self._expects_continue():
+        elif not self._is_serving() and self._expects_continue():
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        """Adds a body chunk; rejects bodies above the limit."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._state.find_limits().body_bytes:
-            self._reject(results.Code.BODY_TOO_LARGE, "body too large")
+        """Adds a body chunk."""
+        # Its size is checked once for all chunks that are parsed together.
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Queues the complete request."""
@@ -262,19 +345,33 @@
             headers=tuple(self._headers),
             arrived_at=self._started_at,
         )
-        keep_alive = bool(self._parser.should_keep_alive())
-        self._queued.append((head, b"".join(self._body), keep_alive))
+        request = _QueuedRequest(
+            head=head,
+            body=bytes(self._body),
+            keep_alive=bool(self._parser.should_keep_alive()),
+            head_cost=_REQUEST_BYTES + len(self._url) + self._header_cost,
+        )
+        self._queued.append(request)
+        self._queued_cost += request.head_cost + len(request.body)
         self._reset_request()
-        if len(self._queued) >= _MAX_PIPELINED and self._transport is not None:
-            self._transport.pause_reading()
+
+    def record_answer_size(self, size_bytes: int) -> None:
+        """Records how much of a response is held before it is written.
+
+        The connection is closed if that is too much for the budget.
+        """
+        self._answer_bytes = _ANSWER_COPIES * size_bytes
+        self._update_held()
 
     def write_response(
         self, status: int, headers: abc.Iterable[relay.Header], body: bytes
     ) -> None:
         """Writes a complete response."""
+        self._answer_bytes = 0
         head = self._encode_head(status, headers)
         self.response_started = True
-        self._write(b"%scontent-length: %d\r\n\r\n" % (head, len(body)) + body)
+        self._write(b"%scontent-length: %d\r\n\r\n" % (head, len(body)))
+        self._write(body)
 
     def write_rejection(self, refusal: errors.Refusal) -> None:
         """Writes a rejection as a JSON response."""
@@ -317,6 +414,8 @@
         """Closes the connection after sending the buffered bytes."""
         if self._transport is not None:
             self._transport.close()
+            if self._transport.get_write_buffer_size():
+                self._watch_unsent()
 
     def abort(self) -> None:
         """Closes the connection at once.
@@ -327,6 +426,139 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reclaim(self) -> None:
+        """Gives up an unfinished request, or a response that isn't read."""
+        if self._count_unsent() > self._count_unserved():
+            self._unsent_bytes = 0
+            self._answer_bytes = 0
+            self._update_held()
+            self._loop.call_soon(self.abort)
+        else:
+            self._turn_away("too much memory is held for clients")
+
+    def _turn_away(self, message: str) -> None:
+        """Rejects all requests that aren't in service, and then closes."""
+        self._drop_unserved()
+        self._update_held()
+        self._reject(results.Code.OVERLOADED, message, _RETRY_AFTER_MS)
+        # Not at once, as this may be called while the connection parses.
+        self._loop.call_soon(self._serve_next)
+
+    def _is_serving(self) -> bool:
+        return self._task is not None or bool(self._queued)
+
+    def _keep_unparsed(self, data: bytes) -> None:
+        """Keeps bytes that came behind the request in service."""
+        if not self._unparsed:
+            self._unparsed_since = self._last_byte_at
+        self._unparsed += data
+        if len(self._unparsed) > _MAX_UNPARSED_BYTES:
+            self._pause_reading()
+        self._update_held()
+
+    def _parse_unparsed(self) -> None:
+        """Parses what came behind the request that was in service."""
+        data = bytes(self._unparsed)
+        self._unparsed.clear()
+        self._resume_reading()
+        # Deadlines of clients count from when their bytes arrived.
+        self._last_byte_at = self._unparsed_since
+        self._parse(data)
+        self._last_byte_at = self._loop.time()
+
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes until a request is whole; keeps the rest."""
+        view = memoryview(data)
+        start = 0
+        while start < len(view) and self._rejection is None:
+            if self._queued:
+                self._unparsed += view[start:]
+                self._unparsed_since = self._last_byte_at
+                break
+            end = start + max(_SLICE_BYTES, self._body_bytes_left)
+            self._parse_slice(view[start:end])
+            start = end
+            self._update_held()
+
+    def _parse_slice(self, data: memoryview) -> None:
+        body_bytes = len(self._body)
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(
+                results.Code.BAD_REQUEST, "protocol upgrades are not supported"
+            )
+        except httptools.HttpParserError as error:
+            self._reject(results.Code.BAD_REQUEST, f"not HTTP: {error}")
+        else:
+            self._check_size(len(data), len(self._body) - body_bytes)
+
+    def _check_size(self, parsed_bytes: int, body_bytes: int) -> None:
+        """Rejects a request that has grown too large.
+
+        Args:
+            parsed_bytes: Bytes that were just parsed.
+            body_bytes: How many of them were added to the body.
+        """
+        limits = self._state.find_limits()
+        header_limit = limits.header_bytes + _SLICE_BYTES
+        if self._in_head:
+            if self._head_bytes > header_limit:
+                self._reject(results.Code.HEADERS_TOO_LARGE, "head too large")
+            return
+        self._body_bytes_left -= max(0, body_bytes)
+        # Chunk headers and trailers, which aren't kept.
+        self._trailer_bytes = (
+            0 if body_bytes > 0 else self._trailer_bytes + parsed_bytes
+        )
+        if len(self._body) > limits.body_bytes:
+            self._reject(results.Code.BODY_TOO_LARGE, "body too large")
+        elif self._trailer_bytes > header_limit:
+            self._reject(results.Code.HEADERS_TOO_LARGE, "trailers too large")
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    def _count_unserved(self) -> int:
+        """Returns the bytes held for requests that aren't in service."""
+        return (
+            self._head_bytes
+            + self._header_cost
+            + len(self._body)
+            + len(self._unparsed)
+            + self._queued_cost
+        )
+
+    def _count_unsent(self) -> int:
+        """Returns the bytes held of a response."""
+        return self._answer_bytes + self._unsent_bytes
+
+    def _update_held(self) -> None:
+        """Reports to the budget what the connection holds now."""
+        held = self._serving_cost
+        if self._transport is not None:
+            held += _CONNECTION_BYTES + self._count_unserved()
+            held += self._count_unsent()
+        change = held - self._held_bytes
+        self._held_bytes = held
+        self._state.memory.update(self, change)
+
+    def _drop_unserved(self) -> None:
+        """Drops all requests that aren't in service."""
+        self._queued.clear()
+        self._queued_cost = 0
+        self._unparsed = bytearray()
+        self._reset_request()
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
             self._transport.write(data)
@@ -334,7 +566,7 @@
     def _encode_head(
         self, status: int, headers: abc.Iterable[relay.Header]
     ) -> bytes:
-        if self._state.is_closing and not self._queued:
+        if self._state.is_closing and not (self._queued or self._unparsed):
             self._keep_alive = False
         try:
             phrase = http.HTTPStatus(status).phrase.encode()
@@ -359,30 +591,106 @@
         )
 
     def _reset_request(self) -> None:
+        self._in_message = False
         self._in_head = True
         self._head_bytes = 0
-        self._headers = []
+        self._headers: list[relay.Header] = []
+        self._header_cost = 0
         self._url = b""
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._body_bytes_left = 0
+        self._trailer_bytes = 0
         self._started_at = 0.0
+        self._reading_since: float | None = None
 
-    def _start_header_timer(self) -> None:
-        self._start_timer(self._state.find_limits().header_timeout_s)
+    def _enter_idle(self) -> None:
+        self._is_waiting = True
+        self._set_deadline(
+            self._loop.time() + self._state.find_limits().idle_timeout_s
+        )
 
-    def _start_timer(self, seconds: float) -> None:
-        self._stop_timer()
-        self._timer = self._loop.call_later(seconds, self.close)
+    def _enter_reading(self) -> None:
+        """Sets the time by which more of the request must have arrived."""
+        now = self._loop.time()
+        if self._reading_since is None:
+            # What came during an answer has its time from here on.
+            self._reading_since = now
+            self._is_waiting = False
+        limits = self._state.find_limits()
+        if self._in_head:
+            deadline = self._reading_since + limits.header_timeout_s
+        else:
+            deadline = min(
+                self._reading_since + limits.body_timeout_s,
+                now + limits.idle_timeout_s,
+            )
+        self._set_deadline(deadline)
+
+    def _set_deadline(self, deadline: float) -> None:
+        """Sets the time at which the connection is closed.
+
+        The timer isn't set anew while it fires early enough, since that would
+        cost more than receiving the bytes.
+        """
+        self._deadline = deadline
+        if self._timer is None or self._timer.when() > deadline:
+            self._stop_timer()
+            self._timer = self._loop.call_at(deadline, self._check_deadline)
+
+    def _check_deadline(self) -> None:
+        self._timer = None
+        if self._loop.time() < self._deadline:
+            self._set_deadline(self._deadline)
+        elif self._in_message and not self._in_head:
+            self._turn_away("the body is late")
+        else:
+            self.close()
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _reject(self, code: results.Code, message: str) -> None:
-        """Rejects the incoming request after the pending responses are sent."""
+    def _watch_unsent(self) -> None:
+        """Aborts the connection if its client reads nothing for a time."""
+        self._stop_unsent_timer()
+        if self._transport is None:
+            return
+        size = self._transport.get_write_buffer_size()
+        self._unsent_bytes = size
+        self._unsent_timer = self._loop.call_later(
+            self._state.find_limits().idle_timeout_s, self._check_unsent, size
+        )
+        self._update_held()
+
+    def _check_unsent(self, size: int) -> None:
+        if self._transport is None:
+            return
+        if self._transport.get_write_buffer_size() >= size:
+            self.abort()
+        else:
+            self._watch_unsent()
+
+    def _stop_unsent_timer(self) -> None:
+        if self._unsent_timer is not None:
+            self._unsent_timer.cancel()
+            self._unsent_timer = None
+
+    def _reject(
+        self,
+        code: results.Code,
+        message: str,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        """Rejects the incoming request after the response in progress.
+
+        What came before it and isn't in service is rejected as well.
+        """
         self._rejection = errors.Refusal(
-            code=code, ran=results.Ran.NO, message=message
+            code=code,
+            ran=results.Ran.NO,
+            message=message,
+            retry_after_ms=retry_after_ms,
         )
 
     def _serve_next(self) -> None:
@@ -393,27 +701,50 @@
             # The last answer said so: the client knows that nothing which it
             # sent after that request is served.
             self.close()
-        elif self._queued:
-            head, body, self._keep_alive = self._queued.popleft()
-            if len(self._queued) < _MAX_PIPELINED:
-                self._transport.resume_reading()
-            self.response_started = False
-            self._stop_timer()
-            self._task = self._loop.create_task(self._serve(head, body))
+            return
+        if self._unparsed and not self._queued:
+            self._parse_unparsed()
+        if self._queued:
+            self._start_task()
         elif self._rejection is not None:
             self._keep_alive = False
             self.write_rejection(self._rejection)
             self.close()
-        elif self._state.is_closing and not self._head_bytes:
+        elif self._state.is_closing and not self._in_message:
             # The head of the last answer may be from before the shutdown.
             self.close()
-        elif not self._head_bytes:
-            self._start_timer(self._state.find_limits().idle_timeout_s)
-        elif self._in_head and self._timer is None:
-            # The head began during the last answer.
-            self._start_header_timer()
+        elif self._in_message:
+            self._enter_reading()
+        elif not self._is_waiting:
+            self._enter_idle()
+
+    def _start_task(self) -> None:
+        request = self._queued.popleft()
+        body_bytes = len(request.body)
+        self._queued_cost -= request.head_cost + body_bytes
+        self._serving_cost = (
+            request.head_cost + self._state.body_copies * body_bytes
+        )
+        self._keep_alive = request.keep_alive
+        self.response_started = False
+        self._is_waiting = False
+        self._stop_timer()
+        self._update_held()
+        self._task = self._loop.create_task(
+            self._serve(request.head, request.body)
+        )
 
     async def _serve(self, head: relay.ClientHead, body: bytes) -> None:
+        try:
+            await self._respond(head, body)
+            # A client that doesn't read its responses gets no more of them.
+            await self._writable.wait()
+        finally:
+            # The task would keep what a cancelled request held.
+            self._task = None
+        self._serve_next()
+
+    async def _respond(self, head: relay.ClientHead, body: bytes) -> None:
         try:
             await self._state.handle(head, body, self)
         except Exception:  # noqa: BLE001 - the client must get a response
@@ -422,11 +753,12 @@
                 # It is unknown whether the request ran at a target.
                 self.write_rejection(_INTERNAL)
         finally:
-            self._task = None
+            self._serving_cost = 0
+            self._answer_bytes = 0
+            self._update_held()
             if self._chunked or not self.response_started:
                 # A response without its end must not look complete.
                 self.abort()
-        self._serve_next()
 
 
 async def open_listener(
--- a/mothpass/core/route_table.py
+++ b/mothpass/core/route_table.py
@@ -107,13 +107,16 @@
         header_bytes: Maximum size of the request line and headers.
         body_bytes: Maximum size of a body.
         header_timeout_s: Maximum time until the headers have arrived.
-        idle_timeout_s: Maximum time of a connection without a request.
+        idle_timeout_s: Maximum time of a connection without a request, and of
+            a body without a byte.
+        body_timeout_s: Maximum time until the body has arrived.
     """
 
     header_bytes: int
     body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
+    body_timeout_s: float = 30.0
 
 
 class Team(msgspec.Struct, frozen=True, kw_only=True):
--- a/mothpass/platform/catalogue.py
+++ b/mothpass/platform/catalogue.py
@@ -115,7 +115,7 @@
             item.name: _convert_service(item) for item in document.services
         },
         teams=teams,
-        limits=_convert_limits(document.limits),
+        limits=_convert_limits(document),
     )
 
 
@@ -174,10 +174,16 @@
     )
 
 
-def _convert_limits(limits: _Limits) -> route_table.RequestLimits:
-    return route_table.RequestLimits(
+def _convert_limits(document: _Document) -> route_table.RequestLimits:
+    limits = document.limits
+    converted = route_table.RequestLimits(
         header_bytes=limits.max_header_bytes,
         body_bytes=limits.max_body_bytes,
         header_timeout_s=limits.header_timeout_ms / 1000,
         idle_timeout_s=limits.idle_timeout_ms / 1000,
     )
+    if not document.routes:
+        return converted
+    # A request that takes longer to arrive is answered by no route.
+    longest_ms = max(route.timeout_ms for route in document.routes)
+    return msgspec.structs.replace(converted, body_timeout_s=longest_ms / 1000)
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -275,7 +275,9 @@
             if not head.is_signed:
                 raise errors.TargetAnswerLostError("unsigned stream")
             return await self._forward_stream(attempt, exchange, head, delivery)
-        body = await http_fetch.read_body(exchange)
+        body = await http_fetch.read_body(
+            exchange, delivery.client.record_answer_size
+        )
         attempt.on_bytes(exchange.last_byte_at)
         if head.execution_state is relay.ExecutionState.NOT_RUN:
             reason = "other target" if head.is_other_target else "refused"
--- a/mothpass/relay/peer_requests.py
+++ b/mothpass/relay/peer_requests.py
@@ -53,6 +53,10 @@
         """Whether any byte of the response was written."""
         return self._connection.response_started
 
+    def record_answer_size(self, size_bytes: int) -> None:
+        """Records how much of a response is held before it is written."""
+        self._connection.record_answer_size(size_bytes)
+
     def write_response(
         self, status: int, headers: abc.Iterable[relay.Header], body: bytes
     ) -> None:
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -11,6 +11,7 @@
 from mothpass.adapters import event_log
 from mothpass.adapters import http_pool
 from mothpass.adapters import relay_listener
+from mothpass.core import client_memory
 from mothpass.core import cold_rates
 from mothpass.core import errors
 from mothpass.core import fleet_retry_budget
@@ -66,6 +67,10 @@
     header_timeout_s=3.0,
     idle_timeout_s=15.0,
 )
+# Of health checks and metrics, which have no body.
+_OPERATOR_LIMITS = msgspec.structs.replace(_DEFAULT_LIMITS, body_bytes=0)
+# A forwarded request is held as received, as decoded and as sent.
+_FORWARDED_BODY_COPIES = 3
 
 
 class Service:
@@ -78,11 +83,13 @@
     """
 
     __slots__ = (
+        "_client_memory",
         "_clients",
         "_forwarder",
         "_fragile_services",
         "_is_leaving",
         "_metrics",
+        "_operators",
         "_peers",
         "_pool",
         "_queues",
@@ -226,12 +233,25 @@
             write_request=ports.write_request,
             random=random,
         )
-        self._clients = relay_listener.ListenerState(
-            handle=self._forwarder.handle, find_limits=self._get_limits
+        self._client_memory = client_memory.ClientMemory(
+            limit_bytes=settings.max_client_bytes
         )
-        self._peers = relay_listener.ListenerState(
-            handle=self._answer_peer, find_limits=self._get_peer_limits
+        self._clients = self._make_listener(
+            self._forwarder.handle,
+            self._get_limits,
         )
+        self._peers = self._make_listener(
+            self._answer_peer,
+            self._get_peer_limits,
+            body_copies=_FORWARDED_BODY_COPIES,
+        )
+        self._operators = [
+            self._make_listener(
+                handle,
+                lambda: _OPERATOR_LIMITS,
+            )
+            for handle in (self._answer_health, self._answer_metrics)
+        ]
 
     async def start(self) -> None:
         """Opens the listeners and starts replication and gossip.
@@ -247,16 +267,11 @@
                 self._peers, self.fleet_sync.address
             ),
         ]
-        for address, handle in (
-            (settings.health, self._answer_health),
-            (
-                f"{settings.address}:{settings.metrics_port}",
-                self._answer_metrics,
-            ),
+        for address, listener in zip(
+            (settings.health, f"{settings.address}:{settings.metrics_port}"),
+            self._operators,
+            strict=True,
         ):
-            listener = relay_listener.ListenerState(
-                handle=handle, find_limits=lambda: _DEFAULT_LIMITS
-            )
             self._servers.append(
                 await relay_listener.open_listener(listener, address)
             )
@@ -341,6 +356,20 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._pool.close()
 
+    def _make_listener(
+        self,
+        handle: relay_listener.Handle,
+        find_limits: relay_listener.FindLimits,
+        *,
+        body_copies: int = relay_listener.BODY_COPIES,
+    ) -> relay_listener.ListenerState:
+        return relay_listener.ListenerState(
+            handle=handle,
+            find_limits=find_limits,
+            memory=self._client_memory,
+            body_copies=body_copies,
+        )
+
     def _get_limits(self) -> route_table.RequestLimits:
         routes = self.state.routes
         return _DEFAULT_LIMITS if routes is None else routes.limits
@@ -509,6 +538,9 @@
         self._metrics.set_count(
             "log_lines_dropped", event_log.count_dropped_lines()
         )
+        self._metrics.set_count(
+            "client_memory_reclaims", self._client_memory.reclaim_count
+        )
         client.write_response(200, headers, self._metrics.render())
 
 
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -32,6 +32,9 @@
         self.is_whole = False
         self.response_started = False
 
+    def record_answer_size(self, size_bytes: int) -> None:
+        """Takes an answer of any size."""
+
     def write_response(
         self, status: int, headers: abc.Iterable[relay.Header], body: bytes
     ) -> None:
