Let idle connections give way to new ones

Cause: the number of connections had no limit but that of the descriptors.

Fix: each listener has a share of the descriptors. At its limit a new connection takes the place of the one that has waited the longest: without a request so far, then between two requests, then with an unfinished request (503). A request in service never gives way. max_connections bounds clients besides.

--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from mothpass.core import client_memory
+from mothpass.core import connection_slots
 from mothpass.core import errors
 from mothpass.core import results
 from mothpass.core import route_table
@@ -109,6 +110,8 @@
     Attributes:
         connections: Open connections.
         is_closing: Whether each connection closes after its next response.
+        displaced_count: Connections that were closed for a new one, or not
+            accepted, at the limit.
     """
 
     __slots__ = (
@@ -118,6 +121,8 @@
         "handle",
         "is_closing",
         "memory",
+        "displaced_count",
+        "slots",
     )
 
     def __init__(
@@ -126,6 +131,7 @@
         handle: Handle,
         find_limits: FindLimits,
         memory: client_memory.ClientMemory,
+        max_connections: int,
         body_copies: int = BODY_COPIES,
     ) -> None:
         """Starts without connections.
@@ -134,6 +140,7 @@
             handle: Handles a request.
             find_limits: Returns the limits of requests in force.
             memory: Budget that the connections of all listeners share.
+            max_connections: Maximum number of open connections.
             body_copies: Copies of a body while its request is in service.
         """
         self.handle = handle
@@ -141,7 +148,33 @@
         self.memory = memory
         self.body_copies = body_copies
         self.connections: set[ClientConnection] = set()
+        self.slots: connection_slots.ConnectionSlots[ClientConnection] = (
+            connection_slots.ConnectionSlots(limit=max_connections)
+        )
         self.is_closing = False
+        self.displaced_count = 0
+
+    def add(self, connection: "ClientConnection") -> bool:
+        """Adds a connection; another one may have to close.
+
+        Returns:
+            False if there is no room, as all others are in service.
+        """
+        while len(self.connections) >= self.slots.limit:
+            self.displaced_count += 1
+            victim = self.slots.pick_victim()
+            if victim is None:
+                return False
+            # It counts until it is closed, unless it is removed here.
+            self.remove(victim)
+            victim.give_way()
+        self.connections.add(connection)
+        return True
+
+    def remove(self, connection: "ClientConnection") -> None:
+        """Removes a connection that is closed or about to be."""
+        self.connections.discard(connection)
+        self.slots.remove(connection)
 
     def has_requests(self) -> bool:
         """Returns whether any connection has a request."""
@@ -184,6 +217,7 @@
         "_in_head",
         "_in_message",
         "_is_paused",
+        "_is_used",
         "_is_waiting",
         "_keep_alive",
         "_last_byte_at",
@@ -230,6 +264,7 @@
         self._keep_alive = True
         self._chunked = False
         self._is_paused = False
+        self._is_used = False
         # For a request, with its idle timeout running.
         self._is_waiting = False
         self.response_started = False
@@ -255,7 +290,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection and starts its idle timeout."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        self._state.connections.add(self)
+        if not self._state.add(self):
+            self._transport.abort()
+            return
         self._update_held()
         self._enter_idle()
 
@@ -263,7 +300,7 @@
         """Cancels the running request, as its client is gone."""
         del exc
         self._transport = None
-        self._state.connections.discard(self)
+        self._state.remove(self)
         self._stop_timer()
         self._stop_unsent_timer()
         self._unsent_bytes = 0
@@ -436,6 +473,15 @@
         else:
             self._turn_away("too much memory is held for clients")
 
+    def give_way(self) -> None:
+        """Closes for a new connection; see ``ListenerState.add``."""
+        if self._transport is None or self._transport.get_write_buffer_size():
+            self.abort()
+        elif self.is_idle:
+            self.close()
+        else:
+            self._turn_away("too many connections")
+
     def _turn_away(self, message: str) -> None:
         """Rejects all requests that aren't in service, and then closes."""
         self._drop_unserved()
@@ -605,6 +651,7 @@
 
     def _enter_idle(self) -> None:
         self._is_waiting = True
+        self._state.slots.record_idle(self, is_used=self._is_used)
         self._set_deadline(
             self._loop.time() + self._state.find_limits().idle_timeout_s
         )
@@ -616,6 +663,7 @@
             # What came during an answer has its time from here on.
             self._reading_since = now
             self._is_waiting = False
+            self._state.slots.record_reading(self)
         limits = self._state.find_limits()
         if self._in_head:
             deadline = self._reading_since + limits.header_timeout_s
@@ -727,7 +775,9 @@
         )
         self._keep_alive = request.keep_alive
         self.response_started = False
+        self._is_used = True
         self._is_waiting = False
+        self._state.slots.remove(self)
         self._stop_timer()
         self._update_held()
         self._task = self._loop.create_task(
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -4,6 +4,7 @@
 import logging
 import pathlib
 import random as random_module
+import resource
 import signal
 
 import msgspec
@@ -13,6 +14,7 @@
 from mothpass.adapters import relay_listener
 from mothpass.core import client_memory
 from mothpass.core import cold_rates
+from mothpass.core import connection_slots
 from mothpass.core import errors
 from mothpass.core import fleet_retry_budget
 from mothpass.core import fragile_targets
@@ -239,16 +241,19 @@
         self._clients = self._make_listener(
             self._forwarder.handle,
             self._get_limits,
+            share=connection_slots.CLIENT_SHARE,
         )
         self._peers = self._make_listener(
             self._answer_peer,
             self._get_peer_limits,
+            share=connection_slots.PEER_SHARE,
             body_copies=_FORWARDED_BODY_COPIES,
         )
         self._operators = [
             self._make_listener(
                 handle,
                 lambda: _OPERATOR_LIMITS,
+                share=connection_slots.OPERATOR_SHARE,
             )
             for handle in (self._answer_health, self._answer_metrics)
         ]
@@ -361,12 +366,21 @@
         handle: relay_listener.Handle,
         find_limits: relay_listener.FindLimits,
         *,
+        share: float,
         body_copies: int = relay_listener.BODY_COPIES,
     ) -> relay_listener.ListenerState:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         return relay_listener.ListenerState(
             handle=handle,
             find_limits=find_limits,
             memory=self._client_memory,
+            max_connections=connection_slots.compute_limit(
+                share=share,
+                descriptors=None
+                if descriptors == resource.RLIM_INFINITY
+                else descriptors,
+                maximum=self.settings.max_connections,
+            ),
             body_copies=body_copies,
         )
 
@@ -541,6 +555,13 @@
         self._metrics.set_count(
             "client_memory_reclaims", self._client_memory.reclaim_count
         )
+        self._metrics.set_count(
+            "displaced_connections",
+            sum(
+                listener.displaced_count
+                for listener in (self._clients, self._peers, *self._operators)
+            ),
+        )
         client.write_response(200, headers, self._metrics.render())
 
 
--- a/mothpass/relay/settings.py
+++ b/mothpass/relay/settings.py
@@ -28,6 +28,8 @@
             at each daemon.
         drain_ms: Time limit for a draining target to get no more requests.
         metrics_port: Port at which metrics are served; 0 for none.
+        max_connections: Maximum number of clients' connections; fewer where
+            the process may open few descriptors.
         max_client_bytes: Memory that all connections may hold for unfinished
             requests, requests in service and unread answers.
     """
@@ -49,6 +51,7 @@
     change_in_force_ms: int = 2000
     drain_ms: int = 2000
     metrics_port: int = 9464
+    max_connections: int = 3000
     max_client_bytes: int = 64_000_000
 
 
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -1,8 +1,9 @@
-"""Tests of the memory that clients may take."""
+"""Tests of the memory and the connections that clients may take."""
 
 import unittest
 
 from mothpass.core import client_memory
+from mothpass.core import connection_slots
 
 
 class _Holder:
@@ -62,5 +63,47 @@
         self.assertEqual(self.memory.held_bytes, 900_000)
 
 
+class ConnectionSlotsTest(unittest.TestCase):
+    """Which connection gives way at the limit."""
+
+    def setUp(self) -> None:
+        self.slots: connection_slots.ConnectionSlots[str] = (
+            connection_slots.ConnectionSlots(limit=4)
+        )
+
+    def take_victims(self) -> list[str]:
+        """Returns all victims in order."""
+        victims = []
+        while (victim := self.slots.pick_victim()) is not None:
+            victims.append(victim)
+            self.slots.remove(victim)
+        return victims
+
+    def test_silent_connections_give_way_first(self) -> None:
+        """Guards against a silent crowd that keeps clients out."""
+        self.slots.record_idle("kept", is_used=True)
+        self.slots.record_idle("silent", is_used=False)
+        self.slots.record_reading("body")
+        self.slots.record_idle("newer", is_used=False)
+        expected = ["silent", "newer", "kept", "body"]
+        self.assertEqual(self.take_victims(), expected)
+
+    def test_request_in_service_does_not_give_way(self) -> None:
+        """Guards against a crowd that ends requests of others."""
+        self.slots.record_reading("body")
+        self.slots.remove("body")
+        self.assertEqual(self.take_victims(), [])
+
+    def test_limit_leaves_descriptors_for_targets(self) -> None:
+        """Guards against clients that leave a daemon no descriptor."""
+        for descriptors, expected in ((4100, 2460), (256, 153), (None, 3000)):
+            limit = connection_slots.compute_limit(
+                share=connection_slots.CLIENT_SHARE,
+                descriptors=descriptors,
+                maximum=3000,
+            )
+            self.assertEqual(limit, expected)
+
+
 if __name__ == "__main__":
     unittest.main()
