Parse no requests of a connection before their turn

Cause: all bytes of a read, up to 256 KB, were parsed at once. A request of 18 bytes takes some thousand bytes once parsed, and each answer resumed reading, with thousands of requests still waiting: there was no bound. In the same way a read of tiny chunks kept the loop busy while all others waited.

Fix: bytes are parsed in small pieces; those behind a request that waits for its turn stay unparsed, and nothing is read meanwhile. A body of many parts yields to other connections after 1,000 of them.

--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -12,6 +12,7 @@
 
 import uvicorn
 from uvicorn import server as uvicorn_server
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from mothpass.adapters import http_disconnects
@@ -25,6 +26,12 @@
 # read the rejection only while the connection stays open.
 DISCARD_LIMIT_BYTES = 16_777_216
 KEEP_ALIVE_TIMEOUT_S = 5
+# Bytes parsed at a time. Requests behind one that isn't answered yet are left
+# unparsed from the next piece on, since a parsed one takes many times its size.
+_PIECE_BYTES = 1024
+_BODY_PIECE_BYTES = 8192
+# Parts of a body parsed before other connections get their turn.
+_MAX_PARTS_PER_TURN = 1000
 # Encodes a rejection as a response body.
 EncodeRefusal = abc.Callable[[errors.Refusal], bytes]
 
@@ -60,6 +67,18 @@
         self.all_closed = asyncio.Event()
 
 
+class _RequestFlow(flow_control.FlowControl):
+    """Flow control that stays paused while requests are left unparsed."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__(transport)
+        self.has_unparsed = False
+
+    def resume_reading(self) -> None:
+        if not self.has_unparsed:
+            super().resume_reading()
+
+
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """Client connection that enforces the limits of its listener."""
 
@@ -80,13 +99,17 @@
         self._header_timer: asyncio.TimerHandle | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
         self._requests: list[http_disconnects.RequestConnection] = []
+        self._unparsed = b""
+        self._parts_in_turn = 0
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
         """Accepts the connection, or rejects it above the connection limit."""
         super().connection_made(transport)
-        self._start_header_timer()
+        self._flow = _RequestFlow(transport)
+        self.flow = self._flow
+        self._start_header_timer(HEADER_TIMEOUT_MS)
         if len(self.connections) > self._limits.max_connections:
             self._reject(results.Code.OVERLOADED, "too many connections", 1000)
 
@@ -94,6 +117,7 @@
         """Notifies the running requests that the client disconnected."""
         self._stop_header_timer()
         self._stop_unread_timer()
+        self._drop_unparsed()
         super().connection_lost(exc)
         if not self.connections:
             self._limits.all_closed.set()
@@ -116,12 +140,58 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; rejects headers above the limit."""
-        if self._rejected:
+        if self._unparsed:
+            self._keep_unparsed(self._unparsed + data)
+        elif not self._rejected:
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes up to a request that must wait for another one."""
+        self._parts_in_turn = 0
+        offset = 0
+        view = memoryview(data)
+        while offset < len(data):
+            if self._rejected or self.transport.is_closing():
+                return
+            if self.pipeline:
+                self._keep_unparsed(data[offset:])
+                return
+            if self._parts_in_turn > _MAX_PARTS_PER_TURN:
+                self._keep_unparsed(data[offset:])
+                self.loop.call_soon(self._parse_unparsed)
+                return
+            size = _PIECE_BYTES if self._in_headers else _BODY_PIECE_BYTES
+            piece = view[offset : offset + size]
+            offset += len(piece)
+            self._parse_piece(piece)
+
+    def _parse_unparsed(self) -> None:
+        """Goes on with the bytes that were left unparsed."""
+        if self.transport.is_closing() or self.pipeline:
             return
-        if self._in_headers:
-            self._header_bytes += len(data)
-        super().data_received(data)
+        data = self._unparsed
+        self._drop_unparsed()
+        self._parse(data)
+        if not self.transport.is_closing():
+            self._flow.resume_reading()
+
+    def _keep_unparsed(self, data: bytes) -> None:
+        """Keeps bytes of requests that must wait, and reads no more."""
+        self._unparsed = data
+        self._flow.has_unparsed = True
+        self._flow.pause_reading()
+
+    def _drop_unparsed(self) -> None:
+        self._unparsed = b""
+        self._flow.has_unparsed = False
+
+    def _parse_piece(self, piece: memoryview) -> None:
         limit = self._limits.header_limit_bytes
+        if self._in_headers:
+            self._header_bytes += len(piece)
+        super().data_received(piece)  # type: ignore[arg-type]
+        if self._rejected:
+            return
         if self._in_headers and self._header_bytes > limit:
             self._reject_headers()
 
@@ -130,7 +200,7 @@
         super().on_message_begin()
         self._in_headers = True
         if self._header_timer is None:
-            self._start_header_timer()
+            self._start_header_timer(HEADER_TIMEOUT_MS)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers after a body are ignored."""
@@ -157,6 +227,7 @@
         """Adds a body chunk; discards it once the response is complete."""
         if self._rejected:
             return
+        self._parts_in_turn += 1
         if self.cycle.response_complete:
             self._discarded_bytes += len(body)
             if self._discarded_bytes > DISCARD_LIMIT_BYTES:
@@ -176,6 +247,10 @@
         if self._requests:
             self._requests.pop(0)
         super().on_response_complete()
+        if self.transport.is_closing() or self.pipeline:
+            return
+        if self._unparsed:
+            self.loop.call_soon(self._parse_unparsed)
 
     def pause_writing(self) -> None:
         """Starts the timeout of a client that doesn't read its response."""
@@ -194,9 +269,10 @@
             self._unread_timer.cancel()
             self._unread_timer = None
 
-    def _start_header_timer(self) -> None:
+    def _start_header_timer(self, timeout_ms: int) -> None:
+        self._stop_header_timer()
         self._header_timer = self.loop.call_later(
-            HEADER_TIMEOUT_MS / 1000, self._close_slow_client
+            timeout_ms / 1000, self._close_slow_client
         )
 
     def _stop_header_timer(self) -> None:
@@ -208,6 +284,16 @@
         """Closes a connection whose headers are late."""
         self.transport.close()
 
+    @property
+    def _is_discarding(self) -> bool:
+        """Whether the rest of a request that is answered is arriving."""
+        cycle = self.cycle
+        return (
+            cycle is not None
+            and cycle.response_complete
+            and not self._in_headers
+        )
+
     def _reject_headers(self) -> None:
         self._reject(results.Code.HEADERS_TOO_LARGE, "headers too large", None)
 
@@ -218,6 +304,11 @@
         if self._rejected:
             return
         self._rejected = True
+        is_answered = self._requests and self.cycle.response_started
+        if is_answered or len(self._requests) > 1 or self._is_discarding:
+            # The client would take this for a part of another response.
+            self.transport.abort()
+            return
         # The request isn't read, so it may repeat one that already ran.
         refusal = errors.Refusal(
             code=code,
