Bound the trailers and the chunk extensions of a request

Cause: the limit of the headers ended with the head, while the parser keeps a trailer until its end.

Fix: bytes of a message that are no body may be at most twice the limit of the headers in a row.

--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -99,6 +99,8 @@
         self._header_timer: asyncio.TimerHandle | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
         self._requests: list[http_disconnects.RequestConnection] = []
+        # Bytes of the current message since the last one of its body.
+        self._framing_bytes = 0
         self._unparsed = b""
         self._parts_in_turn = 0
 
@@ -189,11 +191,15 @@
         limit = self._limits.header_limit_bytes
         if self._in_headers:
             self._header_bytes += len(piece)
+        self._framing_bytes += len(piece)
         super().data_received(piece)  # type: ignore[arg-type]
         if self._rejected:
             return
         if self._in_headers and self._header_bytes > limit:
             self._reject_headers()
+        elif not self._in_headers and self._framing_bytes > 2 * limit:
+            # The parser keeps a trailer until its end.
+            self._reject_headers()
 
     def on_message_begin(self) -> None:
         """Starts reading the headers of a request."""
@@ -211,6 +217,7 @@
         """Starts the application, or rejects headers above the limit."""
         self._in_headers = False
         self._header_bytes = 0
+        self._framing_bytes = 0
         self._stop_header_timer()
         size = len(self.url)
         size += sum(len(name) + len(value) for name, value in self.headers)
@@ -227,6 +234,7 @@
         """Adds a body chunk; discards it once the response is complete."""
         if self._rejected:
             return
+        self._framing_bytes = 0
         self._parts_in_turn += 1
         if self.cycle.response_complete:
             self._discarded_bytes += len(body)
