Let connections without a whole request give way to new ones

Cause: above the limit of connections the newest was refused, however little the others did. A connection with the rest of a body after its answer, or with line ends before a request, stayed open for good, since no timer ran any more. The limit didn't heed that of the process on descriptors.

Fix: a new connection takes the place of the one that is idle longest, or else of the oldest whose request isn't whole. The rest of a body has 10 s after the answer. Clients get at most half of the descriptors, operators an eighth.

--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -20,6 +20,8 @@
 from mothpass.core import results
 
 HEADER_TIMEOUT_MS = 10_000
+# How long the rest of a body may take once its request is answered.
+DISCARD_TIMEOUT_MS = 10_000
 # How long a client may leave a response unread while more of it is buffered.
 UNREAD_TIMEOUT_MS = 30_000
 # Body bytes discarded after a rejection; a client that is still sending can
@@ -41,8 +43,11 @@
 
     Attributes:
         header_limit_bytes: Most bytes of a request's headers; more get 431.
-        max_connections: Most open connections; further ones get 503.
+        max_connections: Most open connections. A further one takes the place
+            of one without a whole request; if there is none, it gets 503.
         encode_refusal: Encodes the body of these responses.
+        idle: Connections without a request, the longest idle first.
+        unfinished: Connections whose request isn't whole, the oldest first.
         all_closed: Set when the last connection closes.
     """
 
@@ -50,7 +55,9 @@
         "all_closed",
         "encode_refusal",
         "header_limit_bytes",
+        "idle",
         "max_connections",
+        "unfinished",
     )
 
     def __init__(
@@ -65,6 +72,8 @@
         self.max_connections = max_connections
         self.encode_refusal = encode_refusal
         self.all_closed = asyncio.Event()
+        self.idle: dict[BoundedProtocol, None] = {}
+        self.unfinished: dict[BoundedProtocol, None] = {}
 
 
 class _RequestFlow(flow_control.FlowControl):
@@ -113,12 +122,16 @@
         self.flow = self._flow
         self._start_header_timer(HEADER_TIMEOUT_MS)
         if len(self.connections) > self._limits.max_connections:
-            self._reject(results.Code.OVERLOADED, "too many connections", 1000)
+            self._make_place()
+        if not self._rejected:
+            self._limits.idle[self] = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notifies the running requests that the client disconnected."""
         self._stop_header_timer()
         self._stop_unread_timer()
+        self._limits.idle.pop(self, None)
+        self._limits.unfinished.pop(self, None)
         self._drop_unparsed()
         super().connection_lost(exc)
         if not self.connections:
@@ -127,6 +140,16 @@
             request.mark_disconnected()
         self._requests.clear()
 
+    def make_way(self) -> None:
+        """Closes the connection, which has no whole request."""
+        if self in self._limits.idle:
+            self._rejected = True
+            self.transport.abort()
+        else:
+            self._reject(results.Code.OVERLOADED, "too many connections", 1000)
+        self._limits.idle.pop(self, None)
+        self._limits.unfinished.pop(self, None)
+
     def eof_received(self) -> bool:  # type: ignore[override]
         """Keeps a connection with a truncated body half open, to reject it."""
         cycle = self.cycle
@@ -200,6 +223,9 @@
         elif not self._in_headers and self._framing_bytes > 2 * limit:
             # The parser keeps a trailer until its end.
             self._reject_headers()
+        elif self in self._limits.idle and self._header_timer is None:
+            # Line ends before a request begin no message.
+            self._start_header_timer(HEADER_TIMEOUT_MS)
 
     def on_message_begin(self) -> None:
         """Starts reading the headers of a request."""
@@ -226,6 +252,9 @@
             return
         connection = http_disconnects.RequestConnection()
         self._requests.append(connection)
+        self._limits.idle.pop(self, None)
+        if len(self._requests) == 1:
+            self._limits.unfinished[self] = None
         scope = typing.cast(dict[str, object], self.scope)
         scope[http_disconnects.CONNECTION_KEY] = connection
         super().on_headers_complete()
@@ -247,6 +276,10 @@
         """Ends the request and expects the headers of the next one."""
         if not self._rejected:
             super().on_message_complete()
+            if self.cycle.response_complete:
+                self._stop_header_timer()
+                self._limits.idle[self] = None
+        self._limits.unfinished.pop(self, None)
         self._in_headers = True
         self._header_bytes = 0
 
@@ -257,6 +290,11 @@
         super().on_response_complete()
         if self.transport.is_closing() or self.pipeline:
             return
+        if self.cycle.response_complete:
+            if not self._in_headers:
+                self._start_header_timer(DISCARD_TIMEOUT_MS)
+            else:
+                self._limits.idle[self] = None
         if self._unparsed:
             self.loop.call_soon(self._parse_unparsed)
 
@@ -302,6 +340,14 @@
             and not self._in_headers
         )
 
+    def _make_place(self) -> None:
+        """Closes a connection without a whole request, or else this one."""
+        for candidates in (self._limits.idle, self._limits.unfinished):
+            if candidates:
+                next(iter(candidates)).make_way()
+                return
+        self._reject(results.Code.OVERLOADED, "too many connections", 1000)
+
     def _reject_headers(self) -> None:
         self._reject(results.Code.HEADERS_TOO_LARGE, "headers too large", None)
 
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import logging
+import resource
 import signal
+import sys
 import time
 import typing
 
@@ -145,7 +147,9 @@
             client_settings.address,
             http_listener.ListenerLimits(
                 header_limit_bytes=client_settings.header_limit_bytes,
-                max_connections=client_settings.connections,
+                max_connections=min(
+                    client_settings.connections, _read_descriptor_limit() // 2
+                ),
                 encode_refusal=answers.encode_refusal_without_id,
             ),
         )
@@ -169,7 +173,9 @@
             operator_settings.address,
             http_listener.ListenerLimits(
                 header_limit_bytes=MAX_OPERATOR_HEADER_BYTES,
-                max_connections=MAX_OPERATOR_CONNECTIONS,
+                max_connections=min(
+                    MAX_OPERATOR_CONNECTIONS, _read_descriptor_limit() // 8
+                ),
                 encode_refusal=answers.encode_refusal_without_id,
             ),
         )
@@ -293,3 +299,9 @@
 async def _start_application(application: typing.Any) -> None:
     """Starts an application; blacksheep declares no type for ``start``."""
     await application.start()
+
+
+def _read_descriptor_limit() -> int:
+    """Returns the most descriptors that this process may open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft_limit == resource.RLIM_INFINITY else soft_limit
--- a/mothpass/daemon/settings.py
+++ b/mothpass/daemon/settings.py
@@ -56,7 +56,8 @@
         address: ``ip:port`` to listen on.
         body_limit_bytes: Maximum size of a body; larger ones get 413.
         header_limit_bytes: Maximum size of all headers; larger ones get 431.
-        connections: Maximum number of open connections.
+        connections: Maximum number of open connections; at most half of the
+            descriptors that the process may open are used for them.
     """
 
     address: Address
