Bound the bytes that all clients make a daemon hold

Cause: each body was bounded, their sum was not: bodies times connections.

Fix: the bytes of all requests, from their first byte to the end of the request (a call that goes on without its client too), of unparsed requests and of unread answers are summed. Above callers.held_bytes the largest body that isn't whole is refused with OVERLOADED; ran is unknown, since it wasn't read. A whole request is never given up for its body; a connection with unparsed requests or an unread answer may be cut. A single request fits, as the limit is at least two bodies. Parts of a body are joined as they come. Operators have a sum of their own.

--- a/mothpass/adapters/http_disconnects.py
+++ b/mothpass/adapters/http_disconnects.py
@@ -6,6 +6,8 @@
 
 import blacksheep
 
+from mothpass.adapters import held_bytes
+
 # Key in the ASGI scope that holds the ``RequestConnection``.
 CONNECTION_KEY = "mothpass.caller"
 
@@ -14,15 +16,23 @@
     """State of the client connection of one request.
 
     Attributes:
+        body: Bytes of the body that the daemon holds.
         body_truncated: Whether the client closed its side before the end of
             the body.
         disconnected: Whether the connection is lost.
     """
 
-    __slots__ = ("_on_disconnect", "_on_end", "body_truncated", "disconnected")
+    __slots__ = (
+        "_on_disconnect",
+        "_on_end",
+        "body",
+        "body_truncated",
+        "disconnected",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, *, body: held_bytes.Holding) -> None:
         """Starts connected."""
+        self.body = body
         self.body_truncated = False
         self.disconnected = False
         self._on_disconnect: abc.Callable[[], object] | None = None
@@ -81,5 +91,6 @@
         finally:
             connection.set_disconnect_callback(None)
             await connection.run_end_callback()
+            connection.body.release()
 
     return run
--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -15,6 +15,7 @@
 from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
+from mothpass.adapters import held_bytes
 from mothpass.adapters import http_disconnects
 from mothpass.core import errors
 from mothpass.core import results
@@ -46,6 +47,7 @@
         max_connections: Most open connections. A further one takes the place
             of one without a whole request; if there is none, it gets 503.
         encode_refusal: Encodes the body of these responses.
+        held: Bytes that the clients make the daemon hold.
         idle: Connections without a request, the longest idle first.
         unfinished: Connections whose request isn't whole, the oldest first.
         all_closed: Set when the last connection closes.
@@ -55,6 +57,7 @@
         "all_closed",
         "encode_refusal",
         "header_limit_bytes",
+        "held",
         "idle",
         "max_connections",
         "unfinished",
@@ -65,13 +68,23 @@
         *,
         header_limit_bytes: int,
         max_connections: int,
+        held_limit_bytes: int,
         encode_refusal: EncodeRefusal,
     ) -> None:
-        """Initializes the limits."""
+        """Initializes the limits.
+
+        Args:
+            header_limit_bytes: Most bytes of a request's headers.
+            max_connections: Most open connections.
+            held_limit_bytes: Most bytes of requests and unread responses that
+                all connections together make the daemon hold.
+            encode_refusal: Encodes the body of refusals.
+        """
         self.header_limit_bytes = header_limit_bytes
         self.max_connections = max_connections
         self.encode_refusal = encode_refusal
         self.all_closed = asyncio.Event()
+        self.held = held_bytes.HeldBytes(limit_bytes=held_limit_bytes)
         self.idle: dict[BoundedProtocol, None] = {}
         self.unfinished: dict[BoundedProtocol, None] = {}
 
@@ -110,8 +123,10 @@
         self._requests: list[http_disconnects.RequestConnection] = []
         # Bytes of the current message since the last one of its body.
         self._framing_bytes = 0
-        self._unparsed = b""
         self._parts_in_turn = 0
+        self._unparsed = b""
+        self._unparsed_held: held_bytes.Holding | None = None
+        self._unread_held: held_bytes.Holding | None = None
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -138,6 +153,9 @@
             self._limits.all_closed.set()
         for request in self._requests:
             request.mark_disconnected()
+        for request in self._requests[1:]:
+            # It has no task that would release it.
+            request.body.drop()
         self._requests.clear()
 
     def make_way(self) -> None:
@@ -202,13 +220,21 @@
 
     def _keep_unparsed(self, data: bytes) -> None:
         """Keeps bytes of requests that must wait, and reads no more."""
+        self._drop_unparsed()
         self._unparsed = data
+        self._unparsed_held = self._limits.held.open_holding(
+            self.transport.abort
+        )
+        self._unparsed_held.grow(len(data))
         self._flow.has_unparsed = True
         self._flow.pause_reading()
 
     def _drop_unparsed(self) -> None:
         self._unparsed = b""
         self._flow.has_unparsed = False
+        if self._unparsed_held is not None:
+            self._unparsed_held.drop()
+            self._unparsed_held = None
 
     def _parse_piece(self, piece: memoryview) -> None:
         limit = self._limits.header_limit_bytes
@@ -250,7 +276,9 @@
         if size > self._limits.header_limit_bytes:
             self._reject_headers()
             return
-        connection = http_disconnects.RequestConnection()
+        connection = http_disconnects.RequestConnection(
+            body=self._limits.held.open_holding(self._evict)
+        )
         self._requests.append(connection)
         self._limits.idle.pop(self, None)
         if len(self._requests) == 1:
@@ -271,6 +299,7 @@
                 self.transport.abort()
             return
         super().on_body(body)
+        self._requests[-1].body.grow(len(body))
 
     def on_message_complete(self) -> None:
         """Ends the request and expects the headers of the next one."""
@@ -279,6 +308,8 @@
             if self.cycle.response_complete:
                 self._stop_header_timer()
                 self._limits.idle[self] = None
+            else:
+                self._requests[-1].body.settle()
         self._limits.unfinished.pop(self, None)
         self._in_headers = True
         self._header_bytes = 0
@@ -304,6 +335,8 @@
         self._unread_timer = self.loop.call_later(
             UNREAD_TIMEOUT_MS / 1000, self.transport.abort
         )
+        self._unread_held = self._limits.held.open_holding(self.transport.abort)
+        self._unread_held.grow(self.transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         """Stops the timeout when the client reads again."""
@@ -314,6 +347,9 @@
         if self._unread_timer is not None:
             self._unread_timer.cancel()
             self._unread_timer = None
+        if self._unread_held is not None:
+            self._unread_held.drop()
+            self._unread_held = None
 
     def _start_header_timer(self, timeout_ms: int) -> None:
         self._stop_header_timer()
@@ -348,6 +384,12 @@
                 return
         self._reject(results.Code.OVERLOADED, "too many connections", 1000)
 
+    def _evict(self) -> None:
+        """Gives up the body that is being received."""
+        self._reject(
+            results.Code.OVERLOADED, "too many bytes of requests", 1000
+        )
+
     def _reject_headers(self) -> None:
         self._reject(results.Code.HEADERS_TOO_LARGE, "headers too large", None)
 
--- a/mothpass/daemon/callers.py
+++ b/mothpass/daemon/callers.py
@@ -379,6 +379,9 @@
         )
         self.background.add(task)
         task.add_done_callback(self._discard_background)
+        # Its body is held for as long as it runs, also without its client.
+        record.connection.body.add_owner()
+        task.add_done_callback(record.connection.body.release)
         return await asyncio.shield(task)
 
     def _discard_background(self, task: asyncio.Task[targets.Answer]) -> None:
--- a/mothpass/daemon/client_messages.py
+++ b/mothpass/daemon/client_messages.py
@@ -27,21 +27,19 @@
     content_length = read_header(request, b"content-length")
     if content_length.isdecimal() and int(content_length) > limit_bytes:
         raise _build_large_body_rejection(limit_bytes)
-    parts = []
-    size = 0
+    body = bytearray()
     stream = typing.cast(abc.AsyncIterable[bytes], request.stream())
     try:
         async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
             async for part in stream:
-                size += len(part)
-                if size > limit_bytes:
+                body += part
+                if len(body) > limit_bytes:
                     raise _build_large_body_rejection(limit_bytes)
-                parts.append(part)
     except (TimeoutError, exceptions.MessageAborted):
         raise _build_incomplete_body_rejection() from None
     if get_connection(request).body_truncated:
         raise _build_incomplete_body_rejection()
-    return b"".join(parts)
+    return bytes(body)
 
 
 async def handle_unknown_path(
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -150,6 +150,10 @@
                 max_connections=min(
                     client_settings.connections, _read_descriptor_limit() // 2
                 ),
+                held_limit_bytes=max(
+                    client_settings.held_bytes,
+                    2 * client_settings.body_limit_bytes,
+                ),
                 encode_refusal=answers.encode_refusal_without_id,
             ),
         )
@@ -176,6 +180,7 @@
                 max_connections=min(
                     MAX_OPERATOR_CONNECTIONS, _read_descriptor_limit() // 8
                 ),
+                held_limit_bytes=2 * operators.MAX_BODY_BYTES,
                 encode_refusal=answers.encode_refusal_without_id,
             ),
         )
--- a/mothpass/daemon/settings.py
+++ b/mothpass/daemon/settings.py
@@ -58,12 +58,17 @@
         header_limit_bytes: Maximum size of all headers; larger ones get 431.
         connections: Maximum number of open connections; at most half of the
             descriptors that the process may open are used for them.
+        held_bytes: Most bytes of requests, from their first byte to their end,
+            and of unread responses that all clients together make the daemon
+            hold; at least twice ``body_limit_bytes`` is used. Above it, the
+            largest bodies that aren't whole get 503.
     """
 
     address: Address
     body_limit_bytes: Bytes = 4_194_304
     header_limit_bytes: Bytes = 32_768
     connections: typing.Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 4096
+    held_bytes: Bytes = 67_108_864
 
 
 class Operators(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -20,6 +20,7 @@
 
 _BODY_LIMIT_BYTES = 2048
 _HEADER_LIMIT_BYTES = 1024
+_HELD_LIMIT_BYTES = 1 << 20
 _MAX_CONNECTIONS = 4
 _CHAT = b'{"model":"advice","messages":[{"role":"user","content":"hi"}]'
 
@@ -51,6 +52,7 @@
             http_listener.ListenerLimits(
                 header_limit_bytes=_HEADER_LIMIT_BYTES,
                 max_connections=_MAX_CONNECTIONS,
+                held_limit_bytes=_HELD_LIMIT_BYTES,
                 encode_refusal=answers.encode_refusal_without_id,
             ),
         )
