Give the body of an operator's request a time limit

Fix: it has 60 s for its 32 MB at most; BODY_INCOMPLETE after that, as for clients. Parts are joined as they come.

No test waits for the 60 s.

--- a/mothpass/daemon/operators.py
+++ b/mothpass/daemon/operators.py
@@ -1,5 +1,6 @@
 """The operators' HTTP routes of a daemon (docs/PROTOCOLS.md)."""
 
+import asyncio
 from collections import abc
 import hashlib
 import hmac
@@ -20,6 +21,7 @@
 from mothpass.daemon import proposals
 
 MAX_BODY_BYTES = 33_554_432
+BODY_TIMEOUT_MS = 60_000
 DEFAULT_HISTORY_CHANGES = 20
 MAX_HISTORY_CHANGES = 1000
 
@@ -290,23 +292,28 @@
 
 async def _read_bytes(request: blacksheep.Request) -> bytes:
     """Reads a body; rejects a too large one before all of it is received."""
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     # blacksheep's stub types this generator as a coroutine. It yields None for
     # a request without a body.
     stream = typing.cast("abc.AsyncIterator[bytes | None]", request.stream())
-    async for chunk in stream:
-        if chunk is None:
-            continue
-        size += len(chunk)
-        if size > MAX_BODY_BYTES:
-            raise errors.RefusalError(
-                _build_refusal(
-                    results.Code.BODY_TOO_LARGE, "the request body is too large"
-                )
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
+            async for chunk in stream:
+                body += chunk or b""
+                if len(body) > MAX_BODY_BYTES:
+                    raise errors.RefusalError(
+                        _build_refusal(
+                            results.Code.BODY_TOO_LARGE,
+                            "the request body is too large",
+                        )
+                    )
+    except TimeoutError:
+        raise errors.RefusalError(
+            _build_refusal(
+                results.Code.BODY_INCOMPLETE, "the request body is incomplete"
             )
-        parts.append(chunk)
-    return b"".join(parts)
+        ) from None
+    return bytes(body)
 
 
 async def _read_body(request: blacksheep.Request, kind: type[BodyT]) -> BodyT:
