Refuse calls without the key before their message is received

Cause: the key was checked by the handlers, which start with the whole message.

Fix: an interceptor checks the key and ends such a call with a handler that starts without a message. Calls at once (256), calls of a connection at once (32) and the time for the handshake (2 s) are bounded.

--- a/mothpass/adapters/peer_server.py
+++ b/mothpass/adapters/peer_server.py
@@ -1,5 +1,6 @@
 """gRPC server for the other daemons of the region."""
 
+from collections import abc
 import hmac
 import typing
 
@@ -13,6 +14,10 @@
 from mothpass.adapters import peers_pb2_grpc
 from mothpass.ports import peers
 
+MAX_CALLS = 256
+MAX_STREAMS_PER_CONNECTION = 32
+HANDSHAKE_TIMEOUT_MS = 2000
+
 
 class Handlers(msgspec.Struct, frozen=True, kw_only=True):
     """Functions that handle the messages of peers.
@@ -31,28 +36,25 @@
 
 
 class _Servicer(peers_pb2_grpc.PeersServicer):
-    """Authenticates each call and passes it to the handlers."""
+    """Passes each call to the handlers."""
 
-    __slots__ = ("_handlers", "_key", "_traffic")
+    __slots__ = ("_handlers", "_traffic")
 
     def __init__(
         self,
         *,
         handlers: Handlers,
-        key: str,
         traffic: peer_transport.PeerTraffic,
     ) -> None:
         self._handlers = handlers
-        self._key = key.encode()
         self._traffic = traffic
 
     async def SendBatch(  # noqa: N802  (name of the generated base)
         self,
         request: peers_pb2.Batch,
-        context: aio.ServicerContext[typing.Any, typing.Any],
+        _context: aio.ServicerContext[typing.Any, typing.Any],
     ) -> peers_pb2.Receipt:
         """Accepts a batch that was too large for a datagram."""
-        await self._authenticate(context)
         self._traffic.count_received(request.ByteSize())
         self._handlers.accept_batch(peer_messages.decode_batch(request))
         return peers_pb2.Receipt()
@@ -60,10 +62,9 @@
     async def AskGrant(  # noqa: N802
         self,
         request: peers_pb2.GrantRequest,
-        context: aio.ServicerContext[typing.Any, typing.Any],
+        _context: aio.ServicerContext[typing.Any, typing.Any],
     ) -> peers_pb2.GrantReply:
         """Grants or denies a permit."""
-        await self._authenticate(context)
         self._traffic.count_received(request.ByteSize())
         reply = self._handlers.decide_grant(
             peer_messages.decode_grant_request(request)
@@ -75,10 +76,9 @@
     async def SendRelease(  # noqa: N802
         self,
         request: peers_pb2.Release,
-        context: aio.ServicerContext[typing.Any, typing.Any],
+        _context: aio.ServicerContext[typing.Any, typing.Any],
     ) -> peers_pb2.Receipt:
         """Releases a permit."""
-        await self._authenticate(context)
         self._traffic.count_received(request.ByteSize())
         self._handlers.accept_release(peer_messages.decode_release(request))
         return peers_pb2.Receipt()
@@ -86,10 +86,9 @@
     async def FetchChanges(  # noqa: N802
         self,
         request: peers_pb2.ChangesRequest,
-        context: aio.ServicerContext[typing.Any, typing.Any],
+        _context: aio.ServicerContext[typing.Any, typing.Any],
     ) -> peers_pb2.ChangesReply:
         """Returns the catalogue changes after a version."""
-        await self._authenticate(context)
         self._traffic.count_received(request.ByteSize())
         found = self._handlers.read_changes(
             request.after_version, request.limit_bytes
@@ -102,15 +101,38 @@
         self._traffic.count_sent(message.ByteSize())
         return message
 
-    async def _authenticate(
-        self, context: aio.ServicerContext[typing.Any, typing.Any]
-    ) -> None:
+
+class _Authenticator(aio.ServerInterceptor):  # type: ignore[type-arg]
+    """Ends calls without the key before their message is received."""
+
+    __slots__ = ("_key",)
+
+    def __init__(self, *, key: str) -> None:
+        self._key = key.encode()
+
+    async def intercept_service(
+        self,
+        continuation: abc.Callable[
+            [grpc.HandlerCallDetails],
+            abc.Awaitable["grpc.RpcMethodHandler[typing.Any, typing.Any]"],
+        ],
+        handler_call_details: grpc.HandlerCallDetails,
+    ) -> "grpc.RpcMethodHandler[typing.Any, typing.Any]":
+        """Returns the handler of the call, or one that ends it."""
         presented = ""
-        for name, value in context.invocation_metadata() or ():
+        for name, value in handler_call_details.invocation_metadata or ():
             if name == peer_transport.KEY_HEADER:
                 presented = str(value)
-        if not hmac.compare_digest(presented.encode(), self._key):
-            await context.abort(grpc.StatusCode.UNAUTHENTICATED, "unknown peer")
+        if hmac.compare_digest(presented.encode(), self._key):
+            return await continuation(handler_call_details)
+        # A handler of a stream starts without a message of the client.
+        return grpc.stream_unary_rpc_method_handler(_reject_call)
+
+
+async def _reject_call(
+    _messages: object, context: aio.ServicerContext[typing.Any, typing.Any]
+) -> None:
+    await context.abort(grpc.StatusCode.UNAUTHENTICATED, "unknown peer")
 
 
 class Server:
@@ -154,9 +176,16 @@
         RuntimeError: If it can't listen on the address.
     """
     server = aio.server(
-        options=[*peer_transport.GRPC_OPTIONS, ("grpc.so_reuseport", 0)]
+        interceptors=[_Authenticator(key=key)],
+        options=[
+            *peer_transport.GRPC_OPTIONS,
+            ("grpc.so_reuseport", 0),
+            ("grpc.max_concurrent_streams", MAX_STREAMS_PER_CONNECTION),
+            ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+        ],
+        maximum_concurrent_rpcs=MAX_CALLS,
     )
-    servicer = _Servicer(handlers=handlers, key=key, traffic=traffic)
+    servicer = _Servicer(handlers=handlers, traffic=traffic)
     peers_pb2_grpc.add_PeersServicer_to_server(servicer, server)
     port = server.add_insecure_port(address)
     await server.start()
