Read on behind a request only as its followers are served

Cause: reading was resumed before what had been kept was parsed, so that each served slice admitted another read, whatever was still kept.

Fix: reading is resumed once less than the bound is kept.

--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -493,7 +493,7 @@
     def _is_serving(self) -> bool:
         return self._task is not None or bool(self._queued)
 
-    def _keep_unparsed(self, data: bytes) -> None:
+    def _keep_unparsed(self, data: bytes | memoryview) -> None:
         """Keeps bytes that came behind the request in service."""
         if not self._unparsed:
             self._unparsed_since = self._last_byte_at
@@ -506,11 +506,12 @@
         """Parses what came behind the request that was in service."""
         data = bytes(self._unparsed)
         self._unparsed.clear()
-        self._resume_reading()
         # Deadlines of clients count from when their bytes arrived.
         self._last_byte_at = self._unparsed_since
         self._parse(data)
         self._last_byte_at = self._loop.time()
+        if len(self._unparsed) <= _MAX_UNPARSED_BYTES:
+            self._resume_reading()
 
     def _parse(self, data: bytes) -> None:
         """Parses bytes until a request is whole; keeps the rest."""
@@ -518,8 +519,7 @@
         start = 0
         while start < len(view) and self._rejection is None:
             if self._queued:
-                self._unparsed += view[start:]
-                self._unparsed_since = self._last_byte_at
+                self._keep_unparsed(view[start:])
                 break
             end = start + max(_SLICE_BYTES, self._body_bytes_left)
             self._parse_slice(view[start:end])
--- a/tests/platform/test_client_limits.py
+++ b/tests/platform/test_client_limits.py
@@ -76,6 +76,25 @@
             answer = await client.read()
             self.assertEqual((answer.status, answer.body), (200, b"done"))
 
+    async def test_requests_in_a_row_are_read_as_they_are_answered(
+        self,
+    ) -> None:
+        """Guards against a burst that is held whole before its turn."""
+        client = await wire.Client.connect(self.addresses[0])
+        self.addCleanup(client.close)
+        request = b"GET / HTTP/1.1\r\nHost: x\r\nFiller: %s\r\n\r\n" % (
+            b"x" * 900
+        )
+        count = 4000
+        client.write(request * count)
+        memory = self.services[0]._client_memory
+        most_bytes = 0
+        for _ in range(count):
+            answer = await client.read()
+            self.assertEqual(answer.status, 404)
+            most_bytes = max(most_bytes, memory.held_bytes)
+        self.assertLess(most_bytes, len(request) * count / 4)
+
 
 async def _answer_largely(
     target: target_standin.Target,
