Take no end from a run that is shorter than what the client has

A client that took a stream up with Last-Event-Id 12 got an empty, whole answer if the target restarted the stream and ended it after event 2: its events were dropped as an overlap, and its end passed for the stream's.

An end now counts only if the highest event id of its run, where one was seen, comes up to the position at which the run had to go on. Otherwise the answer is lost, as where a run within a stream has no new event. Overlaps are dropped as before, and an end without events still ends a stream whose events the client has.

test_end_below_the_position_is_no_end failed before: ('', whole).

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -318,6 +318,7 @@
         was_streaming = delivery.is_streaming
         first_position = delivery.position
         goes_on = was_streaming or first_position is not None
+        highest_id: int | None = None
         last_event_at = exchange.last_byte_at
         while True:
             await exchange.wait_for_progress()
@@ -330,6 +331,7 @@
                 raise errors.TargetAnswerLostError(str(error)) from error
             if events:
                 last_event_at = exchange.last_byte_at
+                highest_id = _find_highest_id(events, highest_id)
             else:
                 _check_event_in_time(attempt, exchange, last_event_at)
             data, failure = _take_new_events(events, delivery, goes_on=goes_on)
@@ -349,6 +351,15 @@
         if was_streaming and delivery.position == first_position:
             # Nothing shows that this run knows where the stream ends.
             raise errors.TargetAnswerLostError("stream went on without events")
+        if (
+            first_position is not None
+            and highest_id is not None
+            and highest_id < first_position
+        ):
+            # The end of a run that is shorter than what the client has.
+            raise errors.TargetAnswerLostError(
+                f"stream ended at event {highest_id}, before {first_position}"
+            )
         _start_stream(head, delivery)
         delivery.client.end_stream()
         return Outcome(end=End.DELIVERED, status=head.status)
@@ -361,6 +372,18 @@
         delivery.client.start_stream(head.status, head.headers)
 
 
+def _find_highest_id(
+    events: list[server_sent_events.Event], highest_id: int | None
+) -> int | None:
+    """Returns the highest id so far, None if no event has one."""
+    for event in events:
+        if event.id is not None and (
+            highest_id is None or event.id > highest_id
+        ):
+            highest_id = event.id
+    return highest_id
+
+
 def _check_event_in_time(
     attempt: Attempt, exchange: http_exchanges.Exchange, last_event_at: float
 ) -> None:
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -205,6 +205,29 @@
         client = await self.deliver(target_standin.stream(4), position=3)
         self.check(client, b"", is_whole=True)
 
+    async def test_end_below_the_position_is_no_end(self) -> None:
+        """Guards against a shorter run's end for a stream that goes on."""
+        shorter = target_standin.stream_text(make_events(0, 3))
+        client = await self.deliver(shorter, position=12)
+        self.check(client, b"")
+        self.assertNotEqual(self.outcomes[-1].end, attempts.End.DELIVERED)
+        client = await self.deliver(
+            shorter, target_standin.stream(14), position=12
+        )
+        self.check(client, make_events(13, 14), is_whole=True)
+
+    async def test_overlap_up_to_the_position_is_followed_by_the_end(
+        self,
+    ) -> None:
+        """Guards against an end that a client with all events never gets."""
+        for start in (0, 3):
+            with self.subTest(start=start):
+                client = await self.deliver(
+                    target_standin.stream_text(make_events(start, 4)),
+                    position=3,
+                )
+                self.check(client, b"", is_whole=True)
+
     async def test_torn_head_does_not_end_a_stream(self) -> None:
         """Guards against a torn head in a stream, or as its end."""
         head = _SIGNED_HEAD + b"Content-Type: text/event-stream\r\n"
