Close connections on which reading is paused

Requests over a kept connection ran at the target, and their answers were never read (lost, "no response"). Over MAX_BUFFERED_BYTES unread bytes pause reading; if the read that crossed the bound also brought the end of the answer, and the reader was cancelled, the connection counted as reusable and was kept as it was, paused.

A connection whose reading is paused isn't reusable now. Resuming it instead would trust bytes that nobody has seen. A closed exchange also drops its unread bytes, which a cancelled request kept.

test_connection_is_reusable_only_while_it_is_read and test_ended_exchange_keeps_no_unread_bytes failed before.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -111,6 +111,11 @@
             min(self._silence_deadline, deadline), self._check_deadlines
         )
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether unread bytes have paused reading from the connection."""
+        return self._buffered_bytes > MAX_BUFFERED_BYTES
+
     async def wait_for_progress(self) -> None:
         """Waits until body bytes can be read or the response is complete.
 
@@ -138,7 +143,7 @@
         if not chunks:
             return b""
         self._chunks = []
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+        if self.is_paused:
             self._resume_reading()
         self._buffered_bytes = 0
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
@@ -160,8 +165,12 @@
         )
 
     def close(self) -> None:
-        """Cancels the timer; the exchange can't be awaited afterwards."""
+        """Cancels the timer and drops unread bytes.
+
+        The exchange can't be awaited afterwards.
+        """
         self._timer.cancel()
+        self._chunks = []
 
     def fail(self, failure: errors.MothpassError) -> None:
         """Fails the exchange, unless the response is complete."""
@@ -179,7 +188,7 @@
         self._chunks.append(chunk)
         self.body_bytes += len(chunk)
         self._buffered_bytes += len(chunk)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+        if self.is_paused:
             self._pause_reading()
 
     def mark_complete(self) -> None:
@@ -324,8 +333,10 @@
         self._exchange = None
         if exchange is None:
             return False
+        # A paused connection receives no further response.
+        is_reusable = exchange.complete and not exchange.is_paused
         exchange.close()
-        return exchange.complete and self._keep_alive and self.is_open()
+        return is_reusable and self._keep_alive and self.is_open()
 
     def is_open(self) -> bool:
         """Returns whether the connection is open, as far as is known."""
--- a/tests/test_http_exchanges.py
+++ b/tests/test_http_exchanges.py
@@ -15,15 +15,16 @@
 
     def __init__(self) -> None:
         self._is_closing = False
+        self.is_reading = True
 
     def write(self, data: bytes) -> None:
         del data
 
     def pause_reading(self) -> None:
-        pass
+        self.is_reading = False
 
     def resume_reading(self) -> None:
-        pass
+        self.is_reading = True
 
     def is_closing(self) -> bool:
         return self._is_closing
@@ -136,5 +137,49 @@
         self.assertFalse(exchange.complete)
 
 
+class UnreadResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Whole responses whose readers are cancelled before they read them."""
+
+    async def test_connection_is_reusable_only_while_it_is_read(self) -> None:
+        """Guards against a kept connection whose next answer is never read."""
+        loop = asyncio.get_running_loop()
+        limit = http_exchanges.MAX_BUFFERED_BYTES
+        for size, reads, is_reusable in (
+            (limit, False, True),
+            (limit + 1, False, False),
+            (limit + 1, True, True),
+        ):
+            with self.subTest(size=size, reads=reads):
+                connection = http_exchanges.Connection(loop=loop)
+                transport = _Transport()
+                connection.connection_made(
+                    typing.cast(asyncio.Transport, transport)
+                )
+                exchange = connection.send(
+                    b"", silence_ms=None, deadline=loop.time() + 60
+                )
+                self.addCleanup(exchange.close)
+                connection.data_received(
+                    _HEAD + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
+                )
+                self.assertTrue(exchange.complete)
+                if reads:
+                    self.assertEqual(len(exchange.read_available()), size)
+                self.assertEqual(transport.is_reading, is_reusable)
+                self.assertEqual(connection.finish(), is_reusable)
+
+    async def test_ended_exchange_keeps_no_unread_bytes(self) -> None:
+        """Guards against memory held by requests that were cancelled."""
+        loop = asyncio.get_running_loop()
+        connection = http_exchanges.Connection(loop=loop)
+        connection.connection_made(typing.cast(asyncio.Transport, _Transport()))
+        exchange = connection.send(
+            b"", silence_ms=None, deadline=loop.time() + 60
+        )
+        connection.data_received(_HEAD + b"Content-Length: 4\r\n\r\ndone")
+        connection.finish()
+        self.assertEqual(exchange.read_available(), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
