Read numbers of any length in the headers of a request

Last-Event-Id, Token-Count or a length in Prompt-Prefix with more than 4,300 digits, which int() refuses, ended a request as an internal error; so did the character "2" as a superscript, which passes for a digit. Numbers of more than 64 bits were read, and don't fit in messages to peers.

A number of more than 18 digits now counts as not stated, as other text that is no number does.

--- a/mothpass/platform/clients.py
+++ b/mothpass/platform/clients.py
@@ -27,6 +27,8 @@
 )
 # For requests without a valid deadline header.
 _DEFAULT_DEADLINE_S = 30.0
+# Larger numbers don't fit in the messages between daemons.
+_MAX_DIGITS = 18
 
 
 def read_request(head: relay.ClientHead, body: bytes) -> relay.Request:
@@ -82,19 +84,26 @@
     parts = []
     for item in value.decode("latin-1").split(","):
         name, _, tokens = item.strip().partition(":")
-        if name and tokens.isdigit():
-            parts.append(prompts.Part(id=name, tokens=int(tokens)))
+        length = _decode_number(tokens.encode("latin-1"))
+        if name and length is not None:
+            parts.append(prompts.Part(id=name, tokens=length))
     return tuple(parts)
 
 
 def _decode_prompt_tokens(value: bytes) -> int:
     """Returns the first number; the second bounds the generated tokens."""
-    number = value.partition(b",")[0].strip()
-    return int(number) if number.isdigit() else 0
+    return _decode_number(value.partition(b",")[0].strip()) or 0
 
 
 def _decode_position(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
+    return None if value is None else _decode_number(value)
+
+
+def _decode_number(value: bytes) -> int | None:
+    """Returns a number, None for text that states none or a longer one."""
+    if not value.isdigit() or len(value) > _MAX_DIGITS:
+        return None
+    return int(value)
 
 
 def _decode_resumed_id(value: bytes) -> str | None:
