Answer a rejected request behind those that came before it

What callers saw, with a further request sent while a response is in progress: the response was cut after HEADER_TIMEOUT_MS if the further headers weren't whole, or at once if they were too large. A 400 for invalid bytes was written into the running stream or into the declared length of the running body. A 400 or 431 came as the response to the request before, which ran. Bytes behind a request, given up because clients hold too many, cut its response.

Cause: the header timer started with the further request and closes the connection; a rejection aborted the connection or was written at once, whichever response was next.

Fix: the header timer starts once no response is due. A rejection stops parsing, takes its own request out of the queue and is written when the requests before are answered. Only a rejection of a request whose own response has started aborts the connection. What follows a rejected request in the same piece no longer starts the application. The holding of a request with an invalid URL is dropped.

Evidence: tests.test_pipelined_requests, in process.

--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -117,7 +117,11 @@
         self._discarded_bytes = 0
         self._header_bytes = 0
         self._in_headers = True
+        self._head_begun = False
         self._rejected = False
+        # Writes the rejection of a request behind others, once they are
+        # answered.
+        self._write_rejection: abc.Callable[[], None] | None = None
         self._header_timer: asyncio.TimerHandle | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
         self._requests: list[http_disconnects.RequestConnection] = []
@@ -222,12 +226,10 @@
         """Keeps bytes of requests that must wait, and reads no more."""
         self._drop_unparsed()
         self._unparsed = data
-        self._unparsed_held = self._limits.held.open_holding(
-            self.transport.abort
-        )
-        self._unparsed_held.grow(len(data))
         self._flow.has_unparsed = True
         self._flow.pause_reading()
+        self._unparsed_held = self._limits.held.open_holding(self._evict)
+        self._unparsed_held.grow(len(data))
 
     def _drop_unparsed(self) -> None:
         self._unparsed = b""
@@ -257,7 +259,9 @@
         """Starts reading the headers of a request."""
         super().on_message_begin()
         self._in_headers = True
-        if self._header_timer is None:
+        self._head_begun = True
+        # The timeout behind a request without a response starts after that.
+        if self._header_timer is None and not self._requests:
             self._start_header_timer(HEADER_TIMEOUT_MS)
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -267,9 +271,11 @@
 
     def on_headers_complete(self) -> None:
         """Starts the application, or rejects headers above the limit."""
-        self._in_headers = False
+        if self._rejected:
+            return
         self._header_bytes = 0
         self._framing_bytes = 0
+        self._head_begun = False
         self._stop_header_timer()
         size = len(self.url)
         size += sum(len(name) + len(value) for name, value in self.headers)
@@ -279,13 +285,19 @@
         connection = http_disconnects.RequestConnection(
             body=self._limits.held.open_holding(self._evict)
         )
+        scope = typing.cast(dict[str, object], self.scope)
+        scope[http_disconnects.CONNECTION_KEY] = connection
+        try:
+            super().on_headers_complete()
+        except Exception:
+            # An invalid URL; no task will release the holding.
+            connection.body.drop()
+            raise
+        self._in_headers = False
         self._requests.append(connection)
         self._limits.idle.pop(self, None)
         if len(self._requests) == 1:
             self._limits.unfinished[self] = None
-        scope = typing.cast(dict[str, object], self.scope)
-        scope[http_disconnects.CONNECTION_KEY] = connection
-        super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
         """Adds a body chunk; discards it once the response is complete."""
@@ -321,11 +333,16 @@
         super().on_response_complete()
         if self.transport.is_closing() or self.pipeline:
             return
+        if self._write_rejection is not None:
+            self._write_rejection()
+            return
         if self.cycle.response_complete:
             if not self._in_headers:
                 self._start_header_timer(DISCARD_TIMEOUT_MS)
             else:
                 self._limits.idle[self] = None
+                if self._head_begun:
+                    self._start_header_timer(HEADER_TIMEOUT_MS)
         if self._unparsed:
             self.loop.call_soon(self._parse_unparsed)
 
@@ -366,16 +383,6 @@
         """Closes a connection whose headers are late."""
         self.transport.close()
 
-    @property
-    def _is_discarding(self) -> bool:
-        """Whether the rest of a request that is answered is arriving."""
-        cycle = self.cycle
-        return (
-            cycle is not None
-            and cycle.response_complete
-            and not self._in_headers
-        )
-
     def _make_place(self) -> None:
         """Closes a connection without a whole request, or else this one."""
         for candidates in (self._limits.idle, self._limits.unfinished):
@@ -385,7 +392,7 @@
         self._reject(results.Code.OVERLOADED, "too many connections", 1000)
 
     def _evict(self) -> None:
-        """Gives up the body that is being received."""
+        """Gives up the bytes that are being received."""
         self._reject(
             results.Code.OVERLOADED, "too many bytes of requests", 1000
         )
@@ -397,14 +404,6 @@
         self, code: results.Code, message: str, retry_after_ms: int | None
     ) -> None:
         """Rejects a request without running the application, then closes."""
-        if self._rejected:
-            return
-        self._rejected = True
-        is_answered = self._requests and self.cycle.response_started
-        if is_answered or len(self._requests) > 1 or self._is_discarding:
-            # The client would take this for a part of another response.
-            self.transport.abort()
-            return
         # The request isn't read, so it may repeat one that already ran.
         refusal = errors.Refusal(
             code=code,
@@ -412,8 +411,43 @@
             message=message,
             retry_after_ms=retry_after_ms,
         )
-        self.transport.write(_encode_rejection(refusal, self._limits))
-        self.transport.close()
+
+        def write() -> None:
+            self.transport.write(_encode_rejection(refusal, self._limits))
+            self.transport.close()
+
+        self._reject_in_turn(write)
+
+    def send_400_response(self, msg: str) -> None:
+        """Rejects bytes that aren't a request, then closes."""
+        send = super().send_400_response
+        self._reject_in_turn(lambda: send(msg))
+
+    def _reject_in_turn(self, write: abc.Callable[[], None]) -> None:
+        """Rejects the request being received once those before are answered.
+
+        Args:
+            write: Writes the response and closes the connection.
+        """
+        if self._rejected:
+            return
+        self._rejected = True
+        self._stop_header_timer()
+        self._drop_unparsed()
+        is_first = not self._requests
+        if not self._in_headers:
+            if self.cycle.response_started:
+                # The client would take this for a part of its response.
+                self.transport.abort()
+                return
+            is_first = len(self._requests) == 1
+            if not is_first:
+                self.pipeline.popleft()
+                self._requests.pop().body.drop()
+        if is_first:
+            write()
+        else:
+            self._write_rejection = write
 
 
 class Listener:
