mothpassd: parse small chunks of many bodies without holding up others

And each connection could parse 1,000 of them in every turn of the event loop, so that a turn grew with the number of connections.

Now the chunks of what is parsed without a break are passed on together, and connections with more to parse take turns, one in each turn of the loop. A turn is bounded by one connection's share, however large the crowd is.

--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 from collections import abc
 import contextlib
 import http
@@ -39,6 +40,35 @@
 EncodeRefusal = abc.Callable[[errors.Refusal], bytes]
 
 
+class _ParseQueue:
+    """Connections with bytes to parse; one of them per event-loop turn."""
+
+    __slots__ = ("_connections", "_is_scheduled")
+
+    def __init__(self) -> None:
+        self._connections: collections.deque[BoundedProtocol] = (
+            collections.deque()
+        )
+        self._is_scheduled = False
+
+    def add(self, connection: "BoundedProtocol") -> None:
+        """Lets a connection go on behind those that already wait."""
+        self._connections.append(connection)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._connections and not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._run_next)
+
+    def _run_next(self) -> None:
+        self._is_scheduled = False
+        try:
+            self._connections.popleft().parse_unparsed()
+        finally:
+            self._schedule()
+
+
 class ListenerLimits:
     """Limits of a listener.
 
@@ -49,6 +79,7 @@
         encode_refusal: Encodes the body of these responses.
         held: Bytes that the clients make the daemon hold.
         idle: Connections without a request, the longest idle first.
+        parse_queue: Connections that have more to parse than fits in a turn.
         unfinished: Connections whose request isn't whole, the oldest first.
         all_closed: Set when the last connection closes.
     """
@@ -60,6 +91,7 @@
         "held",
         "idle",
         "max_connections",
+        "parse_queue",
         "unfinished",
     )
 
@@ -86,6 +118,7 @@
         self.all_closed = asyncio.Event()
         self.held = held_bytes.HeldBytes(limit_bytes=held_limit_bytes)
         self.idle: dict[BoundedProtocol, None] = {}
+        self.parse_queue = _ParseQueue()
         self.unfinished: dict[BoundedProtocol, None] = {}
 
 
@@ -128,6 +161,8 @@
         # Bytes of the current message since the last one of its body.
         self._framing_bytes = 0
         self._parts_in_turn = 0
+        # Parts of a body that the piece being parsed contains.
+        self._parts = bytearray()
         self._unparsed = b""
         self._unparsed_held: held_bytes.Holding | None = None
         self._unread_held: held_bytes.Holding | None = None
@@ -162,6 +197,16 @@
             request.body.drop()
         self._requests.clear()
 
+    def parse_unparsed(self) -> None:
+        """Goes on with the bytes that were left unparsed."""
+        if self.transport.is_closing() or self.pipeline:
+            return
+        data = self._unparsed
+        self._drop_unparsed()
+        self._parse(data)
+        if not self.transport.is_closing():
+            self._flow.resume_reading()
+
     def make_way(self) -> None:
         """Closes the connection, which has no whole request."""
         if self in self._limits.idle:
@@ -205,23 +250,13 @@
                 return
             if self._parts_in_turn > _MAX_PARTS_PER_TURN:
                 self._keep_unparsed(data[offset:])
-                self.loop.call_soon(self._parse_unparsed)
+                self._limits.parse_queue.add(self)
                 return
             size = _PIECE_BYTES if self._in_headers else _BODY_PIECE_BYTES
             piece = view[offset : offset + size]
             offset += len(piece)
             self._parse_piece(piece)
 
-    def _parse_unparsed(self) -> None:
-        """Goes on with the bytes that were left unparsed."""
-        if self.transport.is_closing() or self.pipeline:
-            return
-        data = self._unparsed
-        self._drop_unparsed()
-        self._parse(data)
-        if not self.transport.is_closing():
-            self._flow.resume_reading()
-
     def _keep_unparsed(self, data: bytes) -> None:
         """Keeps bytes of requests that must wait, and reads no more."""
         self._drop_unparsed()
@@ -244,6 +279,7 @@
             self._header_bytes += len(piece)
         self._framing_bytes += len(piece)
         super().data_received(piece)  # type: ignore[arg-type]
+        self._pass_parts()
         if self._rejected:
             return
         if self._in_headers and self._header_bytes > limit:
@@ -300,11 +336,18 @@
             self._limits.unfinished[self] = None
 
     def on_body(self, body: bytes) -> None:
-        """Adds a body chunk; discards it once the response is complete."""
-        if self._rejected:
-            return
+        """Adds a part of a body to those parsed with it."""
+        # Each one passed on would copy those that the request hasn't taken.
         self._framing_bytes = 0
         self._parts_in_turn += 1
+        self._parts += body
+
+    def _pass_parts(self) -> None:
+        """Passes body parts on; discards them after a complete response."""
+        body = bytes(self._parts)
+        self._parts.clear()
+        if self._rejected or not body:
+            return
         if self.cycle.response_complete:
             self._discarded_bytes += len(body)
             if self._discarded_bytes > DISCARD_LIMIT_BYTES:
@@ -315,6 +358,7 @@
 
     def on_message_complete(self) -> None:
         """Ends the request and expects the headers of the next one."""
+        self._pass_parts()
         if not self._rejected:
             super().on_message_complete()
             if self.cycle.response_complete:
@@ -344,7 +388,7 @@
                 if self._head_begun:
                     self._start_header_timer(HEADER_TIMEOUT_MS)
         if self._unparsed:
-            self.loop.call_soon(self._parse_unparsed)
+            self.loop.call_soon(self.parse_unparsed)
 
     def pause_writing(self) -> None:
         """Starts the timeout of a client that doesn't read its response."""
--- /dev/null
+++ b/tests/test_chunked_bodies.py
@@ -0,0 +1,117 @@
+"""Tests that bodies in many small chunks leave time for other requests."""
+
+import asyncio
+from collections import abc
+import socket
+import typing
+import unittest
+from unittest import mock
+
+import blacksheep
+from uvicorn.protocols.http import httptools_impl
+
+from mothpass.adapters import http_disconnects
+from mothpass.adapters import http_listener
+from mothpass.daemon import answers
+from tests import crowds
+
+_CONNECTIONS = 40
+_CHUNKS = 9_000
+# Turns of the event loop in which a request is accepted, read and answered.
+_MAX_TURNS = 20
+# Chunks of two bytes in what is parsed without a break.
+_CHUNKS_AT_ONCE = 1_200
+_BODY = crowds.build_head(
+    "/body", {"Transfer-Encoding": "chunked", "Connection": "close"}
+)
+_QUICK = crowds.build_head("/quick", {"Connection": "close"}, method="GET")
+
+
+class ChunkedBodyTest(unittest.IsolatedAsyncioTestCase):
+    """Sends bodies in chunks of two bytes to a listener in this process."""
+
+    async def asyncSetUp(self) -> None:
+        self.listener = await http_listener.open_listener(
+            http_disconnects.cancel_on_disconnect(
+                typing.cast(blacksheep.Application, _answer)
+            ),
+            "127.0.0.1:0",
+            http_listener.ListenerLimits(
+                header_limit_bytes=2000,
+                max_connections=_CONNECTIONS + 1,
+                held_limit_bytes=1 << 24,
+                encode_refusal=answers.encode_refusal_without_id,
+            ),
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.listener.stop_accepting()
+        self.listener.abort()
+        await self.listener.drain(asyncio.get_running_loop().time() + 5)
+
+    def _send(self, data: bytes) -> socket.socket:
+        """Sends bytes that the listener reads once its event loop runs."""
+        client = socket.create_connection(("127.0.0.1", self.listener.port))
+        self.addCleanup(client.close)
+        client.setblocking(False)
+        self.assertEqual(client.send(data), len(data))
+        return client
+
+    async def test_small_chunks_of_others_do_not_hold_up_a_request(
+        self,
+    ) -> None:
+        """Guards against a crowd whose chunks all others must wait for."""
+        parsed = mock.Mock(wraps=http_listener.BoundedProtocol.on_body)
+        chunks = crowds.build_chunks(2 * _CHUNKS, 2)
+        with mock.patch.object(
+            http_listener.BoundedProtocol,
+            "on_body",
+            lambda connection, body: parsed(connection, body),
+        ):
+            for _ in range(_CONNECTIONS):
+                self._send(_BODY + chunks)
+            client = self._send(_QUICK)
+            async with asyncio.timeout(30):
+                answer = await asyncio.get_running_loop().sock_recv(client, 99)
+        self.assertIn(b"200 OK", answer)
+        # A connection parses the first of its bytes as they come.
+        self.assertLess(
+            parsed.call_count, (_CONNECTIONS + _MAX_TURNS) * _CHUNKS_AT_ONCE
+        )
+
+    async def test_small_chunks_are_handed_over_together(self) -> None:
+        """Guards against a body that is copied again for each chunk."""
+        received = mock.Mock(wraps=httptools_impl.HttpToolsProtocol.on_body)
+        with mock.patch.object(
+            httptools_impl.HttpToolsProtocol,
+            "on_body",
+            lambda connection, body: received(connection, body),
+        ):
+            chunks = crowds.build_chunks(2 * _CHUNKS, 2)
+            client = self._send(_BODY + chunks + b"0\r\n\r\n")
+            reader, _ = await asyncio.open_connection(sock=client)
+            async with asyncio.timeout(30):
+                answer = await reader.read()
+        self.assertTrue(answer.endswith(b"\r\n\r\n%d" % (2 * _CHUNKS)), answer)
+        sizes = [len(call.args[1]) for call in received.call_args_list]
+        self.assertEqual(sum(sizes), 2 * _CHUNKS)
+        self.assertLess(len(sizes), _CHUNKS / 100)
+
+
+async def _answer(
+    scope: dict[str, typing.Any],
+    receive: abc.Callable[[], abc.Awaitable[typing.Any]],
+    send: abc.Callable[[typing.Any], abc.Awaitable[None]],
+) -> None:
+    """Answers with the size of the body, once it is whole."""
+    size = 0
+    is_whole = scope["path"] == "/quick"
+    while not is_whole:
+        message = await receive()
+        size += len(message.get("body", b""))
+        is_whole = not message.get("more_body", False)
+    headers = [(b"content-length", b"%d" % len(str(size)))]
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": str(size).encode()})
