--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 from collections import abc
 import contextlib
 import http
@@ -18,6 +17,7 @@
 
 from mothpass.adapters import held_bytes
 from mothpass.adapters import http_disconnects
+from mothpass.adapters import loop_turns
 from mothpass.core import errors
 from mothpass.core import results
 
@@ -40,35 +40,6 @@
 EncodeRefusal = abc.Callable[[errors.Refusal], bytes]
 
 
-class _ParseQueue:
-    """Connections with bytes to parse; one of them per event-loop turn."""
-
-    __slots__ = ("_connections", "_is_scheduled")
-
-    def __init__(self) -> None:
-        self._connections: collections.deque[BoundedProtocol] = (
-            collections.deque()
-        )
-        self._is_scheduled = False
-
-    def add(self, connection: "BoundedProtocol") -> None:
-        """Lets a connection go on behind those that already wait."""
-        self._connections.append(connection)
-        self._schedule()
-
-    def _schedule(self) -> None:
-        if self._connections and not self._is_scheduled:
-            self._is_scheduled = True
-            asyncio.get_running_loop().call_soon(self._run_next)
-
-    def _run_next(self) -> None:
-        self._is_scheduled = False
-        try:
-            self._connections.popleft().parse_unparsed()
-        finally:
-            self._schedule()
-
-
 class ListenerLimits:
     """Limits of a listener.
 
@@ -79,9 +50,9 @@
         encode_refusal: Encodes the body of these responses.
         held: Bytes that the clients make the daemon hold.
         idle: Connections without a request, the longest idle first.
-        parse_queue: Connections that have more to parse than fits in a turn.
         unfinished: Connections whose request isn't whole, the oldest first.
         all_closed: Set when the last connection closes.
+        turns: Turns of connections that have much to parse.
     """
 
     __slots__ = (
@@ -91,7 +62,7 @@
         "held",
         "idle",
         "max_connections",
-        "parse_queue",
+        "turns",
         "unfinished",
     )
 
@@ -118,7 +89,7 @@
         self.all_closed = asyncio.Event()
         self.held = held_bytes.HeldBytes(limit_bytes=held_limit_bytes)
         self.idle: dict[BoundedProtocol, None] = {}
-        self.parse_queue = _ParseQueue()
+        self.turns = loop_turns.LoopTurns()
         self.unfinished: dict[BoundedProtocol, None] = {}
 
 
@@ -161,7 +132,8 @@
         # Bytes of the current message since the last one of its body.
         self._framing_bytes = 0
         self._parts_in_turn = 0
-        # Parts of a body that the piece being parsed contains.
+        # Parts of a body in the piece that is parsed. They are passed on
+        # together, since that copies what the request hasn't taken yet.
         self._parts = bytearray()
         self._unparsed = b""
         self._unparsed_held: held_bytes.Holding | None = None
@@ -197,16 +169,6 @@
             request.body.drop()
         self._requests.clear()
 
-    def parse_unparsed(self) -> None:
-        """Goes on with the bytes that were left unparsed."""
-        if self.transport.is_closing() or self.pipeline:
-            return
-        data = self._unparsed
-        self._drop_unparsed()
-        self._parse(data)
-        if not self.transport.is_closing():
-            self._flow.resume_reading()
-
     def make_way(self) -> None:
         """Closes the connection, which has no whole request."""
         if self in self._limits.idle:
@@ -250,13 +212,23 @@
                 return
             if self._parts_in_turn > _MAX_PARTS_PER_TURN:
                 self._keep_unparsed(data[offset:])
-                self._limits.parse_queue.add(self)
+                self._limits.turns.add(self._parse_unparsed)
                 return
             size = _PIECE_BYTES if self._in_headers else _BODY_PIECE_BYTES
             piece = view[offset : offset + size]
             offset += len(piece)
             self._parse_piece(piece)
 
+    def _parse_unparsed(self) -> None:
+        """Goes on with the bytes that were left unparsed."""
+        if self.transport.is_closing() or self.pipeline:
+            return
+        data = self._unparsed
+        self._drop_unparsed()
+        self._parse(data)
+        if not self.transport.is_closing():
+            self._flow.resume_reading()
+
     def _keep_unparsed(self, data: bytes) -> None:
         """Keeps bytes of requests that must wait, and reads no more."""
         self._drop_unparsed()
@@ -337,7 +309,6 @@
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of a body to those parsed with it."""
-        # Each one passed on would copy those that the request hasn't taken.
         self._framing_bytes = 0
         self._parts_in_turn += 1
         self._parts += body
@@ -388,7 +359,7 @@
                 if self._head_begun:
                     self._start_header_timer(HEADER_TIMEOUT_MS)
         if self._unparsed:
-            self.loop.call_soon(self.parse_unparsed)
+            self.loop.call_soon(self._parse_unparsed)
 
     def pause_writing(self) -> None:
         """Starts the timeout of a client that doesn't read its response."""
