relay: parse small chunks of many bodies without holding up others

Callers got no answer for as long as a crowd sent bodies in chunks of two bytes, though memory stayed bounded: the same cause as in mothpassd's listener.

Cause: each connection parses all that it receives in one turn of the event loop, up to 256 KB, which are 37,000 chunks. A turn grew with the number of connections.

Now a connection parses up to 500 chunks, and then takes turns with others that have as many, one in each turn of the loop. Bodies of fewer chunks are parsed at once, as before.

--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -15,6 +15,7 @@
 import httptools
 import msgspec
 
+from mothpass.adapters import loop_turns
 from mothpass.core import client_memory
 from mothpass.core import connection_slots
 from mothpass.core import errors
@@ -33,6 +34,8 @@
 _MAX_UNPARSED_BYTES = 65_536
 # Bytes parsed at a time: all requests that end within them are queued.
 _SLICE_BYTES = 1024
+# Chunks of a body parsed before other connections get their turn.
+_MAX_CHUNKS_PER_TURN = 500
 # What a connection, a request and a header take beside their own bytes.
 _CONNECTION_BYTES = 4096
 _REQUEST_BYTES = 2048
@@ -112,6 +115,7 @@
         is_closing: Whether each connection closes after its next response.
         displaced_count: Connections that were closed for a new one, or not
             accepted, at the limit.
+        turns: Turns of connections that have much to parse.
     """
 
     __slots__ = (
@@ -123,6 +127,7 @@
         "memory",
         "displaced_count",
         "slots",
+        "turns",
     )
 
     def __init__(
@@ -151,6 +156,7 @@
         self.slots: connection_slots.ConnectionSlots[ClientConnection] = (
             connection_slots.ConnectionSlots(limit=max_connections)
         )
+        self.turns = loop_turns.LoopTurns()
         self.is_closing = False
         self.displaced_count = 0
 
@@ -206,9 +212,11 @@
 
     __slots__ = (
         "_answer_bytes",
+        "_awaits_turn",
         "_body",
         "_body_bytes_left",
         "_chunked",
+        "_chunks_in_turn",
         "_deadline",
         "_head_bytes",
         "_header_cost",
@@ -270,6 +278,8 @@
         self.response_started = False
         self._unparsed = bytearray()
         self._unparsed_since = 0.0
+        self._chunks_in_turn = 0
+        self._awaits_turn = False
         self._last_byte_at = 0.0
         self._answer_bytes = 0
         self._trailer_bytes = 0
@@ -331,7 +341,7 @@
         if self._rejection is not None:
             return
         self._last_byte_at = self._loop.time()
-        if self._is_serving():
+        if self._is_serving() or self._awaits_turn:
             self._keep_unparsed(data)
             return
         self._parse(data)
@@ -369,6 +379,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Adds a body chunk."""
+        self._chunks_in_turn += 1
         # Its size is checked once for all chunks that are parsed together.
         self._body += body
 
@@ -494,7 +505,7 @@
         return self._task is not None or bool(self._queued)
 
     def _keep_unparsed(self, data: bytes | memoryview) -> None:
-        """Keeps bytes that came behind the request in service."""
+        """Keeps bytes whose time to be parsed hasn't come."""
         if not self._unparsed:
             self._unparsed_since = self._last_byte_at
         self._unparsed += data
@@ -503,7 +514,7 @@
         self._update_held()
 
     def _parse_unparsed(self) -> None:
-        """Parses what came behind the request that was in service."""
+        """Parses the bytes that were kept."""
         data = bytes(self._unparsed)
         self._unparsed.clear()
         # Deadlines of clients count from when their bytes arrived.
@@ -514,18 +525,31 @@
             self._resume_reading()
 
     def _parse(self, data: bytes) -> None:
-        """Parses bytes until a request is whole; keeps the rest."""
+        """Parses bytes until a request is whole; keeps the rest.
+
+        A body of very many chunks is parsed in several turns.
+        """
         view = memoryview(data)
         start = 0
+        self._chunks_in_turn = 0
         while start < len(view) and self._rejection is None:
             if self._queued:
                 self._keep_unparsed(view[start:])
                 break
+            if self._chunks_in_turn > _MAX_CHUNKS_PER_TURN:
+                self._keep_unparsed(view[start:])
+                self._awaits_turn = True
+                self._state.turns.add(self._take_turn)
+                break
             end = start + max(_SLICE_BYTES, self._body_bytes_left)
             self._parse_slice(view[start:end])
             start = end
             self._update_held()
 
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        self._serve_next()
+
     def _parse_slice(self, data: memoryview) -> None:
         body_bytes = len(self._body)
         if self._in_head:
@@ -750,7 +774,7 @@
             # sent after that request is served.
             self.close()
             return
-        if self._unparsed and not self._queued:
+        if self._unparsed and not self._queued and not self._awaits_turn:
             self._parse_unparsed()
         if self._queued:
             self._start_task()
--- a/tests/test_chunked_bodies.py
+++ b/tests/test_chunked_bodies.py
@@ -12,7 +12,11 @@
 
 from mothpass.adapters import http_disconnects
 from mothpass.adapters import http_listener
+from mothpass.adapters import relay_listener
+from mothpass.core import client_memory
+from mothpass.core import route_table
 from mothpass.daemon import answers
+from mothpass.ports import relay
 from tests import crowds
 
 _CONNECTIONS = 40
@@ -27,9 +31,48 @@
 _QUICK = crowds.build_head("/quick", {"Connection": "close"}, method="GET")
 
 
-class ChunkedBodyTest(unittest.IsolatedAsyncioTestCase):
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
     """Sends bodies in chunks of two bytes to a listener in this process."""
 
+    port: int
+
+    def send(self, data: bytes) -> socket.socket:
+        """Sends bytes that the listener reads once its event loop runs."""
+        client = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(client.close)
+        client.setblocking(False)
+        self.assertEqual(client.send(data), len(data))
+        return client
+
+    async def check_request(self, protocol: type[asyncio.Protocol]) -> None:
+        """Checks how many chunks of others are parsed before an answer.
+
+        Args:
+            protocol: Protocol of the listener's connections.
+        """
+        on_body = protocol.on_body  # type: ignore[attr-defined]
+        parsed = mock.Mock(wraps=on_body)
+        chunks = crowds.build_chunks(2 * _CHUNKS, 2)
+        with mock.patch.object(
+            protocol,
+            "on_body",
+            lambda connection, body: parsed(connection, body),
+        ):
+            for _ in range(_CONNECTIONS):
+                self.send(_BODY + chunks)
+            client = self.send(_QUICK)
+            async with asyncio.timeout(30):
+                answer = await asyncio.get_running_loop().sock_recv(client, 99)
+        self.assertIn(b"200 OK", answer)
+        # A connection parses the first of its bytes as they come.
+        self.assertLess(
+            parsed.call_count, (_CONNECTIONS + _MAX_TURNS) * _CHUNKS_AT_ONCE
+        )
+
+
+class DaemonListenerTest(ListenerTest):
+    """Tests the listener of mothpassd."""
+
     async def asyncSetUp(self) -> None:
         self.listener = await http_listener.open_listener(
             http_disconnects.cancel_on_disconnect(
@@ -43,41 +86,18 @@
                 encode_refusal=answers.encode_refusal_without_id,
             ),
         )
+        self.port = self.listener.port
 
     async def asyncTearDown(self) -> None:
         self.listener.stop_accepting()
         self.listener.abort()
         await self.listener.drain(asyncio.get_running_loop().time() + 5)
 
-    def _send(self, data: bytes) -> socket.socket:
-        """Sends bytes that the listener reads once its event loop runs."""
-        client = socket.create_connection(("127.0.0.1", self.listener.port))
-        self.addCleanup(client.close)
-        client.setblocking(False)
-        self.assertEqual(client.send(data), len(data))
-        return client
-
     async def test_small_chunks_of_others_do_not_hold_up_a_request(
         self,
     ) -> None:
         """Guards against a crowd whose chunks all others must wait for."""
-        parsed = mock.Mock(wraps=http_listener.BoundedProtocol.on_body)
-        chunks = crowds.build_chunks(2 * _CHUNKS, 2)
-        with mock.patch.object(
-            http_listener.BoundedProtocol,
-            "on_body",
-            lambda connection, body: parsed(connection, body),
-        ):
-            for _ in range(_CONNECTIONS):
-                self._send(_BODY + chunks)
-            client = self._send(_QUICK)
-            async with asyncio.timeout(30):
-                answer = await asyncio.get_running_loop().sock_recv(client, 99)
-        self.assertIn(b"200 OK", answer)
-        # A connection parses the first of its bytes as they come.
-        self.assertLess(
-            parsed.call_count, (_CONNECTIONS + _MAX_TURNS) * _CHUNKS_AT_ONCE
-        )
+        await self.check_request(http_listener.BoundedProtocol)
 
     async def test_small_chunks_are_handed_over_together(self) -> None:
         """Guards against a body that is copied again for each chunk."""
@@ -88,7 +108,7 @@
             lambda connection, body: received(connection, body),
         ):
             chunks = crowds.build_chunks(2 * _CHUNKS, 2)
-            client = self._send(_BODY + chunks + b"0\r\n\r\n")
+            client = self.send(_BODY + chunks + b"0\r\n\r\n")
             reader, _ = await asyncio.open_connection(sock=client)
             async with asyncio.timeout(30):
                 answer = await reader.read()
@@ -98,6 +118,57 @@
         self.assertLess(len(sizes), _CHUNKS / 100)
 
 
+class RelayListenerTest(ListenerTest):
+    """Tests the listener of the relay."""
+
+    async def asyncSetUp(self) -> None:
+        limits = route_table.RequestLimits(
+            header_bytes=2000,
+            body_bytes=1 << 20,
+            header_timeout_s=30,
+            idle_timeout_s=30,
+        )
+        self.sizes: list[int] = []
+        state = relay_listener.ListenerState(
+            handle=self._handle,
+            find_limits=lambda: limits,
+            memory=client_memory.ClientMemory(limit_bytes=1 << 24),
+            max_connections=_CONNECTIONS + 1,
+        )
+        server = await relay_listener.open_listener(state, "127.0.0.1:0")
+        self.addCleanup(state.abort)
+        self.addCleanup(server.close)
+        assert isinstance(server, asyncio.Server)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _handle(
+        self,
+        head: relay.ClientHead,
+        body: bytes,
+        client: relay_listener.ClientConnection,
+    ) -> None:
+        del head
+        self.sizes.append(len(body))
+        client.write_response(200, (), b"")
+
+    async def test_small_chunks_of_others_do_not_hold_up_a_request(
+        self,
+    ) -> None:
+        """Guards against a crowd whose chunks all others must wait for."""
+        await self.check_request(relay_listener.ClientConnection)
+
+    async def test_body_is_whole_after_several_turns(self) -> None:
+        """Guards against bytes lost or mixed up between two turns."""
+        chunks = crowds.build_chunks(2 * _CHUNKS, 2) + b"0\r\n\r\n"
+        head = crowds.build_head("/body", {"Transfer-Encoding": "chunked"})
+        client = self.send(2 * (head + chunks) + _QUICK)
+        reader, _ = await asyncio.open_connection(sock=client)
+        async with asyncio.timeout(30):
+            answers = await reader.read()
+        self.assertEqual(answers.count(b"HTTP/1.1 200 OK"), 3)
+        self.assertEqual(self.sizes, [2 * _CHUNKS, 2 * _CHUNKS, 0])
+
+
 async def _answer(
     scope: dict[str, typing.Any],
     receive: abc.Callable[[], abc.Awaitable[typing.Any]],
