mothpassd: don't refuse a burst of calls of an ordinary peer

Peers saw calls fail at once (RST_STREAM REFUSED_STREAM), among them requests for permits, when more than 32 ran at a time over one connection.

A server counts a stream that has ended for a while yet, so that a client which keeps to the number it was told is refused as well.

Now a link has at most 64 calls at a time, the others wait within their timeout, and a server allows 256 streams a connection and 2,048 calls in all.

--- a/mothpass/adapters/peer_links.py
+++ b/mothpass/adapters/peer_links.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections import abc
+import typing
 
 from grpc import aio
 
@@ -19,6 +21,11 @@
 
 IDLE_TIMEOUT_S = 60.0
 SEND_TIMEOUT_S = 2.0
+# Calls of a link at a time; more wait, since a peer refuses those above the
+# streams that it allows.
+MAX_CALLS = 64
+_FAILURES = (aio.AioRpcError, TimeoutError)
+_ReplyT = typing.TypeVar("_ReplyT")
 
 
 class Link:
@@ -28,7 +35,14 @@
         address: ``ip:port`` of the peer.
     """
 
-    __slots__ = ("_channel", "_metadata", "_stub", "_traffic", "address")
+    __slots__ = (
+        "_calls",
+        "_channel",
+        "_metadata",
+        "_stub",
+        "_traffic",
+        "address",
+    )
 
     def __init__(
         self, *, address: str, key: str, traffic: peer_transport.PeerTraffic
@@ -43,6 +57,7 @@
         self.address = address
         self._metadata = ((peer_transport.KEY_HEADER, key),)
         self._traffic = traffic
+        self._calls = asyncio.Semaphore(MAX_CALLS)
         self._channel = aio.insecure_channel(
             address, options=peer_transport.GRPC_OPTIONS
         )
@@ -54,10 +69,8 @@
         """Sends a batch and returns whether the peer acknowledged it."""
         self._traffic.count_sent(message.ByteSize())
         try:
-            await self._stub.SendBatch(
-                message, metadata=self._metadata, timeout=timeout_s
-            )
-        except aio.AioRpcError:
+            await self._call(self._stub.SendBatch, message, timeout_s)
+        except _FAILURES:
             return False
         return True
 
@@ -72,10 +85,8 @@
         message = peer_messages.encode_grant_request(request)
         self._traffic.count_sent(message.ByteSize())
         try:
-            reply = await self._stub.AskGrant(
-                message, metadata=self._metadata, timeout=timeout_s
-            )
-        except aio.AioRpcError:
+            reply = await self._call(self._stub.AskGrant, message, timeout_s)
+        except _FAILURES:
             return None
         self._traffic.count_received(reply.ByteSize())
         return peer_messages.decode_grant_reply(reply)
@@ -91,10 +102,8 @@
         message = peer_messages.encode_release(release)
         self._traffic.count_sent(message.ByteSize())
         try:
-            await self._stub.SendRelease(
-                message, metadata=self._metadata, timeout=timeout_s
-            )
-        except aio.AioRpcError:
+            await self._call(self._stub.SendRelease, message, timeout_s)
+        except _FAILURES:
             return False
         return True
 
@@ -111,13 +120,17 @@
         )
         self._traffic.count_sent(request.ByteSize())
         try:
-            reply = await self._stub.FetchChanges(
-                request, metadata=self._metadata, timeout=timeout_s
+            reply = await self._call(
+                self._stub.FetchChanges, request, timeout_s
             )
         except aio.AioRpcError as error:
             raise errors.StoreUnavailableError(
                 f"{self.address}: {error.code()}"
             ) from error
+        except TimeoutError as error:
+            raise errors.StoreUnavailableError(
+                f"{self.address}: timed out"
+            ) from error
         self._traffic.count_received(reply.ByteSize())
         return peers.Changes(
             catalogue_version=reply.catalogue_version,
@@ -129,6 +142,23 @@
         """Closes the connection."""
         await self._channel.close(None)
 
+    async def _call(
+        self,
+        method: abc.Callable[..., abc.Awaitable[_ReplyT]],
+        message: object,
+        timeout_s: float,
+    ) -> _ReplyT:
+        """Returns the reply to a call, which may wait for others to end.
+
+        Raises:
+            aio.AioRpcError: If the call failed.
+            TimeoutError: If it timed out.
+        """
+        async with asyncio.timeout(timeout_s), self._calls:
+            return await method(
+                message, metadata=self._metadata, timeout=timeout_s
+            )
+
 
 class LinkPool:
     """Open links of one daemon, by address of the peer."""
--- a/mothpass/adapters/peer_server.py
+++ b/mothpass/adapters/peer_server.py
@@ -14,8 +14,10 @@
 from mothpass.adapters import peers_pb2_grpc
 from mothpass.ports import peers
 
-MAX_CALLS = 256
-MAX_STREAMS_PER_CONNECTION = 32
+MAX_CALLS = 2048
+# Above what a peer's link uses at once, as a stream that has ended counts for
+# a while.
+MAX_STREAMS_PER_CONNECTION = 256
 HANDSHAKE_TIMEOUT_MS = 2000
 
 
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -124,6 +124,20 @@
                 pass
         self.assertEqual(len(self.batches), 2)
 
+    async def test_burst_of_calls_is_not_refused(self) -> None:
+        """Guards against calls above the streams that a peer allows."""
+        link = self.links.get(self.address)
+        message = peer_messages.encode_batch(_make_batch(1))
+
+        async def send() -> list[bool]:
+            return [
+                await link.send_batch(message, timeout_s=20.0)
+                for _ in range(20)
+            ]
+
+        for sent in await asyncio.gather(*(send() for _ in range(400))):
+            self.assertEqual(sent, [True] * 20)
+
     async def test_wrong_key_is_rejected(self) -> None:
         links = peer_links.LinkPool(
             key="another-key-here",
