mothpassd: close connections of peers that don't call

Cause: gRPC's server has no limit on connections, and the handshake's timeout doesn't concern those that have sent a preface.

--- a/mothpass/adapters/peer_links.py
+++ b/mothpass/adapters/peer_links.py
@@ -24,6 +24,9 @@
 # Calls of a link at a time; more wait, since a peer refuses those above the
 # streams that it allows.
 MAX_CALLS = 64
+# How long a connection stays without a call; gRPC may take twice as long to
+# notice. It ends here before the peer ends it, which may lose a call.
+CONNECTION_IDLE_TIMEOUT_MS = 2000
 _FAILURES = (aio.AioRpcError, TimeoutError)
 _ReplyT = typing.TypeVar("_ReplyT")
 
@@ -59,7 +62,11 @@
         self._traffic = traffic
         self._calls = asyncio.Semaphore(MAX_CALLS)
         self._channel = aio.insecure_channel(
-            address, options=peer_transport.GRPC_OPTIONS
+            address,
+            options=[
+                *peer_transport.GRPC_OPTIONS,
+                ("grpc.client_idle_timeout_ms", CONNECTION_IDLE_TIMEOUT_MS),
+            ],
         )
         self._stub = peers_pb2_grpc.PeersStub(self._channel)
 
--- a/mothpass/adapters/peer_server.py
+++ b/mothpass/adapters/peer_server.py
@@ -19,6 +19,8 @@
 # a while.
 MAX_STREAMS_PER_CONNECTION = 256
 HANDSHAKE_TIMEOUT_MS = 2000
+# How long a connection may stay without a call.
+IDLE_TIMEOUT_MS = 5000
 
 
 class Handlers(msgspec.Struct, frozen=True, kw_only=True):
@@ -184,6 +186,7 @@
             ("grpc.so_reuseport", 0),
             ("grpc.max_concurrent_streams", MAX_STREAMS_PER_CONNECTION),
             ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+            ("grpc.max_connection_idle_ms", IDLE_TIMEOUT_MS),
         ],
         maximum_concurrent_rpcs=MAX_CALLS,
     )
