Start daemons as processes at one place in tests

tests/platform/test_lost_logs.py and test_crowds.py each wrote the settings of a daemon, started it and waited until it listened. Both now use tests/platform/daemon_process.py with the settings, time limits and limits on descriptors that they had.

--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -5,25 +5,23 @@
 """
 
 import asyncio
-import json
 import os
 import pathlib
-import sys
-import tempfile
 import unittest
 
 from mothpass.relay import peer_requests
 from tests.platform import crowd as crowd_module
+from tests.platform import daemon_process
 from tests.platform import fleet
 from tests.platform import target_standin
 from tests.platform import wire
 
-_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _HOST = "127.0.7.1"
-_CLIENTS = f"{_HOST}:20860"
-_HEALTH = f"{_HOST}:20861"
-_PEERS = f"{_HOST}:20862"
-_METRICS = f"{_HOST}:20863"
+_BASE_PORT = 20_860
+_CLIENTS = f"{_HOST}:{_BASE_PORT}"
+_HEALTH = f"{_HOST}:{_BASE_PORT + 1}"
+_PEERS = f"{_HOST}:{_BASE_PORT + 2}"
+_METRICS = f"{_HOST}:{_BASE_PORT + 3}"
 _WAIT_S = 30.0
 
 _MEMORY_BOUND_MB = 200.0
@@ -71,44 +69,14 @@
 
     async def start_process(self) -> None:
         """Starts the daemon and waits until it is ready."""
-        settings = {
-            "id": "front-1",
-            "availability_zone": "zone-a",
-            "address": _HOST,
-            "clients": _CLIENTS,
-            "health": _HEALTH,
-            "peer_ports": [20_862, 20_862],
-            "store": self.store.address,
-            "metrics_port": 20_863,
-        }
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        path = pathlib.Path(folder.name) / "settings.json"
-        path.write_text(json.dumps(settings), encoding="utf-8")
-        self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh",
-            "-c",
-            f'ulimit -n {self.descriptors}; exec "$0" -m mothpass.platform',
-            sys.executable,
-            cwd=_ROOT,
-            env=os.environ | {"MOTHPASS_SETTINGS": str(path)},
-            stdout=asyncio.subprocess.DEVNULL,
+        self.process = await daemon_process.start(
+            self,
+            host=_HOST,
+            base_port=_BASE_PORT,
+            timeout_s=_WAIT_S,
+            log=asyncio.subprocess.DEVNULL,
+            max_descriptors=self.descriptors,
         )
-        self.addAsyncCleanup(self.process.wait)
-        self.addCleanup(_kill, self.process)
-        async with asyncio.timeout(_WAIT_S):
-            while not await self._is_listening():  # noqa: ASYNC110
-                await asyncio.sleep(0.05)
-        await self.wait_until_ready(_HEALTH)
-
-    async def _is_listening(self) -> bool:
-        self.assertIsNone(self.process.returncode, "the daemon has ended")
-        try:
-            client = await wire.Client.connect(_HEALTH)
-        except OSError:
-            return False
-        client.close()
-        return True
 
     async def check_crowd(
         self,
@@ -423,10 +391,5 @@
     raise AssertionError("the process has no memory")
 
 
-def _kill(process: asyncio.subprocess.Process) -> None:
-    if process.returncode is None:
-        process.kill()
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_lost_logs.py
+++ b/tests/platform/test_lost_logs.py
@@ -1,19 +1,15 @@
 """Tests of daemons whose log can't be written any more."""
 
 import asyncio
-import json
 import os
-import pathlib
 import signal
-import sys
-import tempfile
 import unittest
 
+from tests.platform import daemon_process
 from tests.platform import fleet
 from tests.platform import target_standin
 from tests.platform import wire
 
-_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _HOST = "127.0.6.1"
 _BASE_PORT = 20_880
 _WAIT_S = 20.0
@@ -31,46 +27,14 @@
 
     async def start_process(self, log: int) -> asyncio.subprocess.Process:
         """Starts a daemon with this descriptor as log; waits for readiness."""
-        settings = {
-            "id": "front-1",
-            "availability_zone": "zone-a",
-            "address": _HOST,
-            "clients": f"{_HOST}:{_BASE_PORT}",
-            "health": f"{_HOST}:{_BASE_PORT + 1}",
-            "peer_ports": [_BASE_PORT + 2, _BASE_PORT + 2],
-            "store": self.store.address,
-            "grace_s": 6.0,
-            "metrics_port": _BASE_PORT + 3,
-        }
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        path = pathlib.Path(folder.name) / "settings.json"
-        path.write_text(json.dumps(settings), encoding="utf-8")
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "mothpass.platform",
-            cwd=_ROOT,
-            env=os.environ | {"MOTHPASS_SETTINGS": str(path)},
-            stdout=log,
+        return await daemon_process.start(
+            self,
+            host=_HOST,
+            base_port=_BASE_PORT,
+            timeout_s=_WAIT_S,
+            log=log,
+            grace_s=6.0,
         )
-        self.addAsyncCleanup(process.wait)
-        self.addCleanup(_kill, process)
-        async with asyncio.timeout(_WAIT_S):
-            # Nothing else shows when it listens, as its log may be lost.
-            while not await self._is_listening(process):  # noqa: ASYNC110
-                await asyncio.sleep(0.05)
-        await self.wait_until_ready(str(settings["health"]))
-        return process
-
-    async def _is_listening(self, process: asyncio.subprocess.Process) -> bool:
-        self.assertIsNone(process.returncode, "the daemon has ended")
-        try:
-            client = await wire.Client.connect(f"{_HOST}:{_BASE_PORT + 1}")
-        except OSError:
-            return False
-        client.close()
-        return True
 
     async def start_chat(self) -> wire.Client:
         """Returns the connection of a client that gets a stream."""
@@ -109,10 +73,5 @@
         await self.check_graceful_shutdown(process, chat)
 
 
-def _kill(process: asyncio.subprocess.Process) -> None:
-    if process.returncode is None:
-        process.kill()
-
-
 if __name__ == "__main__":
     unittest.main()
