Answer with large bodies by one script in tests

The script stood in tests/platform/test_client_limits.py and test_crowds.py. It is among those of the stand-in now and takes the size, which is what it was in each.

--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -301,6 +301,20 @@
     return run
 
 
+def answer_largely(size_bytes: int) -> Script:
+    """Returns a script that runs the request and answers with a large body."""
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        target.runs.append(request.headers["attempt-id"])
+        body = b"x" * size_bytes
+        wire.write_answer(writer, 200, make_headers(request), body)
+        await writer.drain()
+
+    return run
+
+
 async def lose_answer(
     target: Target, request: wire.Request, writer: asyncio.StreamWriter
 ) -> None:
--- a/tests/platform/test_client_limits.py
+++ b/tests/platform/test_client_limits.py
@@ -48,7 +48,8 @@
     async def test_client_that_reads_no_answer_is_disconnected(self) -> None:
         """Guards against answers that are held for good."""
         for target in self.plain:
-            target.answer = _answer_largely
+            # More than the sockets between hold.
+            target.answer = target_standin.answer_largely(12_000_000)
         loop = asyncio.get_running_loop()
         host, _, port = self.addresses[0].rpartition(":")
         with socket.socket() as client:
@@ -94,15 +95,3 @@
             self.assertEqual(answer.status, 404)
             most_bytes = max(most_bytes, memory.held_bytes)
         self.assertLess(most_bytes, len(request) * count / 4)
-
-
-async def _answer_largely(
-    target: target_standin.Target,
-    request: wire.Request,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Answers with more than the sockets between hold."""
-    target.runs.append(request.headers["attempt-id"])
-    headers = target_standin.make_headers(request)
-    wire.write_answer(writer, 200, headers, b"x" * 12_000_000)
-    await writer.drain()
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -247,7 +247,7 @@
     ) -> None:
         """Guards against answers that are held without a bound."""
         for target in self.models:
-            target.answer = _answer_largely
+            target.answer = target_standin.answer_largely(2 * _MAX_BODY_BYTES)
         await self.check_crowd(
             [[self.make_head("/large/1")] for _ in range(60)],
             receive_buffer_bytes=4096,
@@ -370,18 +370,6 @@
     }
 
 
-async def _answer_largely(
-    target: target_standin.Target,
-    request: wire.Request,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Runs the request and answers with 8 MB."""
-    target.runs.append(request.headers["attempt-id"])
-    headers = target_standin.make_headers(request)
-    wire.write_answer(writer, 200, headers, _BODY + _BODY)
-    await writer.drain()
-
-
 def _read_peak_mb(pid: int) -> float:
     """Returns the peak memory of a process."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
