Share signed heads and events of streams in tests

tests/test_answer_delivery.py and tests/platform/test_broken_answers.py each built the events of a stream, the head of a signed answer and the same four answers without a stream. They take these from the stand-in now; its script sets the id a1 that the first of them wrote itself.

--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -8,6 +8,19 @@
 
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 EVENTS = 4
+# Start of the head of an answer for close_after().
+SIGNED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Seal: "
+    + SIGNATURE.encode()
+    + b"\r\n"
+)
+# What may follow it where the answer is no stream.
+RESTS_WITHOUT_STREAM = (
+    b"\r\n",
+    b"\r\nout of memory",
+    b"Content-Length: 4\r\n\r\ndone",
+    b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}",
+)
 
 
 class Target:
@@ -131,6 +144,11 @@
     return f"id: {number}\ndata: part {number}{written_by}\n\n".encode()
 
 
+def make_events(start: int, end: int) -> bytes:
+    """Returns the events of a stream from one id up to another."""
+    return b"".join(make_event(number) for number in range(start, end))
+
+
 async def answer_normally(
     target: Target, request: wire.Request, writer: asyncio.StreamWriter
 ) -> None:
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -13,19 +13,7 @@
     b"HTTP/1.1 500 Internal Server Error\nServer-Seal: x\n\n",
     b"id: last\ndata: part\n\n",
 )
-_SIGNED_HEAD = (
-    b"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\n"
-    + b"Server-Seal: "
-    + target_standin.SIGNATURE.encode()
-    + b"\r\n"
-)
-
-
-def make_events(start: int, end: int) -> bytes:
-    """Returns the events of a stream from one id up to another."""
-    return b"".join(
-        target_standin.make_event(number) for number in range(start, end)
-    )
+make_events = target_standin.make_events
 
 
 class _AnswersTest(fleet.FleetTest):
@@ -175,14 +163,11 @@
         self,
     ) -> None:
         """Guards against an empty or short body in place of a stream."""
-        for rest in (
-            b"\r\n",
-            b"\r\nout of memory",
-            b"Content-Length: 4\r\n\r\ndone",
-            b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}",
-        ):
+        for rest in target_standin.RESTS_WITHOUT_STREAM:
             with self.subTest(rest=rest):
-                script = target_standin.close_after(_SIGNED_HEAD + rest)
+                script = target_standin.close_after(
+                    target_standin.SIGNED_HEAD + rest
+                )
                 answer = await self.send_chat(script, path="/once/1")
                 self.assertEqual(answer.status, 502)
 
@@ -192,7 +177,7 @@
 
     async def test_torn_head_is_no_answer(self) -> None:
         """Guards against a short body that is framed as whole."""
-        head = _SIGNED_HEAD + b"Content-Length: 800"
+        head = target_standin.SIGNED_HEAD + b"Content-Length: 800"
         for cut in (*range(10, len(head), 9), len(head) - 2, len(head)):
             for path, targets in (
                 ("/pay/1", self.plain),
@@ -208,7 +193,9 @@
 
     async def test_torn_head_does_not_end_a_stream(self) -> None:
         """Guards against a torn head in a stream, or as its end."""
-        head = _SIGNED_HEAD + b"Content-Type: text/event-stream\r\n"
+        head = (
+            target_standin.SIGNED_HEAD + b"Content-Type: text/event-stream\r\n"
+        )
         for rest in (b"", b"Transfer-Enc", b"\r\n", b"\r\nerror\n\n"):
             with self.subTest(rest=rest):
                 answer = await self.send_chat(
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -17,11 +17,7 @@
     b"HTTP/1.1 500 Internal Server Error\nServer-Seal: x\n\n",
     b"id: last\ndata: part\n\n",
 )
-_SIGNED_HEAD = (
-    b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: "
-    + target_standin.SIGNATURE.encode()
-    + b"\r\n"
-)
+make_events = target_standin.make_events
 
 
 class _Client:
@@ -61,13 +57,6 @@
         pass
 
 
-def make_events(start: int, end: int) -> bytes:
-    """Returns the events of a stream from one id up to another."""
-    return b"".join(
-        target_standin.make_event(number) for number in range(start, end)
-    )
-
-
 class StreamTest(unittest.IsolatedAsyncioTestCase):
     """Streams of four events, by one or several attempts."""
 
@@ -133,21 +122,20 @@
         self,
     ) -> None:
         """Guards against an empty or short body in place of a stream."""
-        for rest in (
-            b"\r\n",
-            b"\r\nout of memory",
-            b"Content-Length: 4\r\n\r\ndone",
-            b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}",
-        ):
+        for rest in target_standin.RESTS_WITHOUT_STREAM:
             with self.subTest(rest=rest):
-                script = target_standin.close_after(_SIGNED_HEAD + rest)
+                script = target_standin.close_after(
+                    target_standin.SIGNED_HEAD + rest
+                )
                 self.check(await self.deliver(script), b"")
                 self.assertEqual(self.outcomes[-1].end, attempts.End.LOST)
 
     async def test_body_may_end_with_its_connection(self) -> None:
         """Guards against whole answers without a length that are refused."""
         for body in (b"", b"done"):
-            script = target_standin.close_after(_SIGNED_HEAD + b"\r\n" + body)
+            script = target_standin.close_after(
+                target_standin.SIGNED_HEAD + b"\r\n" + body
+            )
             client = await self.deliver(script, expects_stream=False)
             self.check(client, body, is_whole=True)
 
@@ -230,7 +218,9 @@
 
     async def test_torn_head_does_not_end_a_stream(self) -> None:
         """Guards against a torn head in a stream, or as its end."""
-        head = _SIGNED_HEAD + b"Content-Type: text/event-stream\r\n"
+        head = (
+            target_standin.SIGNED_HEAD + b"Content-Type: text/event-stream\r\n"
+        )
         for rest in (b"", b"Transfer-Enc", b"\r\n", b"\r\nerror\n\n"):
             with self.subTest(rest=rest):
                 client = await self.deliver(
