mothpassd: skip peer addresses that can't be sent to

What callers saw: one entry of a daemon in the membership list whose address has no valid port (127.0.0.1:x) made every mothpassd of the region answer its requests with 501, and ended its ticks for good: no batches, no leases, no dispatch of what waits.

Cause: the endpoint split each address with int() and caught OSError only. It is called by each tick and, through Router.publish_now, by each attempt that starts. A port out of range is worse on asyncio's own loop: the transport closes, and nothing is sent to anybody.

Addresses are parsed once, before the transport sees them; what no datagram can be sent to is skipped and named in the log.

The test failed before: ValueError for four addresses, and nothing arrived any more at the valid one after the port 70000.

--- a/mothpass/adapters/peer_datagrams.py
+++ b/mothpass/adapters/peer_datagrams.py
@@ -14,8 +14,10 @@
 import asyncio
 from collections import abc
 import contextlib
+import functools
 import hashlib
 import hmac
+import ipaddress
 import logging
 import struct
 import typing
@@ -35,6 +37,8 @@
 _MAC_BYTES = 8
 _UINT32 = 0xFFFFFFFF
 _HALF_UINT32 = 1 << 31
+_MAX_PORT = 65_535
+_MAX_PARSED_ADDRESSES = 4096
 _logger = logging.getLogger("mothpass.datagrams")
 
 # Accepts a count report from an address.
@@ -178,9 +182,11 @@
         payload = _HEADER.pack(kind, self._wall_ms() & _UINT32) + body
         data = self._sign(payload) + payload
         for address in addresses:
-            host, _, port = address.rpartition(":")
+            destination = _parse_address(address)
+            if destination is None:
+                continue
             with contextlib.suppress(OSError):
-                transport.sendto(data, (host, int(port)))
+                transport.sendto(data, destination)
             self._traffic.count_sent(len(data), framing_bytes=0)
 
     def _sign(self, body: bytes) -> bytes:
@@ -199,6 +205,24 @@
         return (sent_ms - newest_ms) & _UINT32 < _HALF_UINT32
 
 
+@functools.lru_cache(maxsize=_MAX_PARSED_ADDRESSES)
+def _parse_address(address: str) -> tuple[str, int] | None:
+    """Returns host and port; None for what no datagram can be sent to.
+
+    A transport raises for such an address, or closes for good.
+    """
+    host, _, port_text = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        port = int(port_text)
+    except ValueError:
+        port = 0
+    if not 0 < port <= _MAX_PORT:
+        _logger.warning("can't send to the peer address %.60r", address)
+        return None
+    return host, port
+
+
 async def open_datagrams(address: str, endpoint: DatagramEndpoint) -> None:
     """Binds an endpoint to ``ip:port``.
 
--- a/tests/test_peer_datagrams.py
+++ b/tests/test_peer_datagrams.py
@@ -1,6 +1,7 @@
 """Tests for mothpass.adapters.peer_datagrams over loopback."""
 
 import asyncio
+import logging
 import unittest
 
 from mothpass.adapters import peer_datagrams
@@ -73,6 +74,31 @@
         self.assertEqual(sender, self._address_of(self.sender))
         self.assertEqual(received, batch)
 
+    async def test_address_that_cannot_be_sent_to_holds_up_no_other(
+        self,
+    ) -> None:
+        """Guards against one spoiled entry that ends ticks and requests."""
+        logging.disable(logging.WARNING)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        good = self._address_of(self.receiver)
+        for bad in ("", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "a b:1"):
+            with self.subTest(address=bad):
+                await self._check_skipped(bad, good)
+        for port in ("0", "-1", "70000", "9" * 400, "9" * 5000):
+            with self.subTest(port=port[:5]):
+                await self._check_skipped(f"127.0.0.1:{port}", good)
+
+    async def _check_skipped(self, bad: str, good: str) -> None:
+        """Sends to both addresses; checks what the second one receives."""
+        batch = peers_pb2.Batch(sender="d1")
+        self.now_ms += 1
+        self.sender.send_counts([bad, good], _REPORT)
+        self.sender.send_batch(bad, batch)
+        self.sender.send_batch(good, batch)
+        async with asyncio.timeout(5.0):
+            await self.reports.get()
+            await self.batches.get()
+
     async def test_oversized_batch_is_not_sent(self) -> None:
         batch = peers_pb2.Batch(
             changes=[b"x" * peer_datagrams.MAX_DATAGRAM_BYTES]
