--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -131,8 +131,7 @@
 
         async def send() -> list[bool]:
             return [
-                await link.send_batch(message, timeout_s=20.0)
-                for _ in range(5)
+                await link.send_batch(message, timeout_s=20.0) for _ in range(5)
             ]
 
         for sent in await asyncio.gather(*(send() for _ in range(200))):
