mothpassd: start loops again that an unexpected error ends

What callers saw: after one unexpected error in a round, a loop of mothpassd stood still until the daemon's end: no membership list, no heartbeats (so that the daemon left the list), no reports of targets, no ticks or no catalogue. The five loops of the control loop logged it; the two that prune connections and claims logged nothing.

Cause: each loop ran as a bare task.

daemon/supervision.py runs them as relay/supervision.py runs the tasks of the relay: the end is logged with its traceback (`task ended`), counted (mothpass.tasks.ended.<task>), and the loop starts again after 0.1 s, doubled up to 2 s. The count is sent when it happens, not by the ticks, which may be what fails. It is a module of its own, since mothpassd imports nothing of the relay. Unlike the relay's it ends as well if a loop turns its cancellation into an error, so that a shutdown is not undone.

--- a/mothpass/daemon/assembly.py
+++ b/mothpass/daemon/assembly.py
@@ -41,11 +41,13 @@
         on_catalogue: Called with each new revision of the catalogue.
         on_members: Called with each membership list that was read.
         on_tick: Called once per tick of the control loop.
+        on_loop_end: Called with the name of a loop that has ended by an error.
     """
 
     on_catalogue: abc.Callable[[revisions.Revision], None]
     on_members: abc.Callable[[members.Members], None]
     on_tick: abc.Callable[[], None]
+    on_loop_end: abc.Callable[[str], None]
 
 
 class CoreState(msgspec.Struct, frozen=True, kw_only=True):
@@ -252,6 +254,7 @@
             find_cold_start=find_cold_start,
             on_members=hooks.on_members,
             on_tick=hooks.on_tick,
+            on_loop_end=hooks.on_loop_end,
             random=core.random,
         ),
     )
--- a/mothpass/daemon/control.py
+++ b/mothpass/daemon/control.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import abc
-import contextlib
 import logging
 
 import msgspec
@@ -22,6 +21,7 @@
 from mothpass.daemon import leasing
 from mothpass.daemon import loads
 from mothpass.daemon import membership
+from mothpass.daemon import supervision
 from mothpass.ports import clock
 from mothpass.ports import peers
 
@@ -69,6 +69,7 @@
         "_address",
         "_key",
         "_monotonic",
+        "_on_loop_end",
         "_on_tick",
         "_server",
         "_tasks",
@@ -84,6 +85,7 @@
         key: str,
         tick_s: float,
         on_tick: abc.Callable[[], None],
+        on_loop_end: abc.Callable[[str], None],
         monotonic: clock.Monotonic,
     ) -> None:
         """Builds the control loop without starting it.
@@ -95,6 +97,8 @@
             tick_s: Seconds between two ticks.
             on_tick: Called once per tick, after batches are sent and lease
                 calls started.
+            on_loop_end: Called with the name of a loop that has ended by an
+                error and starts again.
             monotonic: Clock.
         """
         self.components = components
@@ -102,6 +106,7 @@
         self._key = key
         self._tick_s = tick_s
         self._on_tick = on_tick
+        self._on_loop_end = on_loop_end
         self._monotonic = monotonic
         self._server: peer_server.Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -127,17 +132,20 @@
         await peer_datagrams.open_datagrams(
             self._address, self.components.datagrams
         )
-        loops = (
-            self.components.membership.poll_forever(),
-            self.components.membership.send_heartbeats(),
-            self.components.loads.run(),
-            self._run_ticks(),
-            self._update_catalogue(),
-        )
+        loops: dict[str, abc.Callable[[], abc.Awaitable[None]]] = {
+            "membership": self.components.membership.poll_forever,
+            "heartbeats": self.components.membership.send_heartbeats,
+            "loads": self.components.loads.run,
+            "ticks": self._run_ticks,
+            "catalogue": self._update_catalogue,
+        }
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(coroutine) for coroutine in loops]
-        for task in self._tasks:
-            task.add_done_callback(_log_failure)
+        self._tasks = [
+            loop.create_task(
+                supervision.run_forever(name, run, self._on_loop_end)
+            )
+            for name, run in loops.items()
+        ]
 
     async def stop(self) -> None:
         """Stops all loops, releases leases and leaves the membership list."""
@@ -244,11 +252,3 @@
                     for item in fetched.changes
                 ]
             )
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    """Logs a loop that ended with an error, which is a bug in the daemon."""
-    with contextlib.suppress(asyncio.CancelledError):
-        error = task.exception()
-        if error is not None:
-            _logger.error("control loop failed", exc_info=error)
--- a/mothpass/daemon/control_assembly.py
+++ b/mothpass/daemon/control_assembly.py
@@ -47,6 +47,7 @@
             has none.
         on_members: Called with each membership list that was read.
         on_tick: Called once per tick.
+        on_loop_end: Called with the name of a loop that has ended by an error.
         random: Source of jitter.
     """
 
@@ -59,6 +60,7 @@
     find_cold_start: abc.Callable[[str], catalogue.ColdStart | None]
     on_members: abc.Callable[[members.Members], None]
     on_tick: abc.Callable[[], None]
+    on_loop_end: abc.Callable[[str], None]
     random: random_module.Random
 
 
@@ -208,6 +210,7 @@
             key=daemon_settings.peers.key,
             tick_s=daemon_settings.peers.tick_ms / 1000,
             on_tick=run_tick,
+            on_loop_end=dependencies.on_loop_end,
             monotonic=time.monotonic,
         ),
         permits=permits.PermitClient(
--- a/mothpass/daemon/service.py
+++ b/mothpass/daemon/service.py
@@ -1,6 +1,7 @@
 """Starts, runs and shuts down one daemon."""
 
 import asyncio
+from collections import abc
 import contextlib
 import logging
 import resource
@@ -23,6 +24,7 @@
 from mothpass.daemon import shutdown
 from mothpass.daemon import status
 from mothpass.daemon import status_page
+from mothpass.daemon import supervision
 from mothpass.ports import members
 
 PRUNE_INTERVAL_MS = 1000
@@ -57,6 +59,7 @@
                 on_catalogue=self._apply_catalogue,
                 on_members=self._apply_members,
                 on_tick=self._run_tick,
+                on_loop_end=self._count_loop_end,
             ),
         )
         self._components.core.state.is_catalogue_behind = lambda: (
@@ -80,8 +83,15 @@
             await self._open_operator_listener(),
         ]
         await self._components.control.loop.start()
-        for coroutine in (self._prune_connections(), self._prune_claims()):
-            self._tasks.append(asyncio.ensure_future(coroutine))
+        loops: dict[str, abc.Callable[[], abc.Awaitable[None]]] = {
+            "connections": self._prune_connections,
+            "claims": self._prune_claims,
+        }
+        for name, run in loops.items():
+            supervised = supervision.run_forever(
+                name, run, self._count_loop_end
+            )
+            self._tasks.append(asyncio.ensure_future(supervised))
         _logger.info("daemon started")
 
     async def stop(self) -> None:
@@ -137,6 +147,9 @@
         for name, value in counters.items():
             self._components.telemetry.send_gauge(name, value)
 
+    def _count_loop_end(self, name: str) -> None:
+        self._components.telemetry.count_loop_end(name)
+
     async def _open_client_listener(
         self, client_settings: settings_module.Callers
     ) -> http_listener.Listener:
--- a/mothpass/daemon/telemetry.py
+++ b/mothpass/daemon/telemetry.py
@@ -26,6 +26,7 @@
     "code",
     "ms",
     "attempts",
+    "task",
     "detail",
     "lines_dropped",
 )
@@ -203,6 +204,11 @@
         if self._statsd is not None:
             self._statsd.gauge(name, value)
 
+    def count_loop_end(self, name: str) -> None:
+        """Sends the end of a loop that starts again to the statsd server."""
+        if self._statsd is not None:
+            self._statsd.incr(f"tasks.ended.{name}")
+
     def list_teams(self) -> list[status_page.TrafficStatus]:
         """Returns the traffic of the teams, sorted by name."""
         return [
