relay: skip peer addresses that can't be sent to

One address in the peers' table, or in a datagram of another daemon, that isn't ip:port makes each round of messages fail, and each announcement, which requests make; a port out of range closes the transport on asyncio's own loop.

Cause: the address was split with int() when it was sent to. The same fault as in mothpassd's datagrams; both use one parser now, and skip what it can't read.

The test failed before (ValueError). It shows rounds and announcements; no request at a real process was tried.

--- a/mothpass/adapters/peer_datagrams.py
+++ b/mothpass/adapters/peer_datagrams.py
@@ -17,7 +17,6 @@
 import functools
 import hashlib
 import hmac
-import ipaddress
 import logging
 import struct
 import typing
@@ -27,6 +26,7 @@
 from mothpass.adapters import peer_transport
 from mothpass.adapters import peers_pb2
 from mothpass.core import count_reports
+from mothpass.core import socket_addresses
 
 _HEADER = struct.Struct(">BI")
 _NAMES_VERSION = struct.Struct(">I")
@@ -37,7 +37,6 @@
 _MAC_BYTES = 8
 _UINT32 = 0xFFFFFFFF
 _HALF_UINT32 = 1 << 31
-_MAX_PORT = 65_535
 _MAX_PARSED_ADDRESSES = 4096
 _logger = logging.getLogger("mothpass.datagrams")
 
@@ -207,20 +206,14 @@
 
 @functools.lru_cache(maxsize=_MAX_PARSED_ADDRESSES)
 def _parse_address(address: str) -> tuple[str, int] | None:
-    """Returns host and port; None for what no datagram can be sent to.
+    """Returns host and port; logs an address that can't be sent to once.
 
     A transport raises for such an address, or closes for good.
     """
-    host, _, port_text = address.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-        port = int(port_text)
-    except ValueError:
-        port = 0
-    if not 0 < port <= _MAX_PORT:
+    destination = socket_addresses.parse_address(address)
+    if destination is None:
         _logger.warning("can't send to the peer address %.60r", address)
-        return None
-    return host, port
+    return destination
 
 
 async def open_datagrams(address: str, endpoint: DatagramEndpoint) -> None:
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -19,6 +19,7 @@
 from mothpass.core import preference
 from mothpass.core import prompt_suspects
 from mothpass.core import prompts
+from mothpass.core import socket_addresses
 from mothpass.core import stream_origins
 from mothpass.core import suspects
 from mothpass.core import target_limits
@@ -500,8 +501,10 @@
             event_log.log(_logger, "datagram_too_long", bytes=len(data))
             return
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+            # A transport raises for an odd one, or closes for good.
+            destination = socket_addresses.parse_address(address)
+            if destination is not None:
+                self._transport.sendto(data, destination)
 
     def _list_addresses(self) -> set[str]:
         """Returns live peers' addresses; candidates and lost peers at times."""
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -144,6 +144,23 @@
         # Two datagrams in a row of one daemon are lost at times.
         self.assertGreater(min(live), 0.95 * fleet)
 
+    def test_odd_addresses_hold_up_no_other(self) -> None:
+        """Guards against a spoiled row that ends rounds and requests."""
+        odd = ["", "x", "10.0.0.9", "10.0.0.9:x", "10.0.0.9:70000", "a b:1"]
+
+        async def run() -> None:
+            self.gossip.add_candidates([*odd, "10.0.0.1:1"])
+            self.gossip.tick()
+            message = self.make_message("front-2", odd)
+            data = msgspec.msgpack.encode(message)
+            self.gossip.datagram_received(data, ("10.0.0.2", 1))
+            self.gossip.send_now()
+            await self.tick(1.0, delivers=False)
+
+        self.loop.run_all(run())
+        receivers = {host for _, host in self.transport.sent}
+        self.assertEqual(receivers, {"10.0.0.1", "10.0.0.2"})
+
     def test_messages_of_adjacent_releases_are_decoded(self) -> None:
         async def play() -> None:
             message = self.make_message("front-1", [])
