--- a/mothpass/adapters/http_listener.py
+++ b/mothpass/adapters/http_listener.py
@@ -34,7 +34,8 @@
 # unparsed from the next piece on, since a parsed one takes many times its size.
 _PIECE_BYTES = 1024
 _BODY_PIECE_BYTES = 8192
-# Parts of a body parsed before other connections get their turn.
+# Header lines and parts of a body parsed before other connections get their
+# turn.
 _MAX_PARTS_PER_TURN = 1000
 # Encodes a rejection as a response body.
 EncodeRefusal = abc.Callable[[errors.Refusal], bytes]
@@ -132,6 +133,7 @@
         # Bytes of the current message since the last one of its body.
         self._framing_bytes = 0
         self._parts_in_turn = 0
+        self._awaits_turn = False
         # Parts of a body in the piece that is parsed. They are passed on
         # together, since that copies what the request hasn't taken yet.
         self._parts = bytearray()
@@ -212,16 +214,21 @@
                 return
             if self._parts_in_turn > _MAX_PARTS_PER_TURN:
                 self._keep_unparsed(data[offset:])
-                self._limits.turns.add(self._parse_unparsed)
+                self._awaits_turn = True
+                self._limits.turns.add(self._take_turn)
                 return
             size = _PIECE_BYTES if self._in_headers else _BODY_PIECE_BYTES
             piece = view[offset : offset + size]
             offset += len(piece)
             self._parse_piece(piece)
 
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        self._parse_unparsed()
+
     def _parse_unparsed(self) -> None:
         """Goes on with the bytes that were left unparsed."""
-        if self.transport.is_closing() or self.pipeline:
+        if self._awaits_turn or self.transport.is_closing() or self.pipeline:
             return
         data = self._unparsed
         self._drop_unparsed()
@@ -274,6 +281,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers after a body are ignored."""
+        self._parts_in_turn += 1
         if self._in_headers:
             super().on_header(name, value)
 
