Parse header lines of many requests without holding up others

Callers waited while a crowd sent requests with thousands of header lines, inside the limits: each connection parsed a whole head in each turn of the event loop, at both listeners.

Header lines and chunks count together now towards a connection's turn.

--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -34,8 +34,8 @@
 _MAX_UNPARSED_BYTES = 65_536
 # Bytes parsed at a time: all requests that end within them are queued.
 _SLICE_BYTES = 1024
-# Chunks of a body parsed before other connections get their turn.
-_MAX_CHUNKS_PER_TURN = 500
+# Header lines and chunks parsed before other connections get their turn.
+_MAX_PARTS_PER_TURN = 500
 # What a connection, a request and a header take beside their own bytes.
 _CONNECTION_BYTES = 4096
 _REQUEST_BYTES = 2048
@@ -216,7 +216,6 @@
         "_body",
         "_body_bytes_left",
         "_chunked",
-        "_chunks_in_turn",
         "_deadline",
         "_head_bytes",
         "_header_cost",
@@ -231,6 +230,7 @@
         "_last_byte_at",
         "_loop",
         "_parser",
+        "_parts_in_turn",
         "_queued",
         "_queued_cost",
         "_reading_since",
@@ -278,7 +278,7 @@
         self.response_started = False
         self._unparsed = bytearray()
         self._unparsed_since = 0.0
-        self._chunks_in_turn = 0
+        self._parts_in_turn = 0
         self._awaits_turn = False
         self._last_byte_at = 0.0
         self._answer_bytes = 0
@@ -358,6 +358,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers after a body are ignored."""
+        self._parts_in_turn += 1
         if self._in_head:
             self._headers.append((name.lower(), value))
             self._header_cost += _HEADER_BYTES + len(name) + len(value)
@@ -379,7 +380,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Adds a body chunk."""
-        self._chunks_in_turn += 1
+        self._parts_in_turn += 1
         # Its size is checked once for all chunks that are parsed together.
         self._body += body
 
@@ -527,16 +528,16 @@
     def _parse(self, data: bytes) -> None:
         """Parses bytes until a request is whole; keeps the rest.
 
-        A body of very many chunks is parsed in several turns.
+        Very many header lines or chunks are parsed in several turns.
         """
         view = memoryview(data)
         start = 0
-        self._chunks_in_turn = 0
+        self._parts_in_turn = 0
         while start < len(view) and self._rejection is None:
             if self._queued:
                 self._keep_unparsed(view[start:])
                 break
-            if self._chunks_in_turn > _MAX_CHUNKS_PER_TURN:
+            if self._parts_in_turn > _MAX_PARTS_PER_TURN:
                 self._keep_unparsed(view[start:])
                 self._awaits_turn = True
                 self._state.turns.add(self._take_turn)
