mothpassd: don't match a large event again for each of its pieces

Cause: the decoder matched all that it held, and looked for an end in all of it, with each piece. Now only the new bytes are looked at until an event ends there.

--- a/mothpass/adapters/http_events.py
+++ b/mothpass/adapters/http_events.py
@@ -20,7 +20,7 @@
 
     def __init__(self) -> None:
         """Starts with an empty buffer."""
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def decode(self, data: bytes) -> list[targets.Event]:
         """Returns the events that these bytes complete.
@@ -28,9 +28,14 @@
         Raises:
             errors.TargetAnswerLostError: If the bytes are not such events.
         """
-        if self._buffer:
-            data = self._buffer + data
-        events = []
+        searched = max(0, len(self._buffer) - 1)
+        self._buffer += data
+        events: list[targets.Event] = []
+        if self._buffer.find(b"\n\n", searched) < 0:
+            # No event ends here; matching would read all of it once more.
+            self._check_buffer()
+            return events
+        data = bytes(self._buffer)
         end = 0
         while match := _EVENT.match(data, end):
             finish, attempt, position, body = match.groups()
@@ -42,14 +47,13 @@
             )
             events.append(event)
             end = match.end()
-        self._buffer = data[end:]
-        if self._buffer:
-            self._check_buffer()
+        del self._buffer[:end]
+        if b"\n\n" in self._buffer:
+            raise errors.TargetAnswerLostError("malformed event")
+        self._check_buffer()
         return events
 
     def _check_buffer(self) -> None:
-        """Raises if the buffered bytes can't become an event."""
-        if b"\n\n" in self._buffer:
-            raise errors.TargetAnswerLostError("malformed event")
+        """Raises if more than an event is buffered."""
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise errors.TargetAnswerLostError("event too large")
