Share the listener of scripted applications in tests

tests/test_chunked_bodies.py and test_pipelined_requests.py each opened a listener of mothpassd in front of an ASGI application of their own, and closed it. Both use tests/scripted_listeners.py now, with the limits that they had. The listener is closed by a cleanup in place of a tearDown; nothing is checked after it.

--- a/tests/test_chunked_bodies.py
+++ b/tests/test_chunked_bodies.py
@@ -1,16 +1,12 @@
 """Tests that bodies in many small chunks leave time for other requests."""
 
 import asyncio
-from collections import abc
 import socket
-import typing
 import unittest
 from unittest import mock
 
-import blacksheep
 from uvicorn.protocols.http import httptools_impl
 
-from mothpass.adapters import http_disconnects
 from mothpass.adapters import http_listener
 from mothpass.adapters import relay_listener
 from mothpass.core import client_memory
@@ -18,6 +14,7 @@
 from mothpass.daemon import answers
 from mothpass.ports import relay
 from tests import crowds
+from tests import scripted_listeners
 
 _CONNECTIONS = 40
 _CHUNKS = 9_000
@@ -74,11 +71,9 @@
     """Tests the listener of mothpassd."""
 
     async def asyncSetUp(self) -> None:
-        self.listener = await http_listener.open_listener(
-            http_disconnects.cancel_on_disconnect(
-                typing.cast(blacksheep.Application, _answer)
-            ),
-            "127.0.0.1:0",
+        listener = await scripted_listeners.open_listener(
+            self,
+            _answer,
             http_listener.ListenerLimits(
                 header_limit_bytes=2000,
                 max_connections=_CONNECTIONS + 1,
@@ -86,12 +81,7 @@
                 encode_refusal=answers.encode_refusal_without_id,
             ),
         )
-        self.port = self.listener.port
-
-    async def asyncTearDown(self) -> None:
-        self.listener.stop_accepting()
-        self.listener.abort()
-        await self.listener.drain(asyncio.get_running_loop().time() + 5)
+        self.port = listener.port
 
     async def test_small_chunks_of_others_do_not_hold_up_a_request(
         self,
@@ -170,9 +160,9 @@
 
 
 async def _answer(
-    scope: dict[str, typing.Any],
-    receive: abc.Callable[[], abc.Awaitable[typing.Any]],
-    send: abc.Callable[[typing.Any], abc.Awaitable[None]],
+    scope: scripted_listeners.Message,
+    receive: scripted_listeners.Receive,
+    send: scripted_listeners.Send,
 ) -> None:
     """Answers with the size of the body, once it is whole."""
     size = 0
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -1,17 +1,13 @@
 """Tests that requests of one connection leave each other's responses alone."""
 
 import asyncio
-from collections import abc
-import typing
 import unittest
 from unittest import mock
 
-import blacksheep
-
 from mothpass.adapters import held_bytes
-from mothpass.adapters import http_disconnects
 from mothpass.adapters import http_listener
 from mothpass.core import errors
+from tests import scripted_listeners
 
 _HEADER_LIMIT_BYTES = 2000
 _HELD_LIMIT_BYTES = 1 << 20
@@ -40,24 +36,15 @@
             held_limit_bytes=_HELD_LIMIT_BYTES,
             encode_refusal=_encode_refusal,
         )
-        self.listener = await http_listener.open_listener(
-            http_disconnects.cancel_on_disconnect(
-                typing.cast(blacksheep.Application, self._answer)
-            ),
-            "127.0.0.1:0",
-            self.limits,
+        self.listener = await scripted_listeners.open_listener(
+            self, self._answer, self.limits
         )
 
-    async def asyncTearDown(self) -> None:
-        self.listener.stop_accepting()
-        self.listener.abort()
-        await self.listener.drain(asyncio.get_running_loop().time() + 5)
-
     async def _answer(
         self,
-        scope: dict[str, typing.Any],
-        receive: object,
-        send: abc.Callable[[typing.Any], abc.Awaitable[None]],
+        scope: scripted_listeners.Message,
+        receive: scripted_listeners.Receive,
+        send: scripted_listeners.Send,
     ) -> None:
         """Answers in two parts; waits in between, or before at /late."""
         del receive
