Build registrations of targets at one place in tests

Five test modules of the relay wrote out all fields of a registration. They use tests/registrations.py now and name only the fields that differ, with the values that they had.

--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,6 +7,7 @@
 from mothpass.core import prompts
 from mothpass.core import target_choice
 from mothpass.core import target_table
+from tests import registrations
 
 
 class ReplacedTargetsTest(unittest.TestCase):
@@ -102,16 +103,9 @@
 
 
 def make_registration(number: int) -> target_table.Registration:
-    """Returns the registration of a target at an address of its own."""
-    return target_table.Registration(
-        id=f"i-{number}",
-        service="models",
-        address=f"10.0.0.{number}:80",
-        availability_zone="zone-a",
-        slots=0,
-        is_draining=False,
-        cold_left_s=0.0,
-        started_at_ms=1000 + number,
+    """Returns the registration of a target that doesn't state its slots."""
+    return registrations.make_registration(
+        number, slots=0, started_at_ms=1000 + number
     )
 
 
--- a/tests/test_path_probes.py
+++ b/tests/test_path_probes.py
@@ -9,6 +9,7 @@
 from mothpass.core import target_table
 from mothpass.relay import metrics
 from mothpass.relay import path_probes
+from tests import registrations
 from tests import virtual_time
 
 _SERVICE = "models"
@@ -146,13 +147,6 @@
 
 
 def _make_registration(number: int) -> target_table.Registration:
-    return target_table.Registration(
-        id=f"i-{number}",
-        service=_SERVICE,
-        address=f"10.0.0.{number}:80",
-        availability_zone="zone-a",
-        slots=4,
-        is_draining=False,
-        cold_left_s=0.0,
-        started_at_ms=1000 + number,
+    return registrations.make_registration(
+        number, service=_SERVICE, slots=4, started_at_ms=1000 + number
     )
--- a/tests/test_queue_admission.py
+++ b/tests/test_queue_admission.py
@@ -10,6 +10,7 @@
 from mothpass.core import target_choice
 from mothpass.core import target_table
 from mothpass.relay import request_queues
+from tests import registrations
 from tests import virtual_time
 
 _SLOTS = 4
@@ -23,15 +24,8 @@
     """Returns empty queues for targets that no other daemon uses."""
     table = target_table.TargetTable()
     for number in range(targets):
-        registration = target_table.Registration(
-            id=f"i-{number}",
-            service="plain",
-            address=f"10.0.0.{number}:80",
-            availability_zone="zone-a",
-            slots=_SLOTS,
-            is_draining=False,
-            cold_left_s=0.0,
-            started_at_ms=1,
+        registration = registrations.make_registration(
+            number, service="plain", slots=_SLOTS
         )
         table.put(registration, 0.0)
     chooser = target_choice.TargetChooser(
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -8,6 +8,7 @@
 from mothpass.core import prompts
 from mothpass.core import server_sent_events
 from mothpass.core import target_table
+from tests import registrations
 
 
 class FleetRetryBudgetTest(unittest.TestCase):
@@ -124,33 +125,23 @@
 class TargetTableTest(unittest.TestCase):
     """Starts, backoff and availability zones of targets."""
 
-    def make_registration(self, **fields: object) -> target_table.Registration:
-        """Returns a registration of one target."""
-        values: dict[str, object] = {
-            "id": "i-1",
-            "service": "models",
-            "address": "10.0.0.1:80",
-            "availability_zone": "zone-a",
-            "slots": 8,
-            "is_draining": False,
-            "cold_left_s": 0.0,
-            "started_at_ms": 1,
-        }
-        return target_table.Registration(**values | fields)  # type: ignore[arg-type]
-
     def test_new_start_replaces_the_target(self) -> None:
         table = target_table.TargetTable()
-        self.assertTrue(table.put(self.make_registration(), 0.0))
+        self.assertTrue(table.put(registrations.make_registration(1), 0.0))
         first = table.targets["i-1"]
-        self.assertFalse(table.put(self.make_registration(slots=9), 1.0))
-        restarted = self.make_registration(started_at_ms=2, cold_left_s=3.0)
+        self.assertFalse(
+            table.put(registrations.make_registration(1, slots=9), 1.0)
+        )
+        restarted = registrations.make_registration(
+            1, started_at_ms=2, cold_left_s=3.0
+        )
         self.assertTrue(table.put(restarted, 2.0))
         self.assertTrue(first.is_gone)
         self.assertTrue(table.targets["i-1"].is_cold(4.0))
 
     def test_backoff_doubles_and_ends_with_a_success(self) -> None:
         target = target_table.Target(
-            registration=self.make_registration(), now=0.0
+            registration=registrations.make_registration(1), now=0.0
         )
         target.record_failure(0.0)
         self.assertTrue(target.is_backing_off(0.3))
@@ -164,7 +155,7 @@
         self,
     ) -> None:
         target = target_table.Target(
-            registration=self.make_registration(), now=0.0
+            registration=registrations.make_registration(1), now=0.0
         )
         for number in range(6):
             target.record_success(number * 0.2)
@@ -179,7 +170,7 @@
 
     def test_targets_of_a_reopened_zone_are_cold(self) -> None:
         table = target_table.TargetTable()
-        table.put(self.make_registration(), 0.0)
+        table.put(registrations.make_registration(1), 0.0)
         table.set_closed_zones(["zone-a"], cold_s=3.0, now=1.0)
         self.assertEqual(table.list_usable("models", 1.0), [])
         table.set_closed_zones([], cold_s=3.0, now=5.0)
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -8,6 +8,7 @@
 from mothpass.core import prompts
 from mothpass.core import target_choice
 from mothpass.core import target_table
+from tests import registrations
 
 _DAEMONS = 9
 _TARGETS = 5
@@ -25,17 +26,8 @@
 
 def make_target(number: int, **fields: object) -> target_table.Target:
     """Returns a target that has been registered for a long time."""
-    values: dict[str, object] = {
-        "id": f"i-{number}",
-        "service": "models",
-        "address": f"10.0.0.{number}:80",
-        "availability_zone": "zone-a",
-        "slots": 64,
-        "is_draining": False,
-        "cold_left_s": 0.0,
-        "started_at_ms": 1,
-    }
-    registration = target_table.Registration(**values | fields)  # type: ignore[arg-type]
+    values: dict[str, object] = {"slots": 64}
+    registration = registrations.make_registration(number, **values | fields)
     return target_table.Target(registration=registration, now=-100.0)
 
 
