--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -2,17 +2,14 @@
 
 import asyncio
 from collections import abc
-import typing
 import unittest
 from unittest import mock
 
-import blacksheep
-
-from mothpass.adapters import http_disconnects
 from mothpass.adapters import http_listener
 from mothpass.adapters import loop_turns
 from mothpass.daemon import answers
 from tests import crowds
+from tests import scripted_listeners
 
 _REQUESTS = 40
 _CHUNKS = 3_000
@@ -34,15 +31,7 @@
             held_limit_bytes=1 << 24,
             encode_refusal=answers.encode_refusal_without_id,
         )
-        listener = await http_listener.open_listener(
-            http_disconnects.cancel_on_disconnect(
-                typing.cast(blacksheep.Application, _answer)
-            ),
-            "127.0.0.1:0",
-            limits,
-        )
-        self.addCleanup(listener.abort)
-        self.addCleanup(listener.stop_accepting)
+        listener = await scripted_listeners.open_listener(self, _answer, limits)
         add = loop_turns.LoopTurns.add
         waiting_count = 0
         most_waiting = 0
@@ -77,9 +66,9 @@
 
 
 async def _answer(
-    scope: dict[str, typing.Any],
-    receive: abc.Callable[[], abc.Awaitable[typing.Any]],
-    send: abc.Callable[[typing.Any], abc.Awaitable[None]],
+    scope: scripted_listeners.Message,
+    receive: scripted_listeners.Receive,
+    send: scripted_listeners.Send,
 ) -> None:
     """Answers without the body, as to an unknown path."""
     del scope, receive
--- a/tests/test_header_crowds.py
+++ b/tests/test_header_crowds.py
@@ -1,15 +1,10 @@
 """Tests that requests with many header lines leave time for others."""
 
 import asyncio
-from collections import abc
 import socket
-import typing
 import unittest
 from unittest import mock
 
-import blacksheep
-
-from mothpass.adapters import http_disconnects
 from mothpass.adapters import http_listener
 from mothpass.adapters import relay_listener
 from mothpass.core import client_memory
@@ -17,6 +12,7 @@
 from mothpass.daemon import answers
 from mothpass.ports import relay
 from tests import crowds
+from tests import scripted_listeners
 
 _CONNECTIONS = 40
 _HEADER_LIMIT_BYTES = 16_384
@@ -74,11 +70,9 @@
     """Tests the listener of mothpassd."""
 
     async def asyncSetUp(self) -> None:
-        self.listener = await http_listener.open_listener(
-            http_disconnects.cancel_on_disconnect(
-                typing.cast(blacksheep.Application, _answer)
-            ),
-            "127.0.0.1:0",
+        listener = await scripted_listeners.open_listener(
+            self,
+            _answer,
             http_listener.ListenerLimits(
                 header_limit_bytes=_HEADER_LIMIT_BYTES,
                 max_connections=_CONNECTIONS + 1,
@@ -86,12 +80,7 @@
                 encode_refusal=answers.encode_refusal_without_id,
             ),
         )
-        self.port = self.listener.port
-
-    async def asyncTearDown(self) -> None:
-        self.listener.stop_accepting()
-        self.listener.abort()
-        await self.listener.drain(asyncio.get_running_loop().time() + 5)
+        self.port = listener.port
 
     async def test_header_lines_of_others_do_not_hold_up_a_request(
         self,
@@ -141,9 +130,9 @@
 
 
 async def _answer(
-    scope: dict[str, typing.Any],
-    receive: abc.Callable[[], abc.Awaitable[typing.Any]],
-    send: abc.Callable[[typing.Any], abc.Awaitable[None]],
+    scope: scripted_listeners.Message,
+    receive: scripted_listeners.Receive,
+    send: scripted_listeners.Send,
 ) -> None:
     del receive
     if scope["path"] == "/quick":
