relay: reject odd peer addresses where they come in, and log them

Each send parsed every address again and skipped odd ones without a word. They are checked once now, as candidates, where all foreign addresses come in (peer_address_rejected). mothpassd parsed through two caches of the same addresses; the one that keeps its log line to one an address stays.

--- a/mothpass/core/socket_addresses.py
+++ b/mothpass/core/socket_addresses.py
@@ -1,13 +1,10 @@
 """Addresses of processes, as they stand in rows and messages."""
 
-import functools
 import ipaddress
 
 _MAX_PORT = 65_535
-_MAX_PARSED = 4096
 
 
-@functools.lru_cache(maxsize=_MAX_PARSED)
 def parse_address(text: str) -> tuple[str, int] | None:
     """Returns the host and the port of ``ip:port``; None if it isn't one."""
     host, _, port_text = text.rpartition(":")
--- a/mothpass/relay/gossip.py
+++ b/mothpass/relay/gossip.py
@@ -310,7 +310,12 @@
         for address in addresses:
             if address in known or address in self._candidates:
                 continue
-            if address != self._address:
+            if socket_addresses.parse_address(address) is None:
+                # The transport would raise for it, or close for good.
+                event_log.log(
+                    _logger, "peer_address_rejected", address=address[:60]
+                )
+            elif address != self._address:
                 self._candidates[address] = now + CANDIDATE_LIFETIME_S
                 # The next round includes it.
                 self._probed_at = float("-inf")
@@ -501,10 +506,8 @@
             event_log.log(_logger, "datagram_too_long", bytes=len(data))
             return
         for address in addresses:
-            # A transport raises for an odd one, or closes for good.
-            destination = socket_addresses.parse_address(address)
-            if destination is not None:
-                self._transport.sendto(data, destination)
+            host, _, port = address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
 
     def _list_addresses(self) -> set[str]:
         """Returns live peers' addresses; candidates and lost peers at times."""
