--- a/mothpass/adapters/http_events.py
+++ b/mothpass/adapters/http_events.py
@@ -30,12 +30,18 @@
         """
         searched = max(0, len(self._buffer) - 1)
         self._buffer += data
-        events: list[targets.Event] = []
-        if self._buffer.find(b"\n\n", searched) < 0:
-            # No event ends here; matching would read all of it once more.
-            self._check_buffer()
-            return events
+        events = []
+        # Matching reads all that is buffered, so it waits for an event's end.
+        if self._buffer.find(b"\n\n", searched) >= 0:
+            events = self._take_events()
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise errors.TargetAnswerLostError("event too large")
+        return events
+
+    def _take_events(self) -> list[targets.Event]:
+        """Takes the whole events out of the buffer."""
         data = bytes(self._buffer)
+        events = []
         end = 0
         while match := _EVENT.match(data, end):
             finish, attempt, position, body = match.groups()
@@ -50,10 +56,4 @@
         del self._buffer[:end]
         if b"\n\n" in self._buffer:
             raise errors.TargetAnswerLostError("malformed event")
-        self._check_buffer()
         return events
-
-    def _check_buffer(self) -> None:
-        """Raises if more than an event is buffered."""
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise errors.TargetAnswerLostError("event too large")
