--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -5,11 +5,10 @@
 """
 
 import asyncio
-import os
-import pathlib
 import unittest
 
 from mothpass.relay import peer_requests
+from tests import crowds
 from tests.platform import crowd as crowd_module
 from tests.platform import daemon_process
 from tests.platform import fleet
@@ -100,8 +99,8 @@
         """Checks that the daemon lives within its bounds."""
         self.assertIsNone(self.process.returncode, "the daemon has ended")
         pid = self.process.pid
-        descriptors = len(os.listdir(f"/proc/{pid}/fd"))
-        memory_mb = _read_peak_mb(pid)
+        descriptors = crowds.count_descriptors(pid)
+        memory_mb = crowds.read_peak_memory(pid) / 1024**2
         with self.subTest("descriptors"):
             bound = self.descriptors * _DESCRIPTOR_SHARE
             self.assertLessEqual(descriptors, bound)
@@ -370,14 +369,5 @@
     }
 
 
-def _read_peak_mb(pid: int) -> float:
-    """Returns the peak memory of a process."""
-    status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
-    for line in status.splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024
-    raise AssertionError("the process has no memory")
-
-
 if __name__ == "__main__":
     unittest.main()
