relay: log how an answer was framed, how far it came and whether the daemon stops

attempt has framing, is_whole and position, request has is_stopping, and mothpass_incomplete_answers_total{shutdown} counts answers without an end. No change of logic.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -111,6 +111,20 @@
             min(self._silence_deadline, deadline), self._check_deadlines
         )
 
+    @property
+    def framing(self) -> str:
+        """What ends the body: ``length``, ``chunks``, ``close`` or ``none``.
+
+        It is empty until all headers have arrived.
+        """
+        if not self.status:
+            return ""
+        if self.read_until_close:
+            return "close"
+        if b"transfer-encoding" in self.headers:
+            return "chunks"
+        return "length" if b"content-length" in self.headers else "none"
+
     @property
     def is_paused(self) -> bool:
         """Whether unread bytes have paused reading from the connection."""
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -79,12 +79,17 @@
         is_numbered: Whether all events sent to the client have an id.
         first_byte_at: Monotonic seconds of the first bytes, None before.
         longest_gap_s: Longest pause between bytes sent to the client.
+        framing: What ends the body of the last answer; see
+            ``http_exchanges.Exchange.framing``.
+        has_whole_answer: Whether all of the last answer has arrived.
     """
 
     __slots__ = (
         "_sent_at",
         "client",
         "first_byte_at",
+        "framing",
+        "has_whole_answer",
         "is_numbered",
         "is_streaming",
         "longest_gap_s",
@@ -104,8 +109,20 @@
         self.is_numbered = True
         self.first_byte_at: float | None = None
         self.longest_gap_s = 0.0
+        self.framing = ""
+        self.has_whole_answer = False
         self._sent_at = 0.0
 
+    def begin_attempt(self) -> None:
+        """Forgets how far the answer of the attempt before had arrived."""
+        self.framing = ""
+        self.has_whole_answer = False
+
+    def record_end(self, exchange: http_exchanges.Exchange) -> None:
+        """Records how far the answer of an attempt has arrived."""
+        self.framing = exchange.framing
+        self.has_whole_answer = exchange.complete
+
     def record_sent(self) -> None:
         """Records that bytes are sent to the client now."""
         now = asyncio.get_running_loop().time()
@@ -176,6 +193,7 @@
 
     async def send(self, attempt: Attempt, delivery: Delivery) -> Outcome:
         """Sends a request and forwards the answer to the client."""
+        delivery.begin_attempt()
         address = attempt.address
         try:
             connection = await self._pool.acquire(
@@ -220,6 +238,8 @@
                 is_reused=is_reused,
             )
         finally:
+            if exchange is not None:
+                delivery.record_end(exchange)
             self._pool.release(
                 address,
                 connection,
--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -136,6 +136,10 @@
         # Of the requests in progress.
         self._timeouts: set[asyncio.Timeout] = set()
 
+    @property
+    def _is_stopping(self) -> bool:
+        return self._shutdown is not shutdowns.NONE
+
     def start_shutdown(self, shutdown: shutdowns.Shutdown) -> None:
         """Ends all requests by the end of a shutdown, those in progress too.
 
@@ -509,6 +513,9 @@
                 end=outcome.end.value,
                 status=outcome.status,
                 reason=outcome.reason,
+                framing=progress.delivery.framing,
+                is_whole=progress.delivery.has_whole_answer,
+                position=progress.delivery.position,
                 is_reused=outcome.is_reused,
                 connect_ms=None
                 if connected_at is None
@@ -669,6 +676,10 @@
         if client.response_started:
             if refusal is not None:
                 code, message = results.Code.ANSWER_INCOMPLETE, progress.reason
+                self._metrics.count(
+                    "incomplete_answers",
+                    shutdown="yes" if self._is_stopping else "no",
+                )
                 client.abort()
         elif progress.failure is not None and progress.failure.head is not None:
             head = progress.failure.head
@@ -714,6 +725,7 @@
             peers=[] if progress is None else sorted(progress.tried_peers),
             is_forwarded=progress is not None and progress.is_forwarded,
             runs=0 if progress is None else progress.runs,
+            is_stopping=self._is_stopping,
             reason="" if progress is None else progress.reason,
             began_as=request.resumed_id,
             position=request.position,
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -275,6 +275,22 @@
         self.assertGreater(line["gap_ms"], 150)
         self.assertLess(line["gap_ms"], 400)
 
+    async def test_log_has_how_far_an_answer_came(self) -> None:
+        """Guards against cut streams whose cause the log doesn't show."""
+        self.script_all(self.models, target_standin.break_stream(2))
+        with self.assertLogs("mothpass.requests") as logs:
+            await self.send_request("POST", "/once/1", self.make_chat_headers())
+        lines = {
+            record.getMessage(): record.__dict__["fields"]
+            for record in logs.records
+        }
+        attempt = lines["attempt"]
+        self.assertEqual(
+            (attempt["framing"], attempt["is_whole"], attempt["position"]),
+            ("chunks", False, 1),
+        )
+        self.assertFalse(lines["request"]["is_stopping"])
+
     async def test_stream_that_may_not_be_resumed_ends_incomplete(self) -> None:
         self.script_all(self.models, target_standin.break_stream(2))
         answer = await self.send_request(
