--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -267,6 +267,28 @@
     return run
 
 
+def send_bytes(*pieces: bytes) -> Script:
+    """Returns a script that sends an answer as it is and stays connected.
+
+    Args:
+        *pieces: The bytes, ``ID`` in place of the request's id; there is a
+            short pause before each but the first.
+    """
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        request_id = request.headers["attempt-id"]
+        target.runs.append(request_id)
+        for piece in pieces:
+            writer.write(piece.replace(b"ID", request_id.encode()))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(3600)
+
+    return run
+
+
 def silence_stream(events: int) -> Script:
     """Returns a script that stops sending after events."""
 
--- /dev/null
+++ b/tests/platform/test_stream_ends.py
@@ -0,0 +1,144 @@
+"""Tests that streams end whole, in whatever way the target ends them."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+import msgspec
+
+from mothpass.relay import service as service_module
+from tests.platform import fleet
+from tests.platform import target_standin
+from tests.platform import wire
+
+_EVENTS = target_standin.make_events(0, target_standin.EVENTS)
+_STREAM_HEAD = (
+    target_standin.SIGNED_HEAD + b"Content-Type: text/event-stream\r\n"
+)
+_CHUNKED = b"Transfer-Encoding: chunked\r\n"
+_CLOSE = b"Connection: close\r\n"
+_SECOND = target_standin.SIGNED_HEAD + b"Content-Length: 5\r\n\r\nagain"
+
+
+def _encode_chunks(*parts: bytes) -> bytes:
+    return b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+
+
+_FIRST = _EVENTS[:30]
+_LAST = _EVENTS[30:]
+_FIRST_CHUNK = b"\r\n" + _encode_chunks(_FIRST)
+_LAST_CHUNKS = _encode_chunks(_LAST, b"")
+# Whole streams with bytes behind them that are no part of any answer.
+_WITH_BYTES_BEHIND = {
+    "no HTTP": (
+        _STREAM_HEAD + _CHUNKED + _FIRST_CHUNK,
+        _LAST_CHUNKS + b"\x00\x01 no HTTP\r\n",
+    ),
+    "a second answer behind the last one": (
+        _STREAM_HEAD + _CHUNKED + _CLOSE + _FIRST_CHUNK,
+        _LAST_CHUNKS + _SECOND,
+    ),
+    "no HTTP behind a length": (
+        _STREAM_HEAD + b"Content-Length: %d\r\n\r\n" % len(_EVENTS) + _FIRST,
+        _LAST + b"no HTTP",
+    ),
+    "all in one piece": (
+        _STREAM_HEAD + _CHUNKED + _FIRST_CHUNK + _LAST_CHUNKS + b"no HTTP",
+    ),
+}
+
+
+class StreamEndsTest(fleet.FleetTest):
+    """Streams on a route that may be resumed and on one that may not."""
+
+    async def check_whole(self, script: target_standin.Script) -> None:
+        """Checks that a stream gets its end, by one run, on both routes."""
+        for path in ("/chat/1", "/once/1"):
+            with self.subTest(path):
+                for target in self.models:
+                    target.runs.clear()
+                self.script_all(self.models, script)
+                answer = await self.send_request(
+                    "POST", path, self.make_chat_headers()
+                )
+                self.assertEqual((answer.status, answer.body), (200, _EVENTS))
+                self.assertTrue(answer.is_whole)
+                runs = [len(target.runs) for target in self.models]
+                self.assertEqual(sum(runs), 1)
+
+    async def test_bytes_behind_a_stream_do_not_hold_up_its_end(self) -> None:
+        """Guards against whole streams that wait for their deadline."""
+        for name, pieces in _WITH_BYTES_BEHIND.items():
+            with self.subTest(name):
+                await self.check_whole(target_standin.send_bytes(*pieces))
+
+    async def test_stream_that_ends_with_its_connection_is_whole(self) -> None:
+        """Guards against whole streams that are cut after their last event."""
+        for fields in (b"", _CLOSE):
+            with self.subTest(fields=fields):
+                script = target_standin.close_after(
+                    _STREAM_HEAD + fields + b"\r\n" + _EVENTS
+                )
+                await self.check_whole(script)
+
+
+class ShutdownTest(fleet.FleetTest):
+    """Streams whose targets are done well before a shutdown ends."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        patch = mock.patch.object(service_module, "BALANCER_DRAIN_S", 0.2)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def stream_and_stop(
+        self, script: target_standin.Script
+    ) -> tuple[wire.Answer, dict[str, object]]:
+        """Stops the daemon beside a stream.
+
+        Returns:
+            The answer, and the log line of its attempt.
+        """
+        [service] = self.services
+        service.settings = msgspec.structs.replace(
+            service.settings, grace_s=1.6
+        )
+        self.script_all(self.models, script)
+        client = await wire.Client.connect(self.addresses[0])
+        self.addCleanup(client.close)
+        with self.assertLogs("mothpass.requests") as logs:
+            client.send("POST", "/once/1", self.make_chat_headers())
+            await self.wait_for(lambda: any(item.runs for item in self.models))
+            stopping = asyncio.ensure_future(service.stop())
+            answer = await client.read()
+            await stopping
+        [attempt] = [
+            record.__dict__["fields"]
+            for record in logs.records
+            if record.getMessage() == "attempt"
+        ]
+        return answer, attempt
+
+    async def test_stream_that_its_target_has_ended_is_whole(self) -> None:
+        """Guards against a shutdown that cuts what has arrived whole."""
+        scripts = {
+            name: target_standin.send_bytes(*pieces)
+            for name, pieces in _WITH_BYTES_BEHIND.items()
+        }
+        scripts["end of the connection"] = target_standin.close_after(
+            _STREAM_HEAD + b"\r\n" + _EVENTS
+        )
+        for name, script in scripts.items():
+            with self.subTest(name):
+                await self.asyncTearDown()
+                self.services.clear()
+                self.addresses.clear()
+                await self.add_daemon(0)
+                answer, attempt = await self.stream_and_stop(script)
+                self.assertEqual((answer.status, answer.body), (200, _EVENTS))
+                self.assertTrue(attempt["is_whole"])
+                self.assertTrue(answer.is_whole)
+
+
+if __name__ == "__main__":
+    unittest.main()
