Wake the reader of a whole answer that has bytes behind it

Callers saw a stream that stayed open without its last events, or 504, until the deadline of the request; around a SIGTERM the shutdown cut it 7.4 s later, with a status and without an end (LOST: its target was long done).

Cause: Connection.data_received closed the connection when the parser failed or the bytes were too many, and returned without waking the task that waits for the answer. Exchange.fail rightly changes nothing about a complete answer, but it was also the only thing that would have woken the reader. It happens with bytes that aren't HTTP in the same piece as the end of the answer, and with a second answer behind one that says Connection: close.

The same class serves peers, the store and mothpassd.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -386,25 +386,26 @@
             return
         exchange.record_progress()
         self._overhead_bytes += len(data)
+        failure = self._parse(data)
+        if failure is not None:
+            # A complete response stays one, whatever comes behind it.
+            exchange.fail(errors.TargetAnswerLostError(failure))
+            self.close()
+        exchange.wake_reader()
+        if exchange.complete:
+            self._run_message_end_callback()
+
+    def _parse(self, data: bytes) -> str | None:
+        """Parses bytes; returns what is wrong with them, if anything."""
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            exchange.fail(errors.TargetAnswerLostError("response is not HTTP"))
-            self.close()
-            return
+            return "response is not HTTP"
         # A body may not earn room for trailers.
         self._overhead_bytes = max(0, self._overhead_bytes)
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
-            exchange.fail(
-                errors.TargetAnswerLostError(
-                    f"over {MAX_OVERHEAD_BYTES} bytes that are no body"
-                )
-            )
-            self.close()
-            return
-        exchange.wake_reader()
-        if exchange.complete:
-            self._run_message_end_callback()
+            return f"over {MAX_OVERHEAD_BYTES} bytes that are no body"
+        return None
 
     def on_message_begin(self) -> None:
         """Starts a response; a second one belongs to no request."""
--- a/tests/test_http_exchanges.py
+++ b/tests/test_http_exchanges.py
@@ -51,6 +51,40 @@
         connection.connection_lost(None)
         return exchange
 
+    async def test_bytes_behind_a_response_do_not_hold_up_its_reader(
+        self,
+    ) -> None:
+        """Guards against whole responses that wait for their deadline."""
+        loop = asyncio.get_running_loop()
+        second = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+        for fields in (b"", b"Connection: close\r\n"):
+            for body in (
+                b"Content-Length: 4\r\n\r\ndone",
+                b"Transfer-Encoding: chunked\r\n" + _CHUNKED_BODY,
+            ):
+                for rest in (
+                    b"\r\n",
+                    b"no HTTP",
+                    second,
+                    b"x" * http_exchanges.MAX_OVERHEAD_BYTES,
+                ):
+                    with self.subTest(fields=fields, body=body, rest=rest[:9]):
+                        connection = http_exchanges.Connection(loop=loop)
+                        connection.connection_made(
+                            typing.cast(asyncio.Transport, _Transport())
+                        )
+                        exchange = connection.send(
+                            b"", silence_ms=None, deadline=loop.time() + 60
+                        )
+                        self.addCleanup(exchange.close)
+                        waiting = loop.create_task(exchange.wait_for_progress())
+                        await asyncio.sleep(0)
+                        connection.data_received(_HEAD + fields + body + rest)
+                        async with asyncio.timeout(0.5):
+                            await waiting
+                        self.assertTrue(exchange.complete)
+                        self.assertEqual(exchange.read_available(), b"done")
+
     async def test_framed_response_cut_at_any_byte_is_not_whole(self) -> None:
         """Guards against a head or body that a close makes whole."""
         for response in (
--- a/tests/test_targets_http.py
+++ b/tests/test_targets_http.py
@@ -215,6 +215,13 @@
 class CallTest(ScriptedServerCase):
     """Checks unary requests, cancellations and load reports."""
 
+    async def test_bytes_behind_an_answer_do_not_hold_it_up(self) -> None:
+        """Guards against whole answers that wait for their deadline."""
+        self.scripts = [_response(b"{}") + b"no HTTP"]
+        async with asyncio.timeout(1.0):
+            answer = await self.targets.call(self._build_attempt())
+        self.assertEqual((answer.status, answer.body), (200, b"{}"))
+
     async def test_returns_response_with_attempt_id(self) -> None:
         self.scripts = [_response(b'{"y":2}')]
         answer = await self.targets.call(self._build_attempt(key="k"))
