relay: a stream that ends with its connection, after a whole event, is whole

Plain answers without a length were passed on all the time.

The end of the connection now counts as that of the stream if no event is torn and the run had one at least, beside comments; a reset is never an end.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -339,6 +339,7 @@
         first_position = delivery.position
         goes_on = was_streaming or first_position is not None
         highest_id: int | None = None
+        has_events = False
         last_event_at = exchange.last_byte_at
         while True:
             await exchange.wait_for_progress()
@@ -350,6 +351,9 @@
             except ValueError as error:
                 raise errors.TargetAnswerLostError(str(error)) from error
             if events:
+                has_events = has_events or any(
+                    not event.is_comment for event in events
+                )
                 last_event_at = exchange.last_byte_at
                 highest_id = _find_highest_id(events, highest_id)
             else:
@@ -366,20 +370,16 @@
                 raise failure
             if is_last:
                 break
-        if splitter.has_partial_event or exchange.read_until_close:
-            raise errors.TargetAnswerLostError("stream ended within an event")
         if was_streaming and delivery.position == first_position:
             # Nothing shows that this run knows where the stream ends.
             raise errors.TargetAnswerLostError("stream went on without events")
-        if (
-            first_position is not None
-            and highest_id is not None
-            and highest_id < first_position
-        ):
-            # The end of a run that is shorter than what the client has.
-            raise errors.TargetAnswerLostError(
-                f"stream ended at event {highest_id}, before {first_position}"
-            )
+        _check_end(
+            exchange,
+            splitter,
+            has_events=has_events,
+            highest_id=highest_id,
+            first_position=first_position,
+        )
         _start_stream(head, delivery)
         delivery.client.end_stream()
         return Outcome(end=End.DELIVERED, status=head.status)
@@ -404,6 +404,39 @@
     return highest_id
 
 
+def _check_end(
+    exchange: http_exchanges.Exchange,
+    splitter: server_sent_events.EventSplitter,
+    *,
+    has_events: bool,
+    highest_id: int | None,
+    first_position: int | None,
+) -> None:
+    """Checks that the end of an answer is that of its stream.
+
+    Args:
+        exchange: The answer, which is complete.
+        splitter: Splitter that has got all of its body.
+        has_events: Whether the answer had events, beside comments.
+        highest_id: The highest id of an event, None if none has one.
+        first_position: Last event that the client had before, None for none.
+
+    Raises:
+        errors.TargetAnswerLostError: If the stream has more events.
+    """
+    if splitter.has_partial_event:
+        raise errors.TargetAnswerLostError("stream ended within an event")
+    if first_position is None:
+        if exchange.read_until_close and not has_events:
+            # A target that dies after the head may close its connection.
+            raise errors.TargetAnswerLostError("connection ended, no event")
+    elif highest_id is not None and highest_id < first_position:
+        # The end of a run that is shorter than what the client has.
+        raise errors.TargetAnswerLostError(
+            f"stream ended at event {highest_id}, before {first_position}"
+        )
+
+
 def _check_event_in_time(
     attempt: Attempt, exchange: http_exchanges.Exchange, last_event_at: float
 ) -> None:
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import abc
 import contextlib
+import socket
+import struct
 
 from tests.platform import wire
 
@@ -267,6 +269,31 @@
     return run
 
 
+def reset_after(answer: bytes) -> Script:
+    """Returns a script that sends bytes and resets the connection.
+
+    Args:
+        answer: The bytes, ``ID`` in place of the request's id.
+    """
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        request_id = request.headers["attempt-id"]
+        target.runs.append(request_id)
+        writer.write(answer.replace(b"ID", request_id.encode()))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        connection = writer.get_extra_info("socket")
+        # A close with this option sends a reset.
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        writer.transport.abort()
+
+    return run
+
+
 def send_bytes(*pieces: bytes) -> Script:
     """Returns a script that sends an answer as it is and stays connected.
 
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -81,6 +81,59 @@
                 )
                 await self.check_whole(script)
 
+    async def test_connection_that_ends_too_soon_is_no_end(self) -> None:
+        """Guards against a part of a stream that ends as if complete."""
+        head = _STREAM_HEAD + b"\r\n"
+        for body in (_EVENTS[:-1], _FIRST + _LAST[:9], b"id: 0\nda"):
+            with self.subTest(body=body):
+                script = target_standin.close_after(head + body)
+                self.script_all(self.models, script)
+                answer = await self.send_request(
+                    "POST", "/once/1", self.make_chat_headers()
+                )
+                self.assertFalse(answer.is_whole and answer.status == 200)
+
+    async def test_connection_that_ends_before_an_event_is_no_stream(
+        self,
+    ) -> None:
+        """Guards against an empty stream in place of an answer."""
+        for body in (b"", b": beat\n\n"):
+            with self.subTest(body=body):
+                script = target_standin.close_after(
+                    _STREAM_HEAD + b"\r\n" + body
+                )
+                self.script_all(self.models, script)
+                answer = await self.send_request(
+                    "POST", "/once/1", self.make_chat_headers()
+                )
+                self.assertFalse(answer.is_whole and answer.status == 200)
+
+    async def test_stream_whose_connection_is_reset_is_not_whole(self) -> None:
+        """Guards against a reset that counts as the end of a stream."""
+        events = target_standin.make_events(0, 2)
+        script = target_standin.reset_after(_STREAM_HEAD + b"\r\n" + events)
+        self.script_all(self.models, script)
+        answer = await self.send_request(
+            "POST", "/once/1", self.make_chat_headers()
+        )
+        self.assertEqual((answer.body, answer.is_whole), (events, False))
+        # On the route that may be resumed, the rest comes from elsewhere.
+        self.script_all(self.models, script)
+        answer = await self.send_request(
+            "POST", "/chat/1", self.make_chat_headers()
+        )
+        self.assertEqual((answer.body, answer.is_whole), (_EVENTS, True))
+
+    async def test_client_with_all_events_gets_the_end(self) -> None:
+        """Guards against a stream whose end can't be fetched."""
+        self.script_all(
+            self.models, target_standin.close_after(_STREAM_HEAD + b"\r\n")
+        )
+        answer = await self.send_request(
+            "POST", "/chat/1", self.make_chat_headers(Last_Event_Id="3")
+        )
+        self.assertEqual((answer.body, answer.is_whole), (b"", True))
+
 
 class ShutdownTest(fleet.FleetTest):
     """Streams whose targets are done well before a shutdown ends."""
