Search each byte of a server-sent event once for the event's end

It remembers how far it has searched and appends to one buffer. The new test counts the searched bytes; on the code before it can't run, as there was no such pattern.

--- a/mothpass/core/server_sent_events.py
+++ b/mothpass/core/server_sent_events.py
@@ -1,9 +1,14 @@
 """Splits a stream of server-sent events into whole events, bytes unchanged."""
 
+import re
+
 import msgspec
 
 # A longer event means that the stream holds no server-sent events.
 MAX_EVENT_BYTES = 1_048_576
+_EVENT_END = re.compile(rb"\n\n")
+# Bytes of an event's end but for its last one.
+_END_OVERLAP = 1
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -28,16 +33,17 @@
 class EventSplitter:
     """Splits received bytes into events and buffers an incomplete one."""
 
-    __slots__ = ("_rest",)
+    __slots__ = ("_buffer", "_searched_bytes")
 
     def __init__(self) -> None:
         """Starts at the beginning of a stream."""
-        self._rest = b""
+        self._buffer = bytearray()
+        self._searched_bytes = 0
 
     @property
     def has_partial_event(self) -> bool:
         """Whether part of an event has arrived."""
-        return bool(self._rest)
+        return bool(self._buffer)
 
     def split(self, data: bytes) -> list[Event]:
         """Adds received bytes and returns the events that are now complete.
@@ -45,15 +51,18 @@
         Raises:
             ValueError: An event is longer than ``MAX_EVENT_BYTES``.
         """
-        data = self._rest + data
+        self._buffer += data
         events = []
         start = 0
-        while (end := data.find(b"\n\n", start)) >= 0:
-            event = data[start : end + 2]
+        while end := _EVENT_END.search(self._buffer, self._searched_bytes):
+            event = bytes(self._buffer[start : end.end()])
             events.append(Event(data=event, id=_find_id(event)))
-            start = end + 2
-        self._rest = data[start:]
-        if len(self._rest) > MAX_EVENT_BYTES:
+            start = self._searched_bytes = end.end()
+        del self._buffer[:start]
+        size = len(self._buffer)
+        # An end may have arrived in part.
+        self._searched_bytes = max(0, size - _END_OVERLAP)
+        if size > MAX_EVENT_BYTES:
             raise ValueError("server-sent event is too long")
         return events
 
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from mothpass.core import cold_rates
 from mothpass.core import fleet_retry_budget
@@ -107,6 +108,24 @@
 class EventSplitterTest(unittest.TestCase):
     """Events that arrive in two pieces."""
 
+    def test_event_in_many_pieces_is_searched_once(self) -> None:
+        """Guards against a large event that holds up the event loop."""
+        searched_bytes = 0
+
+        class CountingPattern:
+            def search(self, data: bytearray, start: int) -> None:
+                nonlocal searched_bytes
+                searched_bytes += len(data) - start
+
+        size = server_sent_events.MAX_EVENT_BYTES // 4
+        splitter = server_sent_events.EventSplitter()
+        with mock.patch.object(
+            server_sent_events, "_EVENT_END", CountingPattern()
+        ):
+            for _ in range(0, size, 512):
+                splitter.split(b"x" * 512)
+        self.assertLess(searched_bytes, 2 * size)
+
     def test_events_are_the_same_for_each_cut(self) -> None:
         data = b"id: 7\ndata: a\n\nweight-versions: 2\nid: 8\ndata: b\n\n"
         for cut in range(len(data)):
