relay: find the events of streams whose lines end with CRLF or CR

Callers got 502 for a whole stream with CRLF, after a second run where the route allows one, and a stream with an empty line behind its last event was cut.

Cause: the splitter knew only LF. PROTOCOL.md names the media type text/event-stream, whose standard (WHATWG HTML, server-sent events) ends lines with LF, CRLF or CR. A CR at the end of a piece ends its event at once, so that events aren't held up; the LF that may follow stays part of the stream. A last event without its empty line stays torn: the standard drops it, and PROTOCOL.md says that a runner may stop in the middle of an event.

--- a/mothpass/core/server_sent_events.py
+++ b/mothpass/core/server_sent_events.py
@@ -1,4 +1,7 @@
-"""Splits a stream of server-sent events into whole events, bytes unchanged."""
+"""Splits a stream of server-sent events into whole events, bytes unchanged.
+
+Lines end with LF, CRLF or CR, as the WHATWG HTML standard has it.
+"""
 
 import re
 
@@ -6,9 +9,11 @@
 
 # A longer event means that the stream holds no server-sent events.
 MAX_EVENT_BYTES = 1_048_576
-_EVENT_END = re.compile(rb"\n\n")
+_LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
+_EVENT_END = re.compile(_LINE_END + _LINE_END)
 # Bytes of an event's end but for its last one.
-_END_OVERLAP = 1
+_END_OVERLAP = 3
+_LINE_END_BYTES = b"\r\n"
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -26,7 +31,7 @@
     def is_comment(self) -> bool:
         """Whether there is no field, so that receivers ignore it."""
         return all(
-            not line or line.startswith(b":") for line in self.data.split(b"\n")
+            not line or line.startswith(b":") for line in self.data.splitlines()
         )
 
 
@@ -42,8 +47,11 @@
 
     @property
     def has_partial_event(self) -> bool:
-        """Whether part of an event has arrived."""
-        return bool(self._buffer)
+        """Whether part of an event has arrived.
+
+        Empty lines behind an event are part of none.
+        """
+        return bool(self._buffer.strip(_LINE_END_BYTES))
 
     def split(self, data: bytes) -> list[Event]:
         """Adds received bytes and returns the events that are now complete.
@@ -60,15 +68,23 @@
             start = self._searched_bytes = end.end()
         del self._buffer[:start]
         size = len(self._buffer)
-        # An end may have arrived in part.
+        # An end may have arrived in part. The LF of a CRLF whose CR ended an
+        # event is found again, which makes no event of it.
         self._searched_bytes = max(0, size - _END_OVERLAP)
         if size > MAX_EVENT_BYTES:
             raise ValueError("server-sent event is too long")
         return events
 
+    def take_rest(self) -> bytes:
+        """Returns the bytes behind the last event; the buffer is then empty."""
+        rest = bytes(self._buffer)
+        self._buffer.clear()
+        self._searched_bytes = 0
+        return rest
+
 
 def _find_id(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
+    for line in event.splitlines():
         name, _, value = line.partition(b":")
         if name == b"id" and value.strip().isdigit():
             return int(value)
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -381,6 +381,8 @@
             first_position=first_position,
         )
         _start_stream(head, delivery)
+        if not goes_on and (rest := splitter.take_rest()):
+            await delivery.client.write_chunk(rest)
         delivery.client.end_stream()
         return Outcome(end=End.DELIVERED, status=head.status)
 
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -51,7 +51,9 @@
 class StreamEndsTest(fleet.FleetTest):
     """Streams on a route that may be resumed and on one that may not."""
 
-    async def check_whole(self, script: target_standin.Script) -> None:
+    async def check_whole(
+        self, script: target_standin.Script, body: bytes = _EVENTS
+    ) -> None:
         """Checks that a stream gets its end, by one run, on both routes."""
         for path in ("/chat/1", "/once/1"):
             with self.subTest(path):
@@ -61,7 +63,7 @@
                 answer = await self.send_request(
                     "POST", path, self.make_chat_headers()
                 )
-                self.assertEqual((answer.status, answer.body), (200, _EVENTS))
+                self.assertEqual((answer.status, answer.body), (200, body))
                 self.assertTrue(answer.is_whole)
                 runs = [len(target.runs) for target in self.models]
                 self.assertEqual(sum(runs), 1)
@@ -81,6 +83,30 @@
                 )
                 await self.check_whole(script)
 
+    async def test_lines_may_end_with_crlf_or_cr(self) -> None:
+        """Guards against whole streams in which no event is found."""
+        for line_end in (b"\r\n", b"\r"):
+            with self.subTest(line_end=line_end):
+                body = _EVENTS.replace(b"\n", line_end)
+                await self.check_whole(
+                    target_standin.stream_text(body[:41], body[41:]), body
+                )
+
+    async def test_empty_lines_behind_the_last_event_are_part_of_it(
+        self,
+    ) -> None:
+        """Guards against whole streams that count as torn."""
+        body = _EVENTS + b"\n"
+        await self.check_whole(target_standin.stream_text(body), body)
+
+    async def test_event_without_its_empty_line_is_torn(self) -> None:
+        """Guards against a part of a stream that ends as if complete."""
+        self.script_all(self.models, target_standin.stream_text(_EVENTS[:-1]))
+        answer = await self.send_request(
+            "POST", "/once/1", self.make_chat_headers()
+        )
+        self.assertFalse(answer.is_whole)
+
     async def test_connection_that_ends_too_soon_is_no_end(self) -> None:
         """Guards against a part of a stream that ends as if complete."""
         head = _STREAM_HEAD + b"\r\n"
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -108,6 +108,25 @@
 class EventSplitterTest(unittest.TestCase):
     """Events that arrive in two pieces."""
 
+    def test_lines_may_end_with_crlf_or_cr(self) -> None:
+        """Guards against events that are never found in their stream."""
+        events = (b"id: 1\ndata: a\n\n", b": beat\n\n", b"id: 3\ndata: b\n\n")
+        for line_end in (b"\n", b"\r\n", b"\r"):
+            body = b"".join(events).replace(b"\n", line_end)
+            for size in range(1, len(body)):
+                with self.subTest(line_end=line_end, size=size):
+                    splitter = server_sent_events.EventSplitter()
+                    split = [
+                        event
+                        for start in range(0, len(body), size)
+                        for event in splitter.split(body[start : start + size])
+                    ]
+                    self.assertEqual([item.id for item in split], [1, None, 3])
+                    self.assertTrue(split[1].is_comment)
+                    self.assertFalse(splitter.has_partial_event)
+                    joined = b"".join(item.data for item in split)
+                    self.assertEqual(joined + splitter.take_rest(), body)
+
     def test_event_in_many_pieces_is_searched_once(self) -> None:
         """Guards against a large event that holds up the event loop."""
         searched_bytes = 0
