relay: pass on streams whose ids skip numbers

Callers got a stream up to the first skipped id and then a cut, on any route; where it may be resumed a second run was spent, and cut as well.

Cause: each id had to be the one before plus one, although PROTOCOL.md says only that events have increasing ids. The check is for a rest that another run adds, where a skipped id is a missing event (ORDER). It keeps to that now: a first run may skip ids, as may a rest of a stream that has skipped some, or one that two runs begin with the same event, which is all that is known where a client takes a stream up.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -75,6 +75,7 @@
     Attributes:
         client: Writes the answer to the client.
         position: Id of the last event sent to the client, None for none.
+        skips_ids: Whether the ids of its events are known to skip numbers.
         is_streaming: Whether the head of a stream was sent.
         is_numbered: Whether all events sent to the client have an id.
         first_byte_at: Monotonic seconds of the first bytes, None before.
@@ -85,6 +86,7 @@
     """
 
     __slots__ = (
+        "_jump",
         "_sent_at",
         "client",
         "first_byte_at",
@@ -94,6 +96,7 @@
         "is_streaming",
         "longest_gap_s",
         "position",
+        "skips_ids",
     )
 
     def __init__(
@@ -105,6 +108,8 @@
         """Creates the state before any byte is sent."""
         self.client = client
         self.position = position
+        self.skips_ids = False
+        self._jump: tuple[int, int] | None = None
         self.is_streaming = False
         self.is_numbered = True
         self.first_byte_at: float | None = None
@@ -113,6 +118,20 @@
         self.has_whole_answer = False
         self._sent_at = 0.0
 
+    def may_follow(self, event_id: int, last_id: int) -> bool:
+        """Returns whether no event is missing between two that have an id.
+
+        Ids increase, by any step. Where a run goes on with a stream of another
+        one, a skipped id is a missing event unless the stream has skipped ids
+        before, or two runs go on with the same event.
+        """
+        if event_id != last_id + 1 and not self.skips_ids:
+            jump = (last_id, event_id)
+            self.skips_ids = self._jump == jump
+            self._jump = jump
+            return self.skips_ids
+        return True
+
     def begin_attempt(self) -> None:
         """Forgets how far the answer of the attempt before had arrived."""
         self.framing = ""
@@ -466,7 +485,8 @@
         events: Events of a run, in order.
         delivery: State of the answer.
         goes_on: Whether the client has an earlier part of the stream from
-            another run. Only events with the next ids may follow it.
+            another run. Only events with the next ids may follow it; see
+            ``Delivery.may_follow``.
 
     Returns:
         The bytes for the client, and the failure if nothing that follows them
@@ -479,9 +499,12 @@
             last_id = delivery.position
             if last_id is not None and event.id <= last_id:
                 continue
-            if last_id is not None and event.id != last_id + 1:
-                failure = f"event {event.id} follows event {last_id}"
-                break
+            if last_id is not None:
+                if not goes_on and event.id != last_id + 1:
+                    delivery.skips_ids = True
+                if not delivery.may_follow(event.id, last_id):
+                    failure = f"event {event.id} follows event {last_id}"
+                    break
             delivery.position = event.id
         elif not event.is_comment:
             if goes_on:
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -92,6 +92,14 @@
                     target_standin.stream_text(body[:41], body[41:]), body
                 )
 
+    async def test_ids_may_skip_numbers(self) -> None:
+        """Guards against whole streams that are cut at a skipped id."""
+        part = target_standin.make_event
+        for ids in ((0, 2, 4), (0, 1, 3), (1, 2, 3), (5, 70, 71)):
+            with self.subTest(ids=ids):
+                body = b"".join(part(number) for number in ids)
+                await self.check_whole(target_standin.stream_text(body), body)
+
     async def test_empty_lines_behind_the_last_event_are_part_of_it(
         self,
     ) -> None:
