Parse the answers of targets in turns

Callers of sound targets got 503 or no answer beside targets that send very many chunks, and a daemon took its paths for lost: a connection parsed all that it had received in one turn of the event loop, so that one party's bytes held up the requests, connections and timers of all others.

Connections of a pool share turns, as those of the listeners do: a turn parses 500 parts (header lines, heads, pieces of a body), the rest waits for the next one, and above 64 KB of it nothing more is read. What has arrived before the target closes or resets the connection is still parsed before the exchange ends.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from mothpass.adapters import loop_turns
 from mothpass.core import errors
 
 # Bytes buffered and not yet read above which reading is paused.
@@ -13,6 +14,15 @@
 # Bytes of an exchange that are no body of its response: heads, interim
 # responses, framing and trailers, and late responses to earlier requests.
 MAX_OVERHEAD_BYTES = 262_144
+# Bytes received and not yet parsed above which reading is paused.
+_MAX_UNPARSED_BYTES = 65_536
+# Header lines, heads and pieces of bodies parsed before other connections get
+# their turn.
+_MAX_PARTS_PER_TURN = 500
+# Bytes parsed at a time: where the last ones held many parts, and otherwise.
+_SMALL_SLICE_BYTES = 1024
+_LARGE_SLICE_BYTES = 16_384
+_MAX_PARTS_PER_LARGE_SLICE = 8
 # Framing that a piece of a body may have in addition.
 _PIECE_OVERHEAD_BYTES = 64
 # Statuses whose responses have no body, whatever their headers say.
@@ -157,9 +167,10 @@
         if not chunks:
             return b""
         self._chunks = []
-        if self.is_paused:
-            self._resume_reading()
+        was_paused = self.is_paused
         self._buffered_bytes = 0
+        if was_paused:
+            self._resume_reading()
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
     def set_timeouts(self, *, silence_s: float, deadline: float) -> None:
@@ -258,22 +269,42 @@
 
     __slots__ = (
         "_accepts_response",
+        "_awaits_turn",
         "_exchange",
+        "_has_ended",
         "_headers",
+        "_is_paused",
         "_keep_alive",
         "_loop",
+        "_loss",
         "_on_message_end",
         "_overhead_bytes",
         "_parser",
+        "_parts",
         "_skips_message",
+        "_slice_bytes",
         "_transport",
+        "_turns",
+        "_unparsed",
         "exchange_count",
         "idle_deadline",
     )
 
-    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
-        """Initializes a connection that isn't open yet."""
+    def __init__(
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        turns: loop_turns.LoopTurns | None = None,
+    ) -> None:
+        """Initializes a connection that isn't open yet.
+
+        Args:
+            loop: The running event loop.
+            turns: Turns that connections with much to parse share; None for
+                turns of its own.
+        """
         self._loop = loop
+        self._turns = loop_turns.LoopTurns() if turns is None else turns
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -283,6 +314,15 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._skips_message = False
         self._overhead_bytes = 0
+        self._unparsed = b""
+        self._awaits_turn = False
+        self._is_paused = False
+        self._parts = 0
+        self._slice_bytes = _SMALL_SLICE_BYTES
+        # Whether the target has closed its side, and the error if it did so
+        # by a reset.
+        self._has_ended = False
+        self._loss: Exception | None = None
         self.idle_deadline = 0.0
         self.exchange_count = 0
 
@@ -321,8 +361,8 @@
             loop=self._loop,
             silence_ms=silence_ms,
             deadline=deadline,
-            pause_reading=transport.pause_reading,
-            resume_reading=transport.resume_reading,
+            pause_reading=self._update_reading,
+            resume_reading=self._update_reading,
         )
         transport.write(request)
         return self._exchange
@@ -347,8 +387,12 @@
         self._exchange = None
         if exchange is None:
             return False
-        # A paused connection receives no further response.
-        is_reusable = exchange.complete and not exchange.is_paused
+        # What is left is behind the response, and belongs to no request. A
+        # paused connection receives no further response.
+        is_reusable = (
+            exchange.complete and not exchange.is_paused and not self._unparsed
+        )
+        self._unparsed = b""
         exchange.close()
         return is_reusable and self._keep_alive and self.is_open()
 
@@ -367,48 +411,130 @@
         self._transport = typing.cast(asyncio.Transport, transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fails the exchange in progress."""
+        """Fails the exchange in progress, once all that came is parsed."""
         self._transport = None
-        exchange = self._exchange
-        if exchange is not None and exc is None:
-            self._complete_at_close(exchange)
-        if self._exchange is not None:
-            reason = f"connection lost: {exc or 'closed by the target'}"
-            self._exchange.fail(errors.TargetAnswerLostError(reason))
-        self._run_message_end_callback()
+        self._has_ended = True
+        self._loss = exc
+        if not self._unparsed:
+            self._end_exchange()
+
+    def eof_received(self) -> bool:
+        """Handles the end of the stream.
+
+        Returns:
+            Whether the transport stays open, as there is more to parse.
+        """
+        self._has_ended = True
+        if self._unparsed:
+            return True
+        self._complete_at_close()
+        return False
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and wakes the reader once."""
-        exchange = self._exchange
-        if exchange is None:
+        """Parses received bytes and wakes the reader."""
+        if self._exchange is None:
             # Bytes that belong to no request: the connection can't be trusted.
             self.close()
             return
-        exchange.record_progress()
-        self._overhead_bytes += len(data)
-        failure = self._parse(data)
+        self._exchange.record_progress()
+        if self._unparsed:
+            self._unparsed += data
+            self._update_reading()
+        else:
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parses what one turn allows and keeps the rest for the next one."""
+        exchange = self._exchange
+        assert exchange is not None
+        view = memoryview(data)
+        start = 0
+        failure = None
+        self._parts = 0
+        while (
+            start < len(view)
+            and self._parts <= _MAX_PARTS_PER_TURN
+            and failure is None
+            and not exchange.complete
+            and not exchange.is_paused
+        ):
+            end = start + self._slice_bytes
+            failure = self._parse_slice(view[start:end])
+            start = end
+        self._unparsed = b"" if failure else bytes(view[start:])
         if failure is not None:
             # A complete response stays one, whatever comes behind it.
             exchange.fail(errors.TargetAnswerLostError(failure))
             self.close()
+        self._update_reading()
         exchange.wake_reader()
         if exchange.complete:
             self._run_message_end_callback()
 
-    def _parse(self, data: bytes) -> str | None:
+    def _parse_slice(self, data: memoryview) -> str | None:
         """Parses bytes; returns what is wrong with them, if anything."""
+        parts = self._parts
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return "response is not HTTP"
+        has_many_parts = self._parts - parts > _MAX_PARTS_PER_LARGE_SLICE
+        self._slice_bytes = (
+            _SMALL_SLICE_BYTES if has_many_parts else _LARGE_SLICE_BYTES
+        )
         # A body may not earn room for trailers.
         self._overhead_bytes = max(0, self._overhead_bytes)
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             return f"over {MAX_OVERHEAD_BYTES} bytes that are no body"
         return None
 
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        exchange = self._exchange
+        if exchange is None or exchange.complete or not self._unparsed:
+            return
+        # Bytes that had to wait here are no silence of the target.
+        exchange.record_progress()
+        self._parse(self._unparsed)
+        if self._has_ended and not self._unparsed:
+            self._end_exchange()
+
+    def _update_reading(self) -> None:
+        """Reads on, and parses on, unless too much waits for that."""
+        exchange = self._exchange
+        is_full = exchange is not None and exchange.is_paused
+        if (
+            exchange is not None
+            and self._unparsed
+            and not (is_full or exchange.complete or self._awaits_turn)
+        ):
+            self._awaits_turn = True
+            self._turns.add(self._take_turn)
+        is_paused = is_full or len(self._unparsed) > _MAX_UNPARSED_BYTES
+        if self._transport is None or is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _end_exchange(self) -> None:
+        """Ends the exchange as the target has closed the connection."""
+        if self._loss is None:
+            self._complete_at_close()
+        if self._transport is not None:
+            self._transport.close()
+            return
+        if self._exchange is not None:
+            reason = f"connection lost: {self._loss or 'closed by the target'}"
+            self._exchange.fail(errors.TargetAnswerLostError(reason))
+        self._run_message_end_callback()
+
     def on_message_begin(self) -> None:
         """Starts a response; a second one belongs to no request."""
+        self._parts += 1
         self._headers = []
         self._skips_message = False
         if self._exchange is None or self._exchange.complete:
@@ -417,6 +543,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header of the response."""
+        self._parts += 1
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -447,6 +574,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Passes a body chunk to the exchange."""
+        self._parts += 1
         if self._exchange is not None and not self._skips_message:
             self._overhead_bytes -= len(body) + _PIECE_OVERHEAD_BYTES
             self._exchange.append_body(body)
@@ -456,15 +584,14 @@
         if self._exchange is not None and not self._skips_message:
             self._exchange.mark_complete()
 
-    def eof_received(self) -> bool:
-        """Handles the end of the stream."""
-        if self._exchange is not None:
-            self._complete_at_close(self._exchange)
-        return False
-
-    def _complete_at_close(self, exchange: Exchange) -> None:
+    def _complete_at_close(self) -> None:
         """Completes a response whose body ends with the connection."""
-        if exchange.read_until_close and not self._skips_message:
+        exchange = self._exchange
+        if (
+            exchange is not None
+            and exchange.read_until_close
+            and not self._skips_message
+        ):
             exchange.mark_complete()
             exchange.wake_reader()
 
--- a/mothpass/adapters/http_pool.py
+++ b/mothpass/adapters/http_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mothpass.adapters import http_exchanges
+from mothpass.adapters import loop_turns
 from mothpass.core import errors
 
 MAX_IDLE_CONNECTIONS = 256
@@ -14,11 +15,12 @@
 class ConnectionPool:
     """Opens connections and reuses idle ones."""
 
-    __slots__ = ("_connect_timeout_ms", "_idle")
+    __slots__ = ("_connect_timeout_ms", "_idle", "_turns")
 
     def __init__(self, *, connect_timeout_ms: int) -> None:
         """Starts without connections."""
         self._connect_timeout_ms = connect_timeout_ms
+        self._turns = loop_turns.LoopTurns()
         self._idle: dict[str, list[http_exchanges.Connection]] = {}
 
     async def acquire(
@@ -111,7 +113,9 @@
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1000):
                 _, connection = await loop.create_connection(
-                    lambda: http_exchanges.Connection(loop=loop),
+                    lambda: http_exchanges.Connection(
+                        loop=loop, turns=self._turns
+                    ),
                     host,
                     int(port),
                 )
