Don't take a connection for unreachable that the event loop notices late

Callers got 503 (no path to the targets, no connection) at a daemon that was busy with other targets' bytes: connections that the kernel had long made weren't noticed within 300 ms, two such targets counted as a lost path, and peers were told so.

Cause: the time limit of a connection measured the event loop as well. The pool now begins the connection at once and, when the time is over, asks the socket: one that is connected is used. An address that is silent still ends at the limit.

--- a/mothpass/adapters/http_pool.py
+++ b/mothpass/adapters/http_pool.py
@@ -1,6 +1,9 @@
 """Pool of keep-alive HTTP connections, by address."""
 
 import asyncio
+import errno
+import os
+import socket
 
 from mothpass.adapters import http_exchanges
 from mothpass.adapters import loop_turns
@@ -111,17 +114,69 @@
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(self._connect_timeout_ms / 1000):
-                _, connection = await loop.create_connection(
-                    lambda: http_exchanges.Connection(
-                        loop=loop, turns=self._turns
-                    ),
-                    host,
-                    int(port),
-                )
+            connected = await self._open_socket(host, int(port))
+            _, connection = await loop.create_connection(
+                lambda: http_exchanges.Connection(loop=loop, turns=self._turns),
+                sock=connected,
+            )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             # The latter two are of addresses that can't exist.
             raise errors.TargetUnreachableError(
                 f"no connection to {address}: {error}"
             ) from error
         return connection
+
+    async def _open_socket(self, host: str, port: int) -> socket.socket:
+        """Returns a connected socket.
+
+        Raises:
+            TimeoutError: If there is no connection within the time.
+            OSError: If it was refused or can't be made.
+        """
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        opened = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            opened.setblocking(False)
+            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            error = opened.connect_ex((host, port))
+            if error == errno.EINPROGRESS:
+                error = await self._wait_for_connection(opened)
+            if error:
+                raise OSError(error, os.strerror(error))
+        except BaseException:
+            opened.close()
+            raise
+        return opened
+
+    async def _wait_for_connection(self, opened: socket.socket) -> int:
+        """Waits for a connection; returns the error number, 0 for none.
+
+        Raises:
+            TimeoutError: If there is neither within the time.
+        """
+        loop = asyncio.get_running_loop()
+        writable: asyncio.Future[None] = loop.create_future()
+        loop.add_writer(opened, _wake, writable)
+        try:
+            async with asyncio.timeout(self._connect_timeout_ms / 1000):
+                await writable
+        except TimeoutError:
+            # The event loop may be too busy to notice the connection in time.
+            if not _is_connected(opened):
+                raise
+        finally:
+            loop.remove_writer(opened)
+        return opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
+def _wake(waiting: asyncio.Future[None]) -> None:
+    if not waiting.done():
+        waiting.set_result(None)
+
+
+def _is_connected(opened: socket.socket) -> bool:
+    try:
+        opened.getpeername()
+    except OSError:
+        return False
+    return True
