relay: give up the answer of a target for want of memory, not its request

Callers' connections were closed without a status, or their reads failed although another attempt was left, while targets sent bodies without end: the largest answer that was being read gave way to the memory budget by the end of its client's connection.

What gives way is now the reading of that answer: the attempt ends as lost, so that the request goes on at another target where it may, and gets 502 otherwise. The body of a failure that is kept as the possible final answer counts as well. A client that doesn't read its answer is still disconnected.

--- a/mothpass/adapters/relay_listener.py
+++ b/mothpass/adapters/relay_listener.py
@@ -65,8 +65,13 @@
     def response_started(self) -> bool:
         """Whether any byte of the response was written."""
 
-    def record_answer_size(self, size_bytes: int) -> None:
-        """Records how much of a response is held before it is written."""
+    def record_answer_size(
+        self, size_bytes: int, give_up: abc.Callable[[], None]
+    ) -> None:
+        """Records how much of a response is held before it is written.
+
+        ``give_up`` is called if that is too much; see ``ClientConnection``.
+        """
 
     def write_response(
         self, status: int, headers: abc.Iterable[relay.Header], body: bytes
@@ -217,6 +222,7 @@
         "_body_bytes_left",
         "_chunked",
         "_deadline",
+        "_give_up_answer",
         "_head_bytes",
         "_header_cost",
         "_headers",
@@ -282,6 +288,7 @@
         self._awaits_turn = False
         self._last_byte_at = 0.0
         self._answer_bytes = 0
+        self._give_up_answer: abc.Callable[[], None] = self.abort
         self._trailer_bytes = 0
         self._reset_request()
 
@@ -404,12 +411,18 @@
         self._queued_cost += request.head_cost + len(request.body)
         self._reset_request()
 
-    def record_answer_size(self, size_bytes: int) -> None:
+    def record_answer_size(
+        self, size_bytes: int, give_up: abc.Callable[[], None]
+    ) -> None:
         """Records how much of a response is held before it is written.
 
-        The connection is closed if that is too much for the budget.
+        Args:
+            size_bytes: Size of what is held.
+            give_up: Called if that is too much for the budget; must end the
+                reading of the response, but not the request.
         """
         self._answer_bytes = _ANSWER_COPIES * size_bytes
+        self._give_up_answer = give_up
         self._update_held()
 
     def write_response(
@@ -476,14 +489,17 @@
             self._transport.abort()
 
     def reclaim(self) -> None:
-        """Gives up an unfinished request, or a response that isn't read."""
-        if self._count_unsent() > self._count_unserved():
-            self._unsent_bytes = 0
+        """Gives up a request or response that is unfinished, or isn't read."""
+        if self._count_unsent() <= self._count_unserved():
+            self._turn_away("too much memory is held for clients")
+        elif self._answer_bytes > self._unsent_bytes:
             self._answer_bytes = 0
             self._update_held()
-            self._loop.call_soon(self.abort)
+            self._give_up_answer()
         else:
-            self._turn_away("too much memory is held for clients")
+            self._unsent_bytes = 0
+            self._update_held()
+            self._loop.call_soon(self.abort)
 
     def give_way(self) -> None:
         """Closes for a new connection; see ``ListenerState.add``."""
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -83,12 +83,15 @@
         framing: What ends the body of the last answer; see
             ``http_exchanges.Exchange.framing``.
         has_whole_answer: Whether all of the last answer has arrived.
+        failure_bytes: Size of the body of a failure that is kept, as it may
+            become the final answer.
     """
 
     __slots__ = (
         "_jump",
         "_sent_at",
         "client",
+        "failure_bytes",
         "first_byte_at",
         "framing",
         "has_whole_answer",
@@ -116,6 +119,7 @@
         self.longest_gap_s = 0.0
         self.framing = ""
         self.has_whole_answer = False
+        self.failure_bytes = 0
         self._sent_at = 0.0
 
     def may_follow(self, event_id: int, last_id: int) -> bool:
@@ -314,9 +318,7 @@
             if not head.is_signed:
                 raise errors.TargetAnswerLostError("unsigned stream")
             return await self._forward_stream(attempt, exchange, head, delivery)
-        body = await http_fetch.read_body(
-            exchange, delivery.client.record_answer_size
-        )
+        body = await _read_body(exchange, delivery)
         attempt.on_bytes(exchange.last_byte_at)
         if head.execution_state is relay.ExecutionState.NOT_RUN:
             reason = "other target" if head.is_other_target else "refused"
@@ -335,6 +337,8 @@
             head, expects_stream=attempt.expects_stream
         )
         if failure_end is not None:
+            # It is the final answer if no other attempt is made.
+            delivery.failure_bytes = len(body)
             return Outcome(
                 end=failure_end,
                 reason=f"status {head.status}",
@@ -406,6 +410,33 @@
         return Outcome(end=End.DELIVERED, status=head.status)
 
 
+async def _read_body(
+    exchange: http_exchanges.Exchange, delivery: Delivery
+) -> bytes:
+    """Returns a whole body, which counts as memory held for the client.
+
+    Raises:
+        errors.TargetAnswerLostError: If it is lost, or is given up for want of
+            memory.
+    """
+
+    def give_up() -> None:
+        exchange.fail(
+            errors.TargetAnswerLostError("too much memory is held for answers")
+        )
+
+    def record_size(size_bytes: int) -> None:
+        delivery.client.record_answer_size(
+            delivery.failure_bytes + size_bytes, give_up
+        )
+
+    try:
+        return await http_fetch.read_body(exchange, record_size)
+    except errors.TargetAnswerLostError:
+        record_size(0)
+        raise
+
+
 def _start_stream(head: relay.AnswerHead, delivery: Delivery) -> None:
     """Sends the head of a stream, unless a previous attempt sent one."""
     if not delivery.is_streaming:
--- a/mothpass/relay/peer_requests.py
+++ b/mothpass/relay/peer_requests.py
@@ -53,9 +53,11 @@
         """Whether any byte of the response was written."""
         return self._connection.response_started
 
-    def record_answer_size(self, size_bytes: int) -> None:
+    def record_answer_size(
+        self, size_bytes: int, give_up: abc.Callable[[], None]
+    ) -> None:
         """Records how much of a response is held before it is written."""
-        self._connection.record_answer_size(size_bytes)
+        self._connection.record_answer_size(size_bytes, give_up)
 
     def write_response(
         self, status: int, headers: abc.Iterable[relay.Header], body: bytes
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -28,7 +28,9 @@
         self.is_whole = False
         self.response_started = False
 
-    def record_answer_size(self, size_bytes: int) -> None:
+    def record_answer_size(
+        self, size_bytes: int, give_up: abc.Callable[[], None]
+    ) -> None:
         """Takes an answer of any size."""
 
     def write_response(
