relay: read the answers of routes that are no streams whole

Callers of reads and payments got a 200 that was cut, although another attempt was left, where a target answered with an event stream that broke off or had no end: an event stream was passed on as it came on any route, and what has begun can't be tried again elsewhere.

PROTOCOL.md has event streams on stream routes only. On others the body is read whole, like any other, and delivered unchanged or not at all; a run that breaks off is followed by another one where the route allows it.

test_stream_on_a_plain_route_is_not_continued expected the cut answer of a read and one run. It guards against joined runs, and still does: the answer is now exactly that of the second run. Two forms of test_endless_targets failed before and pass (comments and events without end).

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -167,7 +167,8 @@
         deadline: Monotonic seconds at which the attempt times out.
         silence_timeout_s: Time without a byte after which the attempt is
             abandoned; None to wait until the deadline.
-        expects_stream: Whether only an event stream is a success.
+        expects_stream: Whether only an event stream is a success; otherwise
+            each answer is read whole before the client gets it.
         needs_new_connection: Whether a pooled connection may not be reused.
         max_idle_connections: Idle connections that the pool may keep to the
             target.
@@ -314,7 +315,11 @@
         head: relay.AnswerHead,
         delivery: Delivery,
     ) -> Outcome:
-        if head.status == 200 and _is_event_stream(head):
+        if (
+            attempt.expects_stream
+            and head.status == 200
+            and _is_event_stream(head)
+        ):
             if not head.is_signed:
                 raise errors.TargetAnswerLostError("unsigned stream")
             return await self._forward_stream(attempt, exchange, head, delivery)
