relay: leave time for another attempt while a body arrives

Callers of reads got 504 at their deadline although another attempt was left: a target whose answer trickles, or comes in one-byte chunks without end, used up all the time, as bytes that arrive are no silence.

Once the head is there, a body has half of the time that is left, if another attempt may follow; the last attempt has all of it.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -20,6 +20,9 @@
 # Time by which an attempt may outlive the deadline of its request, which
 # passes first and decides the answer.
 DEADLINE_MARGIN_S = 0.25
+# Of the time that a request has left when the head of an answer arrives, what
+# the body may take if another attempt may follow.
+MAX_BODY_TIME_SHARE = 0.5
 # For targets that state no idle timeout.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 _EVENT_STREAM = b"text/event-stream"
@@ -166,7 +169,8 @@
         data: Encoded request for it.
         deadline: Monotonic seconds at which the attempt times out.
         silence_timeout_s: Time without a byte after which the attempt is
-            abandoned; None to wait until the deadline.
+            abandoned for another one; None if there is none, to wait until
+            the deadline.
         expects_stream: Whether only an event stream is a success; otherwise
             each answer is read whole before the client gets it.
         needs_new_connection: Whether a pooled connection may not be reused.
@@ -323,6 +327,7 @@
             if not head.is_signed:
                 raise errors.TargetAnswerLostError("unsigned stream")
             return await self._forward_stream(attempt, exchange, head, delivery)
+        _leave_time_for_another(attempt, exchange)
         body = await _read_body(exchange, delivery)
         attempt.on_bytes(exchange.last_byte_at)
         if head.execution_state is relay.ExecutionState.NOT_RUN:
@@ -415,6 +420,19 @@
         return Outcome(end=End.DELIVERED, status=head.status)
 
 
+def _leave_time_for_another(
+    attempt: Attempt, exchange: http_exchanges.Exchange
+) -> None:
+    """Bounds the time of a body if another attempt may follow this one."""
+    if attempt.silence_timeout_s is None:
+        return
+    now = asyncio.get_running_loop().time()
+    exchange.set_timeouts(
+        silence_s=attempt.silence_timeout_s,
+        deadline=now + (attempt.deadline - now) * MAX_BODY_TIME_SHARE,
+    )
+
+
 async def _read_body(
     exchange: http_exchanges.Exchange, delivery: Delivery
 ) -> bytes:
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -382,6 +382,18 @@
     return run
 
 
+async def trickle_body(
+    target: Target, request: wire.Request, writer: asyncio.StreamWriter
+) -> None:
+    """Runs the request and sends a byte of its body now and then, for good."""
+    target.runs.append(request.headers["attempt-id"])
+    headers = make_headers(request) | {"Transfer-Encoding": "chunked"}
+    writer.write(wire.encode_head(200, headers))
+    while True:
+        wire.write_chunk(writer, b"x")
+        await asyncio.sleep(0.05)
+
+
 async def lose_answer(
     target: Target, request: wire.Request, writer: asyncio.StreamWriter
 ) -> None:
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -124,6 +124,22 @@
         answer = await self.send_request("GET", "/read/1")
         self.assertEqual(answer.status, 200)
 
+    async def test_body_that_trickles_is_abandoned_for_another(self) -> None:
+        """Guards against an answer that takes the time of the next attempt."""
+        self.script_all(self.plain, target_standin.trickle_body)
+        answer = await self.send_request("GET", "/read/1")
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
+        self.assertEqual(self.count_runs(), 2)
+
+    async def test_body_that_trickles_has_all_the_time_of_a_payment(
+        self,
+    ) -> None:
+        """Guards against answers that are given up though none may follow."""
+        self.script_all(self.plain, target_standin.trickle_body)
+        headers = self.make_headers(Deadline_Ms="600")
+        answer = await self.send_request("POST", "/pay/1", headers, b"x")
+        self.assertIn(b"no answer before the deadline", answer.body)
+
     async def test_final_answer_is_due_at_the_deadline(self) -> None:
         self.script_all(self.plain, target_standin.hang)
         loop = asyncio.get_running_loop()
