relay: only new events keep a stream at its target

Callers of a stream that may be resumed got no further event until their deadline, although another attempt was left, where a target sent comments, or one event again and again: any event counted as progress.

An event counts if it has no id, or a higher one than all before it in its run; a run without one for the silence timeout is given up for another target.

Evidence: test_stream_of_comments_goes_on_at_another_target failed before, with comments and with a repeated event.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -160,6 +160,39 @@
         self._sent_at = now
 
 
+class _StreamRun:
+    """How far one run of a stream has come.
+
+    Attributes:
+        has_events: Whether it had events, beside comments.
+        highest_id: The highest id of an event, None if none has one.
+        progress_at: Event-loop time at which the last new event arrived.
+    """
+
+    __slots__ = ("has_events", "highest_id", "progress_at")
+
+    def __init__(self, *, started_at: float) -> None:
+        """Creates a run without events."""
+        self.has_events = False
+        self.highest_id: int | None = None
+        self.progress_at = started_at
+
+    def record(
+        self, events: list[server_sent_events.Event], arrived_at: float
+    ) -> None:
+        """Records events in order; comments and repeated ids aren't new."""
+        for event in events:
+            if event.id is None:
+                if event.is_comment:
+                    continue
+            elif self.highest_id is None or event.id > self.highest_id:
+                self.highest_id = event.id
+            else:
+                continue
+            self.has_events = True
+            self.progress_at = arrived_at
+
+
 class Attempt(msgspec.Struct, frozen=True, kw_only=True):
     """One dispatch of a request to a target.
 
@@ -371,9 +404,7 @@
         was_streaming = delivery.is_streaming
         first_position = delivery.position
         goes_on = was_streaming or first_position is not None
-        highest_id: int | None = None
-        has_events = False
-        last_event_at = exchange.last_byte_at
+        run = _StreamRun(started_at=exchange.last_byte_at)
         while True:
             await exchange.wait_for_progress()
             attempt.on_bytes(exchange.last_byte_at)
@@ -383,14 +414,8 @@
                 events = splitter.split(exchange.read_available())
             except ValueError as error:
                 raise errors.TargetAnswerLostError(str(error)) from error
-            if events:
-                has_events = has_events or any(
-                    not event.is_comment for event in events
-                )
-                last_event_at = exchange.last_byte_at
-                highest_id = _find_highest_id(events, highest_id)
-            else:
-                _check_event_in_time(attempt, exchange, last_event_at)
+            run.record(events, exchange.last_byte_at)
+            _check_event_in_time(attempt, exchange, run)
             data, failure = _take_new_events(events, delivery, goes_on=goes_on)
             if data:
                 # The client may disconnect, and the stream be taken up
@@ -406,13 +431,7 @@
         if was_streaming and delivery.position == first_position:
             # Nothing shows that this run knows where the stream ends.
             raise errors.TargetAnswerLostError("stream went on without events")
-        _check_end(
-            exchange,
-            splitter,
-            has_events=has_events,
-            highest_id=highest_id,
-            first_position=first_position,
-        )
+        _check_end(exchange, splitter, run, first_position)
         _start_stream(head, delivery)
         if not goes_on and (rest := splitter.take_rest()):
             await delivery.client.write_chunk(rest)
@@ -467,24 +486,10 @@
         delivery.client.start_stream(head.status, head.headers)
 
 
-def _find_highest_id(
-    events: list[server_sent_events.Event], highest_id: int | None
-) -> int | None:
-    """Returns the highest id so far, None if no event has one."""
-    for event in events:
-        if event.id is not None and (
-            highest_id is None or event.id > highest_id
-        ):
-            highest_id = event.id
-    return highest_id
-
-
 def _check_end(
     exchange: http_exchanges.Exchange,
     splitter: server_sent_events.EventSplitter,
-    *,
-    has_events: bool,
-    highest_id: int | None,
+    run: _StreamRun,
     first_position: int | None,
 ) -> None:
     """Checks that the end of an answer is that of its stream.
@@ -492,8 +497,7 @@
     Args:
         exchange: The answer, which is complete.
         splitter: Splitter that has got all of its body.
-        has_events: Whether the answer had events, beside comments.
-        highest_id: The highest id of an event, None if none has one.
+        run: The run that it is of.
         first_position: Last event that the client had before, None for none.
 
     Raises:
@@ -502,29 +506,30 @@
     if splitter.has_partial_event:
         raise errors.TargetAnswerLostError("stream ended within an event")
     if first_position is None:
-        if exchange.read_until_close and not has_events:
+        if exchange.read_until_close and not run.has_events:
             # A target that dies after the head may close its connection.
             raise errors.TargetAnswerLostError("connection ended, no event")
-    elif highest_id is not None and highest_id < first_position:
+    elif run.highest_id is not None and run.highest_id < first_position:
         # The end of a run that is shorter than what the client has.
         raise errors.TargetAnswerLostError(
-            f"stream ended at event {highest_id}, before {first_position}"
+            f"stream ended at event {run.highest_id}, before {first_position}"
         )
 
 
 def _check_event_in_time(
-    attempt: Attempt, exchange: http_exchanges.Exchange, last_event_at: float
+    attempt: Attempt, exchange: http_exchanges.Exchange, run: _StreamRun
 ) -> None:
-    """Checks that bytes that arrive also complete an event at times.
+    """Checks that bytes that arrive also bring the stream on at times.
 
     Raises:
-        errors.TargetSilentError: If no event ended within the silence timeout.
+        errors.TargetSilentError: If no new event came within the silence
+            timeout.
     """
     timeout_s = attempt.silence_timeout_s
     if exchange.complete or timeout_s is None:
         return
-    if exchange.last_byte_at - last_event_at > timeout_s:
-        raise errors.TargetSilentError("no whole event, though bytes arrive")
+    if exchange.last_byte_at - run.progress_at > timeout_s:
+        raise errors.TargetSilentError("no new event, though bytes arrive")
 
 
 def _take_new_events(
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -344,6 +344,20 @@
     return run
 
 
+def repeat_event(data: bytes, *, pause_s: float) -> Script:
+    """Returns a script that sends the same event again and again."""
+
+    async def run(
+        target: Target, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        start_stream(target, request, writer)
+        while True:
+            wire.write_chunk(writer, data)
+            await asyncio.sleep(pause_s)
+
+    return run
+
+
 def reject(status: int, headers: dict[str, str]) -> Script:
     """Returns a script that rejects the request without running it."""
 
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -266,6 +266,21 @@
         self.assertTrue(answer.is_whole)
         self.assertEqual(answer.body, _make_stream(target_standin.EVENTS))
 
+    async def test_stream_of_comments_goes_on_at_another_target(self) -> None:
+        """Guards against a stalled stream that comments keep."""
+        for data in (b": beat\n\n", target_standin.make_event(0)):
+            with self.subTest(data=data):
+                self.script_all(
+                    self.models,
+                    target_standin.repeat_event(data, pause_s=0.1),
+                )
+                answer = await self.send_request(
+                    "POST", "/chat/1", self.make_chat_headers()
+                )
+                self.assertTrue(answer.is_whole)
+                body = answer.body.replace(b": beat\n\n", b"")
+                self.assertEqual(body, _make_stream(target_standin.EVENTS))
+
     async def test_slow_stream_that_goes_on_is_not_cut(self) -> None:
         """Guards against sound streams that are given up for their pauses."""
         self.script_all(self.models, target_standin.stream(3, pause_s=0.7))
