relay: ask peers for a stream's version after a gap in the store's history

Callers who took a stream up at a daemon that had been cut off could get its rest from another software version (ORDER): a target had come and gone meanwhile, and the store had dropped the history of its removal (410), so that the daemon knew of one version only.

A table that is read anew, other than by a restore, may lack what came and went before. Counting each such read as a version that isn't known would have made all daemons refuse; a gap only makes them ask.

--- a/mothpass/core/stream_origins.py
+++ b/mothpass/core/stream_origins.py
@@ -99,13 +99,14 @@
 class VersionHistory:
     """Software versions that have served each service of late."""
 
-    __slots__ = ("_departed_at", "_known_since", "_unseen_at")
+    __slots__ = ("_departed_at", "_gap_at", "_known_since", "_unseen_at")
 
     def __init__(self) -> None:
         """Starts without knowledge."""
         self._departed_at: dict[tuple[str, int], float] = {}
         self._known_since = float("inf")
         self._unseen_at = float("-inf")
+        self._gap_at = float("-inf")
 
     def record_start(self, now: float) -> None:
         """Records that the targets are known from now on."""
@@ -129,6 +130,10 @@
         """
         self._unseen_at = now
 
+    def record_gap(self, now: float) -> None:
+        """Records that targets may have come and gone unseen until now."""
+        self._gap_at = now
+
     def merge_former(
         self, versions: abc.Mapping[str, abc.Iterable[int]], now: float
     ) -> None:
@@ -168,6 +173,7 @@
         return Versions(
             known=frozenset(itertools.chain(departed, present, unseen)),
             is_complete=self._known_since <= since,
+            has_gap=self._gap_at >= since,
         )
 
 
@@ -178,10 +184,12 @@
         known: Their fingerprints.
         is_complete: Whether there were no others; not so at a daemon that has
             just started.
+        has_gap: Whether there may have been others that only peers have seen.
     """
 
     known: frozenset[int]
     is_complete: bool
+    has_gap: bool = False
 
 
 class Answer(msgspec.Struct, frozen=True, kw_only=True):
@@ -211,7 +219,8 @@
         return Answer(version=recorded)
     if len(versions.known) > 1:
         return Answer(is_ambiguous=True)
-    if not versions.known or not versions.is_complete or not is_confirmed:
+    is_sure = versions.is_complete and not versions.has_gap and is_confirmed
+    if not versions.known or not is_sure:
         return Answer()
     return Answer(version=next(iter(versions.known)))
 
@@ -235,7 +244,9 @@
     if found:
         return found.pop() if len(found) == 1 else None
     is_ambiguous = any(item.is_ambiguous for item in answers)
-    if is_ambiguous or not is_confirmed or len(versions.known) != 1:
+    if is_ambiguous or not is_confirmed or versions.has_gap:
+        return None
+    if len(versions.known) != 1:
         return None
     # No daemon has been up for long, as after the loss of all of them.
     return next(iter(versions.known))
--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -205,12 +205,21 @@
                 has_reader_peer=self._gossip.has_reader_peer,
                 is_store_stable=self.is_store_stable,
                 on_change=self._handle_change,
+                on_gap=on_gap,
                 metrics=metrics,
             )
-            for name, apply_changes, compare, get_wait_s, get_pause_s in (
+            for (
+                name,
+                apply_changes,
+                on_gap,
+                compare,
+                get_wait_s,
+                get_pause_s,
+            ) in (
                 (
                     ports.operator_table,
                     state.apply_operator_rows,
+                    lambda: None,
                     ports.compare_operator_values,
                     self._get_operator_feed_wait_s,
                     lambda: 0.0,
@@ -218,6 +227,7 @@
                 (
                     ports.target_table,
                     state.apply_target_rows,
+                    state.record_target_gap,
                     ports.compare_target_values,
                     self._get_target_feed_wait_s,
                     self._get_target_feed_pause_s,
--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -60,6 +60,7 @@
         "_metrics",
         "_must_read",
         "_on_change",
+        "_on_gap",
         "_read",
         "freshness",
         "is_following_store",
@@ -82,6 +83,7 @@
         has_reader_peer: abc.Callable[[], bool],
         is_store_stable: abc.Callable[[], bool],
         on_change: abc.Callable[["Replica"], None],
+        on_gap: abc.Callable[[], None],
         metrics: metrics_module.Metrics,
     ) -> None:
         """Creates an empty replica.
@@ -101,11 +103,14 @@
                 didn't just expire during an outage of the store.
             on_change: Called when the content has changed or the store has
                 become unreachable.
+            on_gap: Called when the table was read anew, so that rows may have
+                come and gone unseen.
             metrics: Counters and histograms.
         """
         self.name = name
         self._copy = table_copies.TableCopy(compare=compare)
         self._on_change = on_change
+        self._on_gap = on_gap
         self._metrics = metrics
         self.is_store_reached = True
         self.is_store_down = False
@@ -272,6 +277,8 @@
                 held=sorted(change.held)[:MAX_LOGGED_KEYS],
                 held_count=len(change.held),
             )
+        if page.is_whole and before and not change.is_restore:
+            self._on_gap()
         if change.rows or change.is_restore or not before:
             self._apply_changes(change.rows, self._is_store_stable())
             self._on_change(self)
--- a/mothpass/relay/state.py
+++ b/mothpass/relay/state.py
@@ -115,6 +115,10 @@
         self.has_targets = True
         self.versions.record_start(now)
 
+    def record_target_gap(self) -> None:
+        """Records that targets may have come and gone unseen until now."""
+        self.versions.record_gap(asyncio.get_running_loop().time())
+
     def expire_held_targets(self) -> None:
         """Removes held targets that didn't register again after an outage."""
         now = asyncio.get_running_loop().time()
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -29,6 +29,7 @@
             has_reader_peer=lambda: False,
             is_store_stable=lambda: True,
             on_change=lambda _: None,
+            on_gap=lambda: None,
             metrics=metrics.Metrics(),
         )
         self.calls = 0
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from mothpass.core import stream_origins
+from mothpass.core import target_table
 from mothpass.relay import gossip
+from tests import registrations
 
 _DAEMONS = 195
 # Streams that begin at each daemon, well above the deployments' peaks.
@@ -62,6 +64,38 @@
         self.assertTrue(answer(known=_TWO).is_ambiguous)
 
 
+class GapTest(unittest.TestCase):
+    """A daemon whose targets may have come and gone unseen."""
+
+    def test_daemon_with_a_gap_leaves_the_version_to_peers(self) -> None:
+        """Guards against a version that only others have seen."""
+        history = stream_origins.VersionHistory()
+        history.record_start(0.0)
+        table = target_table.TargetTable()
+        table.put(registrations.make_registration(1), 0.0)
+        registered = table.list_registered("models")
+        history.record_gap(100.0)
+        gap = history.assess("models", registered, 101.0)
+        own = stream_origins.answer_origin(
+            recorded=None, versions=gap, is_confirmed=True
+        )
+        self.assertEqual(own, stream_origins.Answer())
+        for answers, version in (
+            ([own], None),
+            ([own, stream_origins.Answer(version=7)], 7),
+            ([own, stream_origins.Answer(is_ambiguous=True)], None),
+        ):
+            with self.subTest(answers=answers):
+                merged = stream_origins.merge_answers(
+                    answers, versions=gap, is_confirmed=True
+                )
+                self.assertEqual(merged, version)
+        later = history.assess(
+            "models", registered, 101.0 + stream_origins.LIFETIME_S
+        )
+        self.assertFalse(later.has_gap)
+
+
 class MergeTest(unittest.TestCase):
     """What a daemon makes of its peers' answers."""
 
