relay: the end of a connection alone is no end for a client that takes a stream up

Without a new event, the end of a connection now counts only if no other attempt may follow, that is if two runs agree; otherwise another target is asked. With length or chunks nothing changes.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -431,7 +431,9 @@
         if was_streaming and delivery.position == first_position:
             # Nothing shows that this run knows where the stream ends.
             raise errors.TargetAnswerLostError("stream went on without events")
-        _check_end(exchange, splitter, run, first_position)
+        if splitter.has_partial_event:
+            raise errors.TargetAnswerLostError("stream ended within an event")
+        _check_end(attempt, exchange, run, first_position)
         _start_stream(head, delivery)
         if not goes_on and (rest := splitter.take_rest()):
             await delivery.client.write_chunk(rest)
@@ -487,29 +489,36 @@
 
 
 def _check_end(
+    attempt: Attempt,
     exchange: http_exchanges.Exchange,
-    splitter: server_sent_events.EventSplitter,
     run: _StreamRun,
     first_position: int | None,
 ) -> None:
-    """Checks that the end of an answer is that of its stream.
+    """Checks that the end of a whole answer is that of its stream.
 
     Args:
+        attempt: The attempt.
         exchange: The answer, which is complete.
-        splitter: Splitter that has got all of its body.
         run: The run that it is of.
         first_position: Last event that the client had before, None for none.
 
     Raises:
         errors.TargetAnswerLostError: If the stream has more events.
     """
-    if splitter.has_partial_event:
-        raise errors.TargetAnswerLostError("stream ended within an event")
     if first_position is None:
-        if exchange.read_until_close and not run.has_events:
-            # A target that dies after the head may close its connection.
-            raise errors.TargetAnswerLostError("connection ended, no event")
-    elif run.highest_id is not None and run.highest_id < first_position:
+        is_empty = not run.has_events
+    else:
+        is_empty = run.highest_id is None or run.highest_id <= first_position
+        # Two runs without a new event confirm that the client has all.
+        is_empty = is_empty and attempt.silence_timeout_s is not None
+    if exchange.read_until_close and is_empty:
+        # A target that dies may close its connection.
+        raise errors.TargetAnswerLostError("connection ended, no new event")
+    if (
+        first_position is not None
+        and run.highest_id is not None
+        and run.highest_id < first_position
+    ):
         # The end of a run that is shorter than what the client has.
         raise errors.TargetAnswerLostError(
             f"stream ended at event {run.highest_id}, before {first_position}"
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -158,11 +158,26 @@
         )
         self.assertEqual((answer.body, answer.is_whole), (_EVENTS, True))
 
+    async def test_connection_that_ends_is_no_end_for_a_client_with_a_part(
+        self,
+    ) -> None:
+        """Guards against a target that dies after its head."""
+        for body in (b"", b": beat\n\n", target_standin.make_event(1)):
+            with self.subTest(body=body):
+                script = target_standin.close_after(
+                    _STREAM_HEAD + b"\r\n" + body
+                )
+                self.script_all(self.models, script)
+                answer = await self.send_request(
+                    "POST", "/chat/1", self.make_chat_headers(Last_Event_Id="1")
+                )
+                self.assertEqual(answer.body, target_standin.make_events(2, 4))
+                self.assertTrue(answer.is_whole)
+
     async def test_client_with_all_events_gets_the_end(self) -> None:
         """Guards against a stream whose end can't be fetched."""
-        self.script_all(
-            self.models, target_standin.close_after(_STREAM_HEAD + b"\r\n")
-        )
+        script = target_standin.close_after(_STREAM_HEAD + b"\r\n")
+        self.script_all(self.models, script, script)
         answer = await self.send_request(
             "POST", "/chat/1", self.make_chat_headers(Last_Event_Id="3")
         )
