Read what has arrived before a target counts as silent or late

Requests were taken from sound targets that had answered, and went on elsewhere or failed, at a daemon that was busy with others' bytes: on uvloop timers run before what has arrived is read, so that the lateness of the loop counted as silence.

A deadline of an exchange that has passed is checked once more after the event loop has read what there is.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import functools
 import typing
 
 import httptools
@@ -23,6 +24,9 @@
 _SMALL_SLICE_BYTES = 1024
 _LARGE_SLICE_BYTES = 16_384
 _MAX_PARTS_PER_LARGE_SLICE = 8
+# Time in which a busy event loop gets to read what has arrived, before a
+# deadline takes it for missing.
+_POLL_S = 0.005
 # Framing that a piece of a body may have in addition.
 _PIECE_OVERHEAD_BYTES = 64
 # Statuses whose responses have no body, whatever their headers say.
@@ -237,11 +241,14 @@
         if reader is not None and not reader.done():
             reader.set_result(None)
 
-    def _check_deadlines(self) -> None:
+    def _check_deadlines(self, is_polled: bool = False) -> None:
         """Fails a silent or late exchange; otherwise restarts the timer.
 
         The timer isn't reset for each byte, since that would cost more than
         receiving the byte.
+
+        Args:
+            is_polled: Whether what had arrived by the deadline has been read.
         """
         now = self._loop.time()
         next_deadline = min(self._silence_deadline, self._deadline)
@@ -249,6 +256,10 @@
             self._timer = self._loop.call_at(
                 next_deadline, self._check_deadlines
             )
+        elif not is_polled:
+            self._timer = self._loop.call_later(
+                _POLL_S, functools.partial(self._check_deadlines, True)
+            )
         elif now >= self._deadline:
             self.fail(
                 errors.TargetAnswerLostError("no response before the deadline")
--- /dev/null
+++ b/tests/test_exchange_deadlines.py
@@ -0,0 +1,72 @@
+"""Tests of what counts as silence of a target, and as late."""
+
+import asyncio
+import socket
+import threading
+import time
+import unittest
+
+import uvloop
+
+from mothpass.adapters import http_pool
+from mothpass.core import errors
+
+_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n"
+
+
+async def _fetch_beside_busy_loop() -> str:
+    """Returns how an answer ends that comes while the loop is busy."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+
+        def answer() -> None:
+            accepted, _ = listening.accept()
+            with accepted:
+                accepted.recv(1024)
+                time.sleep(0.1)
+                accepted.sendall(_HEAD + b"abcdefgh")
+                accepted.recv(1024)
+
+        answering = threading.Thread(target=answer)
+        answering.start()
+        port = listening.getsockname()[1]
+        pool = http_pool.ConnectionPool(connect_timeout_ms=300)
+        connection = await pool.acquire(f"127.0.0.1:{port}", fresh=True)
+        exchange = connection.send(
+            b"GET / HTTP/1.1\r\n\r\n",
+            silence_ms=200,
+            deadline=loop.time() + 9,
+        )
+        sending, receiving = socket.socketpair()
+        with sending, receiving:
+            sending.send(b"x")
+
+            def handle_other_bytes() -> None:
+                receiving.recv(1)
+                time.sleep(0.4)
+
+            loop.add_reader(receiving, handle_other_bytes)
+            try:
+                while not exchange.complete:
+                    await exchange.wait_for_progress()
+                return "whole"
+            except errors.MothpassError as error:
+                return str(error)
+            finally:
+                loop.remove_reader(receiving)
+                connection.close()
+                await loop.run_in_executor(None, answering.join)
+
+
+class BusyLoopTest(unittest.TestCase):
+    """Answers that wait in the kernel while the loop is busy."""
+
+    def test_late_loop_is_no_silence_of_a_target(self) -> None:
+        """Guards against targets that are given up for others' bytes."""
+        for run in (asyncio.run, uvloop.run):
+            with self.subTest(run.__module__):
+                self.assertEqual(run(_fetch_beside_busy_loop()), "whole")
+
+
+if __name__ == "__main__":
+    unittest.main()
