Don't take a slow reader for a silent target

A stream that may be resumed was given up and run again, and a whole answer lost, where the client or the daemon read slowly: above 256 KB of unread bytes reading is paused, and the pause counted as silence of the target.

While bytes are unread, the silence timeout starts anew.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -251,6 +251,9 @@
             is_polled: Whether what had arrived by the deadline has been read.
         """
         now = self._loop.time()
+        if self._chunks:
+            # The reader is slow, not the target.
+            self._silence_deadline = now + self._silence_s
         next_deadline = min(self._silence_deadline, self._deadline)
         if now < next_deadline:
             self._timer = self._loop.call_at(
--- a/tests/test_exchange_deadlines.py
+++ b/tests/test_exchange_deadlines.py
@@ -8,6 +8,7 @@
 
 import uvloop
 
+from mothpass.adapters import http_exchanges
 from mothpass.adapters import http_pool
 from mothpass.core import errors
 
@@ -68,5 +69,56 @@
                 self.assertEqual(run(_fetch_beside_busy_loop()), "whole")
 
 
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Answers whose reader is slow or has left."""
+
+    async def open(
+        self, answer: bytes, silence_ms: int
+    ) -> tuple[
+        http_pool.ConnectionPool,
+        str,
+        http_exchanges.Connection,
+        http_exchanges.Exchange,
+    ]:
+        """Sends a request to a target that answers and stays open."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{port}"
+        pool = http_pool.ConnectionPool(connect_timeout_ms=300)
+        connection = await pool.acquire(address, fresh=True)
+        self.addCleanup(connection.close)
+        exchange = connection.send(
+            b"GET / HTTP/1.1\r\n\r\n",
+            silence_ms=silence_ms,
+            deadline=asyncio.get_running_loop().time() + 0.5
+            if silence_ms == 200
+            else asyncio.get_running_loop().time() + 30,
+        )
+        return pool, address, connection, exchange
+
+    async def test_slow_reader_is_no_silence_of_the_target(self) -> None:
+        """Guards against whole answers that fail as their reader is slow."""
+        body = b"x" * 2_000_000
+        _, _, _, exchange = await self.open(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + body, 100
+        )
+        received = b""
+        while not exchange.complete:
+            await exchange.wait_for_progress()
+            received += exchange.read_available()
+            await asyncio.sleep(0.2)
+        self.assertEqual(len(received + exchange.read_available()), len(body))
+
+
 if __name__ == "__main__":
     unittest.main()
