Close a connection whose message end never comes at its deadline

mothpassd kept a connection, one descriptor each, for every target that sent the last event of a stream and then no end of the message, or bytes without end: a failed exchange woke only a reader, which had left.

A failure now runs the callback that waits for the end of the message, and a failed exchange has none that is outstanding.

--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -64,6 +64,7 @@
         "_deadline",
         "_failure",
         "_loop",
+        "_on_failure",
         "_pause_reading",
         "_reader",
         "_resume_reading",
@@ -89,6 +90,7 @@
         deadline: float,
         pause_reading: abc.Callable[[], None],
         resume_reading: abc.Callable[[], None],
+        on_failure: abc.Callable[[], None],
     ) -> None:
         """Starts waiting for the response.
 
@@ -99,6 +101,7 @@
             deadline: Event-loop time at which the exchange fails.
             pause_reading: Stops reading from the connection.
             resume_reading: Starts reading again.
+            on_failure: Called when the exchange fails.
         """
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
@@ -116,6 +119,7 @@
         self._reader: asyncio.Future[None] | None = None
         self._pause_reading = pause_reading
         self._resume_reading = resume_reading
+        self._on_failure = on_failure
         self._deadline = deadline
         self._silence_s = (
             float("inf") if silence_ms is None else silence_ms / 1000
@@ -139,6 +143,11 @@
             return "chunks"
         return "length" if b"content-length" in self.headers else "none"
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the response is complete or the exchange has failed."""
+        return self.complete or self._failure is not None
+
     @property
     def is_paused(self) -> bool:
         """Whether unread bytes have paused reading from the connection."""
@@ -207,6 +216,7 @@
             return
         self._failure = failure
         self.wake_reader()
+        self._on_failure()
 
     def set_status(self, status: int) -> None:
         """Sets the status after all headers have arrived."""
@@ -377,6 +387,7 @@
             deadline=deadline,
             pause_reading=self._update_reading,
             resume_reading=self._update_reading,
+            on_failure=self._run_message_end_callback,
         )
         transport.write(request)
         return self._exchange
@@ -388,7 +399,7 @@
             False, without setting the callback, if nothing is outstanding.
         """
         exchange = self._exchange
-        if exchange is None or exchange.complete or not self.is_open():
+        if exchange is None or exchange.has_ended or not self.is_open():
             return False
         if not exchange.content_ended:
             return False
--- a/tests/test_exchange_deadlines.py
+++ b/tests/test_exchange_deadlines.py
@@ -72,15 +72,10 @@
 class ExchangeTest(unittest.IsolatedAsyncioTestCase):
     """Answers whose reader is slow or has left."""
 
-    async def open(
-        self, answer: bytes, silence_ms: int
-    ) -> tuple[
-        http_pool.ConnectionPool,
-        str,
-        http_exchanges.Connection,
-        http_exchanges.Exchange,
-    ]:
-        """Sends a request to a target that answers and stays open."""
+    async def open_exchange(
+        self, answer: bytes, *, silence_ms: int, deadline_s: float
+    ) -> http_exchanges.Exchange:
+        """Sends a request to a target that answers and stays connected."""
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -89,28 +84,34 @@
             writer.write(answer)
             await reader.read()
             writer.close()
+            self.is_left.set()
 
+        self.is_left = asyncio.Event()
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
         port = server.sockets[0].getsockname()[1]
-        address = f"127.0.0.1:{port}"
-        pool = http_pool.ConnectionPool(connect_timeout_ms=300)
-        connection = await pool.acquire(address, fresh=True)
-        self.addCleanup(connection.close)
-        exchange = connection.send(
+        self.address = f"127.0.0.1:{port}"
+        self.pool = http_pool.ConnectionPool(connect_timeout_ms=300)
+        self.connection = await self.pool.acquire(self.address, fresh=True)
+        self.addAsyncCleanup(self.close)
+        return self.connection.send(
             b"GET / HTTP/1.1\r\n\r\n",
             silence_ms=silence_ms,
-            deadline=asyncio.get_running_loop().time() + 0.5
-            if silence_ms == 200
-            else asyncio.get_running_loop().time() + 30,
+            deadline=asyncio.get_running_loop().time() + deadline_s,
         )
-        return pool, address, connection, exchange
+
+    async def close(self) -> None:
+        """Closes the connection; waits until the target has noticed."""
+        self.connection.close()
+        await self.is_left.wait()
 
     async def test_slow_reader_is_no_silence_of_the_target(self) -> None:
         """Guards against whole answers that fail as their reader is slow."""
         body = b"x" * 2_000_000
-        _, _, _, exchange = await self.open(
-            b"HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + body, 100
+        exchange = await self.open_exchange(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + body,
+            silence_ms=100,
+            deadline_s=30,
         )
         received = b""
         while not exchange.complete:
@@ -119,6 +120,22 @@
             await asyncio.sleep(0.2)
         self.assertEqual(len(received + exchange.read_available()), len(body))
 
+    async def test_message_end_that_never_comes_is_not_awaited(self) -> None:
+        """Guards against connections that stay open beyond their deadline."""
+        exchange = await self.open_exchange(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"4\r\nlast\r\n",
+            silence_ms=200,
+            deadline_s=0.5,
+        )
+        while not exchange.body_bytes:
+            await exchange.wait_for_progress()
+        exchange.read_available()
+        exchange.content_ended = True
+        self.pool.release(self.address, self.connection)
+        await asyncio.sleep(1.5)
+        self.assertFalse(self.connection.is_open())
+
 
 if __name__ == "__main__":
     unittest.main()
