--- a/mothpass/adapters/http_exchanges.py
+++ b/mothpass/adapters/http_exchanges.py
@@ -174,17 +174,28 @@
         if self._failure is not None and not self._chunks:
             raise self._failure
 
-    def read_available(self) -> bytes:
-        """Returns the body bytes that arrived since the last call."""
+    @property
+    def has_unread(self) -> bool:
+        """Whether body bytes have arrived that weren't read yet."""
+        return bool(self._chunks)
+
+    def read_available(self, max_bytes: int | None = None) -> bytes:
+        """Returns the body bytes that arrived since the last call.
+
+        Args:
+            max_bytes: Most bytes to return; None for all.
+        """
         chunks = self._chunks
         if not chunks:
             return b""
-        self._chunks = []
+        data = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        rest = b"" if max_bytes is None else data[max_bytes:]
+        self._chunks = [rest] if rest else []
         was_paused = self.is_paused
-        self._buffered_bytes = 0
-        if was_paused:
+        self._buffered_bytes = len(rest)
+        if was_paused and not self.is_paused:
             self._resume_reading()
-        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        return data[:max_bytes]
 
     def set_timeouts(self, *, silence_s: float, deadline: float) -> None:
         """Replaces the silence timeout and the deadline.
--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -23,6 +23,8 @@
 # Of the time that a request has left when the head of an answer arrives, what
 # the body may take if another attempt may follow.
 MAX_BODY_TIME_SHARE = 0.5
+# Bytes of a stream that are split into events before others get their turn.
+MAX_PIECE_BYTES = 4096
 # For targets that state no idle timeout.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 _EVENT_STREAM = b"text/event-stream"
@@ -408,10 +410,10 @@
         while True:
             await exchange.wait_for_progress()
             attempt.on_bytes(exchange.last_byte_at)
-            # Read before the bytes, as more may arrive in between.
-            is_last = exchange.complete
+            data = exchange.read_available(MAX_PIECE_BYTES)
+            is_last = exchange.complete and not exchange.has_unread
             try:
-                events = splitter.split(exchange.read_available())
+                events = splitter.split(data)
             except ValueError as error:
                 raise errors.TargetAnswerLostError(str(error)) from error
             run.record(events, exchange.last_byte_at)
@@ -428,6 +430,9 @@
                 raise failure
             if is_last:
                 break
+            if exchange.has_unread:
+                # Very many small events hold up no other request.
+                await asyncio.sleep(0)
         if was_streaming and delivery.position == first_position:
             # Nothing shows that this run knows where the stream ends.
             raise errors.TargetAnswerLostError("stream went on without events")
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mothpass.core import server_sent_events
 from mothpass.relay import service as service_module
 from tests.platform import fleet
 from tests.platform import target_standin
@@ -24,6 +25,9 @@
     return b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
 
 
+# A stream of very many events, and those that one turn may split.
+_TINY_BYTES = 262_144
+_MAX_EVENTS_PER_TURN = 5000
 _FIRST = _EVENTS[:30]
 _LAST = _EVENTS[30:]
 _FIRST_CHUNK = b"\r\n" + _encode_chunks(_FIRST)
@@ -184,6 +188,51 @@
         self.assertEqual((answer.body, answer.is_whole), (b"", True))
 
 
+class TinyEventsTest(fleet.FleetTest):
+    """Other requests beside a stream of very many events."""
+
+    async def test_tiny_events_are_split_in_turns(self) -> None:
+        """Guards against events of one target that hold up the loop."""
+        split = server_sent_events.EventSplitter.split
+        turn = 0
+        split_in_turn: dict[int, int] = {}
+
+        def count_events(
+            splitter: server_sent_events.EventSplitter, data: bytes
+        ) -> list[server_sent_events.Event]:
+            events = split(splitter, data)
+            split_in_turn[turn] = split_in_turn.get(turn, 0) + len(events)
+            return events
+
+        async def count_turns() -> None:
+            nonlocal turn
+            while True:
+                turn += 1
+                await asyncio.sleep(0)
+
+        counting = asyncio.ensure_future(count_turns())
+        self.addCleanup(counting.cancel)
+        for unit in (b"\n\n", b":\n\n", b"id: 0\n\n", b"d\n\n"):
+            with (
+                self.subTest(unit=unit),
+                mock.patch.object(
+                    server_sent_events.EventSplitter, "split", count_events
+                ),
+            ):
+                body = unit * (_TINY_BYTES // len(unit))
+                split_in_turn.clear()
+                script = target_standin.close_after(
+                    _STREAM_HEAD + b"\r\n" + body + _EVENTS
+                )
+                self.script_all(self.models, script)
+                await self.send_request(
+                    "POST", "/once/1", self.make_chat_headers()
+                )
+                self.assertLessEqual(
+                    max(split_in_turn.values()), _MAX_EVENTS_PER_TURN
+                )
+
+
 class ShutdownTest(fleet.FleetTest):
     """Streams whose targets are done well before a shutdown ends."""
 
