--- a/tests/platform/test_answer_forms.py
+++ b/tests/platform/test_answer_forms.py
@@ -472,6 +472,30 @@
         await self.check_whole("/chat/", ends, Last_Event_Id="3")
 
 
+class HeadAnswerTest(_FormsTest):
+    """The answer to a request for the head alone."""
+
+    async def test_answer_to_head_has_no_body(self) -> None:
+        """Guards against a wait for a body that never comes."""
+
+        async def run(
+            target: target_standin.Target,
+            request: wire.Request,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            request_id = request.headers["attempt-id"]
+            target.runs.append(request_id)
+            head = _START + _ID + _SEAL + _frame_by_length(_BODY) + b"\r\n"
+            writer.write(head.replace(b"ID", request_id.encode()))
+
+        for target in self.plain:
+            target.answer = run
+        client = await wire.Client.connect(self.addresses[0])
+        self.addCleanup(client.close)
+        client.send("HEAD", "/read/1", self.make_headers())
+        self.assertEqual((await client.read_head()).status, 200)
+
+
 class PeerFormsTest(AnswerFormsTest):
     """The same by way of a peer, as the first daemon reaches no target."""
 
