mothpassd: bound the load reports and failures of targets

A daemon held up to 345 MB, on machines of 200 MB, beside four targets whose load reports had no end, and up to 323 MB where bodies of failures and refusals had none: each was read up to 16 MB, like an answer.

They are small: above 64 KiB they count as lost.

--- a/mothpass/adapters/targets_http.py
+++ b/mothpass/adapters/targets_http.py
@@ -15,6 +15,8 @@
 from mothpass.ports import targets
 
 MAX_RESPONSE_BYTES = 16_777_216
+# Load reports, and what comes with a refusal or a failure, are small.
+MAX_SMALL_RESPONSE_BYTES = 65_536
 CONTROL_TIMEOUT_MS = 1000
 
 
@@ -73,7 +75,7 @@
         ) as exchange:
             if await _wait_for_status(exchange) == 503:
                 raise await _build_open_error(exchange)
-            body = await _read_body(exchange)
+            body = await _read_body(exchange, MAX_RESPONSE_BYTES)
             return targets.Answer(
                 attempt_id=_read_header(exchange, b"x-attempt-id"),
                 status=exchange.status,
@@ -89,7 +91,7 @@
             async with self._exchange(
                 attempt.address, request, deadline=_find_control_deadline()
             ) as exchange:
-                await _read_body(exchange)
+                await _read_body(exchange, MAX_SMALL_RESPONSE_BYTES)
 
     async def read_load(self, address: str) -> targets.LoadReport:
         """See ``targets.ReadLoad``."""
@@ -97,7 +99,7 @@
         async with self._exchange(
             address, request, deadline=_find_control_deadline()
         ) as exchange:
-            body = await _read_body(exchange)
+            body = await _read_body(exchange, MAX_SMALL_RESPONSE_BYTES)
             if exchange.status != 200:
                 raise errors.TargetAnswerLostError(
                     f"load report: HTTP status {exchange.status}"
@@ -200,15 +202,21 @@
     return exchange.status
 
 
-async def _read_body(exchange: http_exchanges.Exchange) -> bytes:
-    """Returns the whole body of a response."""
+async def _read_body(
+    exchange: http_exchanges.Exchange, limit_bytes: int
+) -> bytes:
+    """Returns the whole body of a response.
+
+    Raises:
+        errors.TargetAnswerLostError: If it is lost or larger than the limit.
+    """
     chunks = []
     size = 0
     while not exchange.complete:
         await exchange.wait_for_progress()
         chunk = exchange.read_available()
         size += len(chunk)
-        if size > MAX_RESPONSE_BYTES:
+        if size > limit_bytes:
             raise errors.TargetAnswerLostError("response too large")
         chunks.append(chunk)
     chunks.append(exchange.read_available())
@@ -230,7 +238,7 @@
     exchange: http_exchanges.Exchange,
 ) -> errors.MothpassError:
     """Returns the error for an attempt with a status other than 200."""
-    body = await _read_body(exchange)
+    body = await _read_body(exchange, MAX_SMALL_RESPONSE_BYTES)
     if exchange.status == 503:
         with contextlib.suppress(msgspec.DecodeError):
             if decoding.decode_json(body, _RefusalBody).ran == "no":
