mothpassd: bound the answers of targets that are read at once

A daemon held up to 218 MB, on machines of 200 MB, where services sent answers without end to ten payments: each answer had 16 MB, and nothing bounded them together.

Answers that are being read share 48 MiB. Above it the largest one counts as lost.

--- a/mothpass/adapters/targets_http.py
+++ b/mothpass/adapters/targets_http.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from mothpass.adapters import held_bytes
 from mothpass.adapters import http_events
 from mothpass.adapters import http_exchanges
 from mothpass.adapters import http_pool
@@ -17,6 +18,8 @@
 MAX_RESPONSE_BYTES = 16_777_216
 # Load reports, and what comes with a refusal or a failure, are small.
 MAX_SMALL_RESPONSE_BYTES = 65_536
+# Of answers that are being read, all together; the largest one gives way.
+MAX_HELD_BYTES = 50_331_648
 CONTROL_TIMEOUT_MS = 1000
 
 
@@ -35,7 +38,7 @@
 class HttpTargets:
     """HTTP implementation of the functions of ports/targets.py."""
 
-    __slots__ = ("_pool", "_silence_ms")
+    __slots__ = ("_held", "_pool", "_silence_ms")
 
     def __init__(
         self, *, pool: http_pool.ConnectionPool, silence_ms: int
@@ -47,6 +50,7 @@
             silence_ms: Longest time without a byte of a stream, in
                 milliseconds.
         """
+        self._held = held_bytes.HeldBytes(limit_bytes=MAX_HELD_BYTES)
         self._pool = pool
         self._silence_ms = silence_ms
 
@@ -75,7 +79,7 @@
         ) as exchange:
             if await _wait_for_status(exchange) == 503:
                 raise await _build_open_error(exchange)
-            body = await _read_body(exchange, MAX_RESPONSE_BYTES)
+            body = await self._read_answer(exchange)
             return targets.Answer(
                 attempt_id=_read_header(exchange, b"x-attempt-id"),
                 status=exchange.status,
@@ -111,6 +115,25 @@
                 error
             )
 
+    async def _read_answer(self, exchange: http_exchanges.Exchange) -> bytes:
+        """Returns the body of an answer, which counts as memory meanwhile.
+
+        Raises:
+            errors.TargetAnswerLostError: If it is lost or too large, or is
+                given up for want of memory.
+        """
+        holding = self._held.open_holding(
+            lambda: exchange.fail(
+                errors.TargetAnswerLostError(
+                    "too much memory is held for answers"
+                )
+            )
+        )
+        try:
+            return await _read_body(exchange, MAX_RESPONSE_BYTES, holding.grow)
+        finally:
+            holding.release()
+
     async def _stream(
         self,
         attempt: targets.Attempt,
@@ -203,10 +226,17 @@
 
 
 async def _read_body(
-    exchange: http_exchanges.Exchange, limit_bytes: int
+    exchange: http_exchanges.Exchange,
+    limit_bytes: int,
+    on_chunk: abc.Callable[[int], None] = lambda _: None,
 ) -> bytes:
     """Returns the whole body of a response.
 
+    Args:
+        exchange: The response.
+        limit_bytes: Most bytes of the body.
+        on_chunk: Called with the size of each piece that was read.
+
     Raises:
         errors.TargetAnswerLostError: If it is lost or larger than the limit.
     """
@@ -216,6 +246,7 @@
         await exchange.wait_for_progress()
         chunk = exchange.read_available()
         size += len(chunk)
+        on_chunk(len(chunk))
         if size > limit_bytes:
             raise errors.TargetAnswerLostError("response too large")
         chunks.append(chunk)
