mothpassd: bound the answers of the platform

Callers got no answer to payments, long after their deadline (30 s, where a test gave up), while the table service sent an answer without end: a body was read for as long as it came, of any size. A daemon held 348 MB beside an endless membership list, on machines of 200 MB.

Answers to writes are small: they are whole within the timeout, and have 64 KiB at most. Others have 32 MiB, and 48 MiB together for each service; the largest one gives way.

--- a/mothpass/adapters/platform_http.py
+++ b/mothpass/adapters/platform_http.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from mothpass.adapters import body_deadlines
+from mothpass.adapters import held_bytes
 from mothpass.core import decoding
 from mothpass.core import errors
 
@@ -27,6 +28,12 @@
 _CONNECT_TIMEOUT_SHARE = 0.5
 _STATUSES_WITHOUT_EFFECT = (429, 503)
 _MIN_SERVER_ERROR = 500
+# The largest object is a snapshot of the catalogue.
+MAX_BODY_BYTES = 33_554_432
+# Of answers that are being read, all together; the largest one gives way.
+MAX_HELD_BYTES = 50_331_648
+# What answers a write names one row at most.
+MAX_WRITE_ANSWER_BYTES = 65_536
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True):
@@ -53,6 +60,7 @@
     __slots__ = (
         "__weakref__",
         "_base",
+        "_held",
         "_host",
         "_idle",
         "_port",
@@ -72,6 +80,7 @@
         self._host = parts.hostname or ""
         self._port = parts.port or 80
         self._base = f"http://{self._host}:{self._port}"
+        self._held = held_bytes.HeldBytes(limit_bytes=MAX_HELD_BYTES)
         self._idle: list[client_connection.HTTP11Connection] = []
         self.idle_timeout = _IDLE_TIMEOUT_S
         self.timeout_s = timeout_s
@@ -98,9 +107,17 @@
         remaining_s = self.timeout_s - (time.monotonic() - started)
         request = self._build_request(method, path, body)
         try:
-            async with asyncio.timeout(remaining_s):
+            async with asyncio.timeout(remaining_s) as timeout:
                 response = await connection.send(request)
-            content = await self._read_body(response)
+                if method == "GET":
+                    # Its body may be large, and the link slow.
+                    timeout.reschedule(None)
+                content = await self._read_body(
+                    response,
+                    MAX_BODY_BYTES
+                    if method == "GET"
+                    else MAX_WRITE_ANSWER_BYTES,
+                )
         except asyncio.CancelledError:
             _close(connection)
             raise
@@ -139,24 +156,51 @@
         except errors.StoreUnconfirmedError as error:
             raise errors.StoreUnavailableError(str(error)) from error
 
-    async def _read_body(self, response: blacksheep.Response) -> bytes:
+    async def _read_body(
+        self, response: blacksheep.Response, limit_bytes: int
+    ) -> bytes:
         """Reads a body while it keeps arriving.
 
         Raises:
             TimeoutError: If it stalls or trickles.
+            ValueError: If it is larger than the limit, or is given up for
+                want of memory.
         """
+        holding = self._held.open_holding(lambda: None)
+        body = bytearray()
+        try:
+            await self._fill_body(body, response, limit_bytes, holding)
+            return bytes(body)
+        finally:
+            # The traceback of a failure keeps the object.
+            body.clear()
+            holding.release()
+
+    async def _fill_body(
+        self,
+        body: bytearray,
+        response: blacksheep.Response,
+        limit_bytes: int,
+        holding: held_bytes.Holding,
+    ) -> None:
+        """Adds what arrives to a body; see ``_read_body``."""
         loop = asyncio.get_running_loop()
         deadline = body_deadlines.BodyDeadline(now=loop.time())
         # The library annotates its generator as a coroutine.
         chunks = typing.cast(abc.AsyncIterator[bytes], response.stream())
-        body = bytearray()
         while True:
             until = min(deadline.at, loop.time() + self.timeout_s)
             try:
                 async with asyncio.timeout_at(until):
-                    body += await anext(chunks)
+                    chunk = await anext(chunks)
             except StopAsyncIteration:
-                return bytes(body)
+                return
+            body += chunk
+            holding.grow(len(chunk))
+            if len(body) > limit_bytes:
+                raise ValueError(f"body of over {limit_bytes} bytes")
+            if holding.size != len(body):
+                raise ValueError("too much memory is held for answers")
             deadline.record_progress(len(body), loop.time())
 
     def close(self) -> None:
