relay: bound the tables of peers once they are unpacked

A daemon held 617 MB, on machines of 200 MB, for a table of 300 MB that a peer had compressed to a few: 16 MB were the bound of what was sent, and none of what it becomes.

A table is unpacked up to 32 MiB; a larger one, or one that is cut, is a failed fetch.

--- a/mothpass/relay/fleet_sync.py
+++ b/mothpass/relay/fleet_sync.py
@@ -38,6 +38,8 @@
 from mothpass.relay import table_server
 
 PEERS_TABLE = "daemons"
+# Of a table that a peer sends, once it is unpacked.
+MAX_TABLE_BYTES = 33_554_432
 # Times until an answer starts; its body may take as long as it arrives. A busy
 # link delays an answer, and asking again would add to its load.
 PEER_ANSWER_TIMEOUT_S = 1.0
@@ -687,7 +689,7 @@
             if reply.status != 200:
                 raise errors.TargetAnswerLostError(f"status {reply.status}")
             page = decoding.decode_msgpack(
-                zlib.decompress(reply.body), replica_ports.Page
+                _unpack(reply.body), replica_ports.Page
             )
         except (errors.MothpassError, zlib.error) as error:
             replica.count_read("peer", "failed")
@@ -786,3 +788,19 @@
 def _measure_ms(since: float) -> float:
     """Returns the milliseconds since a time of the event loop."""
     return round((asyncio.get_running_loop().time() - since) * 1000, 1)
+
+
+def _unpack(data: bytes) -> bytes:
+    """Returns what a peer compressed.
+
+    Raises:
+        errors.TargetAnswerLostError: If it is too large or not whole.
+        zlib.error: If it isn't compressed data.
+    """
+    unpacker = zlib.decompressobj()
+    unpacked = unpacker.decompress(data, MAX_TABLE_BYTES)
+    if not unpacker.eof:
+        raise errors.TargetAnswerLostError(
+            f"table is cut, or over {MAX_TABLE_BYTES} bytes"
+        )
+    return unpacked
