relay: bound the answers of peers to short questions

Callers who took up a stream waited for a peer whose answer went on without end, and a daemon read up to 16 MB of it for each question: only the start of an answer had a time limit (0.25 s for a stream's origin, 1 s for a target's death).

Such answers have some dozen bytes. They are whole within that time, and have 64 KiB at most.

--- a/mothpass/adapters/http_fetch.py
+++ b/mothpass/adapters/http_fetch.py
@@ -34,6 +34,7 @@
     request: bytes,
     *,
     deadline: float,
+    limit_bytes: int = body_deadlines.MAX_BODY_BYTES,
 ) -> Reply:
     """Sends a request and returns the whole response.
 
@@ -42,6 +43,7 @@
         address: ``ip:port``.
         request: Encoded head and body.
         deadline: Event-loop time by which the response must have started.
+        limit_bytes: Most bytes of its body.
 
     Raises:
         errors.TargetUnreachableError: If the request wasn't sent.
@@ -54,7 +56,7 @@
         try:
             while not exchange.status:
                 await exchange.wait_for_progress()
-            body = await _read_body_in_time(exchange)
+            body = await _read_body_in_time(exchange, limit_bytes)
         except errors.TargetAnswerLostError as error:
             # The next call isn't to go over a connection that is as old.
             pool.drop_idle(address)
@@ -68,7 +70,9 @@
         pool.release(address, connection)
 
 
-async def _read_body_in_time(exchange: http_exchanges.Exchange) -> bytes:
+async def _read_body_in_time(
+    exchange: http_exchanges.Exchange, limit_bytes: int
+) -> bytes:
     """Returns the body of a response that neither stalls nor trickles.
 
     Raises:
@@ -83,18 +87,20 @@
                 silence_s=STALL_TIMEOUT_S, deadline=deadline.at
             )
 
-    return await read_body(exchange, record_progress)
+    return await read_body(exchange, record_progress, limit_bytes)
 
 
 async def read_body(
     exchange: http_exchanges.Exchange,
     on_progress: abc.Callable[[int], None] = lambda _: None,
+    limit_bytes: int = body_deadlines.MAX_BODY_BYTES,
 ) -> bytes:
     """Returns the whole body of a response.
 
     Args:
         exchange: The response.
         on_progress: Called with the bytes that have arrived so far.
+        limit_bytes: Most bytes of the body.
 
     Raises:
         errors.TargetAnswerLostError: If it was lost or is too large.
@@ -104,7 +110,7 @@
         await exchange.wait_for_progress()
         body += exchange.read_available()
         on_progress(len(body))
-        if len(body) > body_deadlines.MAX_BODY_BYTES:
+        if len(body) > limit_bytes:
             raise errors.TargetAnswerLostError("response too large")
     body += exchange.read_available()
     return bytes(body)
