relay: give up a first run whose event ids don't increase

Callers got a stream without one of its events and with a complete end, where a target sent an id at or below the one before (0, 2, 1, 3 arrived as 0, 2, 3): the event was dropped as one that the client has already, which it is only where a run goes on with a stream.

PROTOCOL.md has increasing ids.

Evidence: test_ids_that_do_not_increase_end_a_stream, three orders of ids, failed before.

--- a/mothpass/relay/attempts.py
+++ b/mothpass/relay/attempts.py
@@ -570,12 +570,14 @@
     for event in events:
         if event.id is not None:
             last_id = delivery.position
-            if last_id is not None and event.id <= last_id:
+            if goes_on and last_id is not None and event.id <= last_id:
                 continue
             if last_id is not None:
-                if not goes_on and event.id != last_id + 1:
+                if not goes_on and event.id > last_id + 1:
                     delivery.skips_ids = True
-                if not delivery.may_follow(event.id, last_id):
+                if event.id <= last_id or not delivery.may_follow(
+                    event.id, last_id
+                ):
                     failure = f"event {event.id} follows event {last_id}"
                     break
             delivery.position = event.id
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -96,6 +96,21 @@
                     target_standin.stream_text(body[:41], body[41:]), body
                 )
 
+    async def test_ids_that_do_not_increase_end_a_stream(self) -> None:
+        """Guards against a dropped event in front of a complete end."""
+        for ids in ((0, 2, 1, 3), (0, 1, 1, 2), (1, 0)):
+            with self.subTest(ids=ids):
+                events = [target_standin.make_event(number) for number in ids]
+                self.script_all(
+                    self.models, target_standin.stream_text(b"".join(events))
+                )
+                answer = await self.send_request(
+                    "POST", "/once/1", self.make_chat_headers()
+                )
+                self.assertFalse(answer.is_whole)
+                sent = max(1, len(ids) - 2)
+                self.assertEqual(answer.body, b"".join(events[:sent]))
+
     async def test_ids_may_skip_numbers(self) -> None:
         """Guards against whole streams that are cut at a skipped id."""
         part = target_standin.make_event
