relay: count the answers that a shutdown has cut

An operator read of a shutdown that it had cut nothing (stopped, cut 0) although it had cut streams: cut counted the connections that were open at its end, and those of cut answers had been closed just before.

Answers that had begun and got no end are counted as well.

--- a/mothpass/relay/forwarding.py
+++ b/mothpass/relay/forwarding.py
@@ -50,7 +50,11 @@
 
 
 class Forwarder:
-    """Forwards the requests of clients to targets."""
+    """Forwards the requests of clients to targets.
+
+    Attributes:
+        cut_count: Answers that had begun and that a shutdown has cut.
+    """
 
     __slots__ = (
         "_admission",
@@ -72,6 +76,7 @@
         "_shutdown",
         "_timeouts",
         "_write_request",
+        "cut_count",
     )
 
     def __init__(
@@ -133,6 +138,7 @@
         self._write_request = write_request
         self._random = random
         self._shutdown = shutdowns.NONE
+        self.cut_count = 0
         # Of the requests in progress.
         self._timeouts: set[asyncio.Timeout] = set()
 
@@ -680,6 +686,7 @@
                     "incomplete_answers",
                     shutdown="yes" if self._is_stopping else "no",
                 )
+                self.cut_count += self._is_stopping
                 client.abort()
         elif progress.failure is not None and progress.failure.head is not None:
             head = progress.failure.head
--- a/mothpass/relay/service.py
+++ b/mothpass/relay/service.py
@@ -321,7 +321,11 @@
         ) and loop.time() < end:
             self._clients.close_idle()
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-        event_log.log(_logger, "stopped", cut=len(self._clients.connections))
+        event_log.log(
+            _logger,
+            "stopped",
+            cut=self._forwarder.cut_count + len(self._clients.connections),
+        )
         await self.close()
 
     def reload(self, settings: settings_module.Settings) -> None:
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -305,6 +305,21 @@
                 self.assertTrue(attempt["is_whole"])
                 self.assertTrue(answer.is_whole)
 
+    async def test_streams_that_a_shutdown_cuts_are_counted(self) -> None:
+        """Guards against a log in which a shutdown has cut nothing."""
+        with self.assertLogs("mothpass.relay") as logs:
+            answer, attempt = await self.stream_and_stop(
+                target_standin.silence_stream(2)
+            )
+        self.assertEqual((answer.status, answer.is_whole), (200, False))
+        self.assertFalse(attempt["is_whole"])
+        [stopped] = [
+            record.__dict__["fields"]
+            for record in logs.records
+            if record.getMessage() == "stopped"
+        ]
+        self.assertEqual(stopped["cut"], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
