relay: only a lost history of the store is a gap

The gap is recorded where the store says that its history is gone (410), once the whole read that follows is applied.

--- a/mothpass/relay/replicas.py
+++ b/mothpass/relay/replicas.py
@@ -55,6 +55,7 @@
         "_get_pause_s",
         "_get_wait_s",
         "_had_changes",
+        "_has_gap",
         "_has_reader_peer",
         "_is_store_stable",
         "_metrics",
@@ -103,8 +104,8 @@
                 didn't just expire during an outage of the store.
             on_change: Called when the content has changed or the store has
                 become unreachable.
-            on_gap: Called when the table was read anew, so that rows may have
-                come and gone unseen.
+            on_gap: Called when the store no longer had the history since the
+                last read, so that rows may have come and gone unseen.
             metrics: Counters and histograms.
         """
         self.name = name
@@ -125,6 +126,7 @@
         self._feed_call: asyncio.Future[replicas.Page | None] | None = None
         self._confirmation: asyncio.Task[None] | None = None
         self._had_changes = False
+        self._has_gap = False
         self.freshness = route_freshness.Freshness()
         self.is_following_store = True
 
@@ -277,8 +279,6 @@
                 held=sorted(change.held)[:MAX_LOGGED_KEYS],
                 held_count=len(change.held),
             )
-        if page.is_whole and before and not change.is_restore:
-            self._on_gap()
         if change.rows or change.is_restore or not before:
             self._apply_changes(change.rows, self._is_store_stable())
             self._on_change(self)
@@ -332,12 +332,16 @@
                     table=self.name,
                     after=store_versions.to_pair(self.version),
                 )
+                self._has_gap = True
                 return True
             page = followed
         self._record_success()
         is_applied = self._apply_store_page(page, asked_at)
         if is_applied:
             self.freshness.confirm(confirmed_at)
+        if is_applied and self._has_gap:
+            self._has_gap = False
+            self._on_gap()
         return needs_whole and not is_applied
 
     def _apply_store_page(
