Take an address with a null character for unreachable, as before

A target whose entry names a host with a null character raised TypeError, which no caller expects, since: the socket says so itself now. TimeoutError is an OSError.

--- a/mothpass/adapters/http_pool.py
+++ b/mothpass/adapters/http_pool.py
@@ -119,8 +119,8 @@
                 lambda: http_exchanges.Connection(loop=loop, turns=self._turns),
                 sock=connected,
             )
-        except (OSError, TimeoutError, ValueError, OverflowError) as error:
-            # The latter two are of addresses that can't exist.
+        except (OSError, TypeError, ValueError, OverflowError) as error:
+            # The latter three are of addresses that can't exist.
             raise errors.TargetUnreachableError(
                 f"no connection to {address}: {error}"
             ) from error
